--- /dev/null
+++ b/dogwoodtack/calls.py
@@ -0,0 +1,152 @@
+"""Control calls: one small HTTP request, one small JSON answer, one callback."""
+
+import json
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from .backends import Header, Link, LinkPool, OutgoingHead, ResponseHead
+from .errors import ErrorKind, WireError
+from .misc import Address
+from .reactor import Reactor, Timer
+
+__all__ = ["Call", "Client", "Reply"]
+
+MAX_REPLY_BYTES = 64 * 1024 * 1024
+DEFAULT_TIMEOUT_S = 2.0
+
+
+class Call(NamedTuple):
+    """One control call.
+
+    Attributes:
+        address: where it goes.
+        method: HTTP method.
+        target: path and query.
+        body: what is sent as JSON, None for no body.
+        timeout_s: seconds until the call has failed.
+        headers: further headers, such as the access key.
+    """
+
+    address: Address
+    method: str
+    target: str
+    body: Any = None
+    timeout_s: float = DEFAULT_TIMEOUT_S
+    headers: tuple[Header, ...] = ()
+
+
+class Reply(NamedTuple):
+    """The answer to a control call; `body` is the decoded JSON."""
+
+    status: int
+    headers: list[Header]
+    body: Any
+
+
+OnReply = Callable[[Reply | None, WireError | None], None]
+
+
+class Client:
+    """Make control calls over pooled connections."""
+
+    def __init__(self, reactor: Reactor, dial_timeout_s: float) -> None:
+        self._reactor = reactor
+        self._pool = LinkPool(reactor, dial_timeout_s)
+        self.calls_made = 0
+
+    def call(self, call: Call, on_reply: OnReply) -> "PendingCall":
+        """Make a call; `on_reply(reply, exc)` is called exactly once."""
+        self.calls_made += 1
+        return PendingCall(self._reactor, self._pool, call, on_reply)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._pool.close()
+
+
+class PendingCall:
+    """A call under way; it owns the link that carries it."""
+
+    def __init__(
+        self, reactor: Reactor, pool: LinkPool, call: Call, on_reply: OnReply
+    ) -> None:
+        self._pool = pool
+        self._call = call
+        self._on_reply: OnReply | None = on_reply
+        self._link: Link | None = None
+        self._head: ResponseHead | None = None
+        self._body = bytearray()
+        self._timer: Timer = reactor.call_later(call.timeout_s, self._on_timeout)
+        pool.acquire(call.address, self._on_link, fresh=True)
+
+    def cancel(self) -> None:
+        """Give the call up; its callback is not called any more."""
+        self._on_reply = None
+        self._timer.cancel()
+        if self._link is not None:
+            self._link.close()
+
+    def _on_link(self, link: Link | None, exc: WireError | None) -> None:
+        if self._on_reply is None:
+            if link is not None:
+                self._pool.release(link)
+            return
+        if exc is not None:
+            self._finish(None, exc)
+            return
+        self._link = link
+        body = b"" if self._call.body is None else json.dumps(self._call.body).encode()
+        headers = [
+            (b"host", str(self._call.address).encode()),
+            (b"content-length", str(len(body)).encode()),
+            *self._call.headers,
+        ]
+        if body:
+            headers.append((b"content-type", b"application/json"))
+        method = self._call.method.encode()
+        link.start(
+            OutgoingHead(method, self._call.target.encode(), headers), self, body
+        )
+        link.end_body()
+
+    def on_head(self, head: ResponseHead) -> None:
+        """Keep the answer's head."""
+        self._head = head
+
+    def on_body(self, data: bytes) -> None:
+        """Collect the answer's body, up to its limit."""
+        self._body += data
+        if len(self._body) > MAX_REPLY_BYTES:
+            self._give_up(ErrorKind.BACKEND_MALFORMED, "the reply is too large")
+
+    def on_end(self) -> None:
+        """Decode the whole answer and hand it on."""
+        self._pool.release(self._link)
+        try:
+            body = json.loads(self._body) if self._body else None
+        except ValueError as exc:
+            self._finish(None, WireError(ErrorKind.BACKEND_MALFORMED, str(exc)))
+            return
+        self._finish(Reply(self._head.status, self._head.headers, body), None)
+
+    def on_fail(self, exc: WireError) -> None:
+        """Hand the failure on."""
+        self._finish(None, exc)
+
+    def on_drained(self) -> None:
+        """Do nothing: the body was written in one piece."""
+
+    def _on_timeout(self) -> None:
+        self._give_up(ErrorKind.BACKEND_TIMEOUT, "no reply in time")
+
+    def _give_up(self, kind: ErrorKind, detail: str) -> None:
+        sent = self._link is not None and self._link.bytes_sent
+        if self._link is not None:
+            self._link.close()
+        self._finish(None, WireError(kind, detail, bytes_sent=sent))
+
+    def _finish(self, reply: Reply | None, exc: WireError | None) -> None:
+        self._timer.cancel()
+        on_reply, self._on_reply = self._on_reply, None
+        if on_reply is not None:
+            on_reply(reply, exc)
--- /dev/null
+++ b/dogwoodtack/catalog/catalog.py
@@ -0,0 +1,88 @@
+"""Every service this node knows, and which of them a request belongs to."""
+
+from typing import Any, NamedTuple
+
+from ..errors import RequestError
+from ..logs import log_event
+from .service import RouteRule, Service, parse_service
+
+__all__ = ["Catalog", "Match"]
+
+
+class Match(NamedTuple):
+    """The service and route of a request."""
+
+    service: Service
+    route: RouteRule
+
+
+class Catalog:
+    """Services by name and routes by host."""
+
+    def __init__(self) -> None:
+        self._services: dict[str, Service] = {}
+        self._versions: dict[str, int] = {}
+        self._routes: dict[str, list[tuple[str, str]]] = {}
+
+    def put(self, name: str, version: int, value: Any) -> None:
+        """Take a service's new version; None removes it.
+
+        A form that does not parse is logged and the version before stays in
+        force: a newer node may have written what this one does not know.
+        """
+        try:
+            service = None if value is None else parse_service(name, value)
+        except RequestError as exc:
+            log_event("service-unreadable", "ERROR", service=name, detail=exc.detail)
+            return
+        self._drop_routes(name)
+        if service is None:
+            self._services.pop(name, None)
+            self._versions.pop(name, None)
+            return
+        self._services[name] = service
+        self._versions[name] = version
+        for route in service.routes:
+            entries = self._routes.setdefault(route.host, [])
+            entries.append((route.prefix, name))
+            entries.sort(key=lambda entry: -len(entry[0]))
+
+    def _drop_routes(self, name: str) -> None:
+        known = self._services.get(name)
+        for host in {route.host for route in known.routes} if known else ():
+            left = [entry for entry in self._routes[host] if entry[1] != name]
+            if left:
+                self._routes[host] = left
+            else:
+                del self._routes[host]
+
+    def get(self, name: str) -> Service | None:
+        """Return a service, or None."""
+        return self._services.get(name)
+
+    def version(self, name: str) -> int:
+        """Return a service's version, 0 where it is not known."""
+        return self._versions.get(name, 0)
+
+    def services(self) -> list[Service]:
+        """Return every service."""
+        return list(self._services.values())
+
+    def match(self, host: str, path: str) -> Match | None:
+        """Return the service with the longest matching route, or None."""
+        for prefix, name in self._routes.get(host.lower(), ()):
+            if not _is_under(path, prefix):
+                continue
+            service = self._services[name]
+            for route in service.routes:
+                if route.prefix == prefix and route.host == host.lower():
+                    return Match(service, route)
+        return None
+
+
+def _is_under(path: str, prefix: str) -> bool:
+    """Return whether a path lies under a prefix, by whole segments."""
+    if not path.startswith(prefix):
+        return False
+    rest = path[len(prefix) :]
+    return prefix.endswith("/") or not rest or rest[0] in "/?"
--- /dev/null
+++ b/dogwoodtack/daemon.py
@@ -0,0 +1,57 @@
+"""The daemon's command line: one process for each entry host."""
+
+import sys
+
+from absl import app, flags
+
+from .errors import SettingsError
+from .logs import set_up_logs
+from .node import Node
+from .settings import SETTINGS, load_settings
+
+__all__ = ["run"]
+
+FLAGS = flags.FLAGS
+flags.DEFINE_string("config", None, "The INI file with this entry host's settings.")
+flags.DEFINE_bool("check", False, "Check the settings, print them and exit.")
+
+EXIT_USAGE = 2
+
+
+def main(argv: list[str]) -> int:
+    """Run one entry host until it is stopped and return its exit code."""
+    if len(argv) > 1 or not FLAGS.config:
+        print("usage: dogwoodtackd --config FILE [--check]", file=sys.stderr)
+        return EXIT_USAGE
+    try:
+        settings = load_settings(FLAGS.config)
+    except SettingsError as exc:
+        print(f"dogwoodtackd: {exc}", file=sys.stderr)
+        return EXIT_USAGE
+    if FLAGS.check:
+        print_settings(settings)
+        return 0
+    set_up_logs(settings.logs_level, node=settings.node_name)
+    node = Node(settings)
+    node.start_work()
+    node.run()
+    return node.exit_code
+
+
+def print_settings(settings) -> None:
+    """Print every setting with its value and where it came from."""
+    for setting in SETTINGS:
+        name = f"{setting.section}_{setting.key}"
+        value = "***" if setting.key == "access_key" else getattr(settings, name)
+        print(
+            f"[{setting.section}] {setting.key} = {value}  ({settings.origins[name]})"
+        )
+
+
+def run() -> None:
+    """Run the daemon as a program."""
+    app.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/dogwoodtack/door/exchange.py
@@ -0,0 +1,543 @@
+"""One request from its head to its answer's end."""
+
+import hashlib
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import NamedTuple
+
+from ..backends import Header, LinkPool, OutgoingHead, ResponseHead
+from ..burn import Burn, Served
+from ..catalog import Catalog, Match
+from ..errors import ErrorKind, Outcome, RequestError, WireError, answer_for
+from ..health import Health, Sample, SampleKind
+from ..keys import (
+    KeyRequest,
+    KeyResult,
+    KeyTable,
+    KeyTicket,
+    NotRun,
+    Ran,
+    Refuse,
+    Replay,
+    Run,
+    StoredAnswer,
+    Unknown,
+)
+from ..limits import Limits, Slot, SlotRequest, Waiter
+from ..logs import log_event
+from ..misc import new_token
+from ..reactor import Reactor
+from .attempt import Attempt
+from .conn import RequestHead, ServerConn
+from .headers import (
+    ERROR_KIND,
+    IDEMPOTENCY_KEY,
+    NOT_EXECUTED,
+    OUTCOME,
+    REQUEST_ID,
+    answer_headers,
+    backend_headers,
+    customer_of,
+    deadline_of,
+)
+
+__all__ = ["Exchange", "Parts"]
+
+BUFFER_BYTES = 65536
+HOLD_BYTES = 65536
+MAX_ATTEMPTS = 3
+FIRST_ATTEMPT_SHARE = 0.6
+KEPT_ANSWER_BYTES = 16384
+SERVER_ERROR = 500
+
+SAMPLE_KINDS: dict[ErrorKind, SampleKind] = {
+    ErrorKind.BACKEND_REFUSED: SampleKind.REFUSED,
+    ErrorKind.BACKEND_TIMEOUT: SampleKind.TIMEOUT,
+    ErrorKind.BACKEND_CUT: SampleKind.CUT,
+    ErrorKind.BACKEND_MALFORMED: SampleKind.MALFORMED,
+}
+
+
+class Parts(NamedTuple):
+    """What an exchange works with.
+
+    Attributes:
+        max_body_bytes: the largest request body that is taken.
+        stall_timeout_s: seconds without progress after which a transfer ends.
+    """
+
+    reactor: Reactor
+    catalog: Catalog
+    keys: KeyTable
+    limits: Limits
+    health: Health
+    pool: LinkPool
+    burn: Burn
+    max_body_bytes: int
+    stall_timeout_s: float
+
+
+class Exchange:
+    """Route a request, settle its key, try instances and relay one answer."""
+
+    def __init__(
+        self,
+        parts: Parts,
+        conn: ServerConn,
+        head: RequestHead,
+        on_done: Callable[["Exchange"], None],
+    ) -> None:
+        self._parts = parts
+        self._on_done = on_done
+        self._conn = conn
+        self._head = head
+        self.request_id = new_token()
+        self.started_at = parts.reactor.clock.monotonic()
+        self.is_done = False
+        self._match: Match | None = None
+        self._is_idempotent = False
+        self._deadline = 0.0
+        self._body = bytearray()
+        self._body_bytes = 0
+        self._body_whole = False
+        self._streams_body = False
+        self._is_settling = False
+        self._ticket: KeyTicket | None = None
+        self._waiter: Waiter | None = None
+        self._attempt: Attempt | None = None
+        self._tried: set[str] = set()
+        self._attempts = 0
+        self._answer: ResponseHead | None = None
+        self._held = bytearray()
+        self._is_passing = False
+        self._caller_gone = False
+        self._last_fault = ErrorKind.NO_INSTANCE
+
+    # Receiving the request.
+
+    def start(self) -> None:
+        """Check the head; the request waits for its body after that."""
+        try:
+            self._check_head()
+        except RequestError as exc:
+            self.refuse(exc.kind, exc.detail)
+
+    def _check_head(self) -> None:
+        head = self._head
+        host = (head.header(b"host") or "").rsplit(":", 1)[0]
+        self._match = self._parts.catalog.match(host, head.target)
+        if self._match is None:
+            raise RequestError(ErrorKind.NO_ROUTE, f"{host}{head.target}"[:200])
+        route = self._match.route
+        self._is_idempotent = head.method in route.idempotent_methods
+        try:
+            allowed_s = deadline_of(head, route.timeout_s)
+        except ValueError as exc:
+            raise RequestError(ErrorKind.BAD_REQUEST, str(exc)) from exc
+        self._deadline = self.started_at + allowed_s
+        length = int(head.header(b"content-length") or 0)
+        if length > self._parts.max_body_bytes:
+            raise RequestError(ErrorKind.BODY_TOO_LARGE, f"{length} bytes")
+
+    def on_body(self, data: bytes) -> None:
+        """Take a piece of the request's body."""
+        if self.is_done:
+            return
+        self._body_bytes += len(data)
+        if self._body_bytes > self._parts.max_body_bytes:
+            self.refuse(ErrorKind.BODY_TOO_LARGE, f"over {self._body_bytes} bytes")
+            return
+        attempt = self._attempt
+        if self._streams_body and attempt is not None and attempt.is_linked:
+            attempt.send_body(data)
+            attempt.rearm(self._parts.stall_timeout_s)
+            if attempt.is_full:
+                self._conn.pause()
+            return
+        self._body += data
+        if len(self._body) > BUFFER_BYTES and not self._streams_body:
+            self._streams_body = True
+            self._conn.pause()
+            self._settle()
+
+    def on_body_end(self) -> None:
+        """Note that the request is whole."""
+        if self.is_done:
+            return
+        self._body_whole = True
+        if not self._streams_body:
+            self._settle()
+        elif self._attempt is not None and self._attempt.is_linked:
+            self._attempt.end_body()
+
+    def on_fault(self, kind: ErrorKind, detail: str) -> None:
+        """Note that the rest of the request is malformed."""
+        if self.is_done:
+            return
+        if self._attempt is not None and self._attempt.bytes_sent:
+            self._stop_work(Unknown())
+            self._abort_caller("request-malformed")
+            return
+        self.refuse(kind, detail)
+
+    def on_caller_gone(self) -> None:
+        """Cancel what can be cancelled.
+
+        A non-idempotent request that a back end already has goes on, so that
+        its outcome is known when the caller repeats the key.
+        """
+        if self.is_done:
+            return
+        self._caller_gone = True
+        dispatched = self._attempt is not None and self._attempt.bytes_sent
+        if dispatched and not self._is_idempotent and not self._streams_body:
+            return
+        self._stop_work(Unknown() if dispatched else NotRun())
+        self._close("caller-gone", 499, Outcome.UNKNOWN, is_whole=False)
+
+    # Settling the key.
+
+    def _settle(self) -> None:
+        key = self._head.header(IDEMPOTENCY_KEY)
+        if self._is_idempotent:
+            self._seek_slot()
+            return
+        service = self._match.service
+        if key is None:
+            if service.keyless == "refuse":
+                self.refuse(ErrorKind.KEY_MISSING)
+                return
+            self._seek_slot()
+            return
+        self._is_settling = True
+        req = KeyRequest(key, service.name, self._fingerprint())
+        self._parts.keys.begin(req, self._on_decision)
+
+    def _fingerprint(self) -> str:
+        digest = hashlib.sha256()
+        digest.update(self._head.method.encode())
+        digest.update(b"\0" + self._head.target.encode() + b"\0")
+        digest.update(b"..." if self._streams_body else bytes(self._body))
+        return digest.hexdigest()
+
+    @singledispatchmethod
+    def _on_decision(self, decision: object) -> None:
+        raise TypeError(f"not a key decision: {decision!r}")
+
+    @_on_decision.register
+    def _(self, decision: Run) -> None:
+        self._ticket = decision.ticket
+        if self.is_done:
+            self._settle_ticket(NotRun())
+            return
+        self._seek_slot()
+
+    @_on_decision.register
+    def _(self, decision: Replay) -> None:
+        if self.is_done:
+            return
+        answer = decision.answer
+        headers = [*answer.headers, (OUTCOME, Outcome.RAN.encode())]
+        self._conn.send_head(answer.status, headers)
+        if answer.body:
+            self._conn.send_body(answer.body)
+        self._conn.end_answer()
+        self._close("replayed", answer.status, Outcome.RAN, is_whole=True)
+
+    @_on_decision.register
+    def _(self, decision: Refuse) -> None:
+        if not self.is_done:
+            self.refuse(decision.kind, decision.detail)
+
+    # Trying instances.
+
+    def _seek_slot(self) -> None:
+        req = SlotRequest(
+            service=self._match.service,
+            customer=customer_of(self._head),
+            deadline=self._deadline,
+            exclude=frozenset(self._tried),
+            is_retry=self._attempts > 0,
+        )
+        self._waiter = self._parts.limits.acquire(req, self._on_slot)
+
+    def _on_slot(self, slot: Slot | None, kind: ErrorKind | None) -> None:
+        if slot is None:
+            if self._attempts:
+                kind = self._last_fault
+            self._finish_unserved(kind)
+            return
+        if self.is_done:
+            slot.release()
+            return
+        self._dispatch(slot)
+
+    def _dispatch(self, slot: Slot) -> None:
+        left_s = self._deadline - self._parts.reactor.clock.monotonic()
+        if left_s <= 0:
+            slot.release()
+            self._finish_unserved(ErrorKind.DEADLINE_PASSED)
+            return
+        self._attempts += 1
+        self._tried.add(slot.instance.name)
+        timeout_s = left_s
+        if self._is_idempotent and self._attempts == 1 and not self._streams_body:
+            timeout_s = left_s * FIRST_ATTEMPT_SHARE
+        request_id = f"{self.request_id}-{self._attempts}"
+        body = None if self._streams_body else bytes(self._body)
+        length = None if body is None else len(body)
+        headers = backend_headers(self._head, request_id, left_s, length)
+        out = OutgoingHead(
+            self._head.method.encode(), self._head.target.encode(), headers
+        )
+        self._attempt = Attempt(
+            self._parts.reactor, self._parts.pool, slot, self, request_id, timeout_s
+        )
+        self._attempt.start(out, body, fresh=not self._is_idempotent)
+
+    def on_attempt_linked(self, attempt: Attempt) -> None:
+        """Send what has come of a body that is sent in pieces."""
+        if attempt is not self._attempt or not self._streams_body:
+            return
+        attempt.send_body(bytes(self._body))
+        self._body.clear()
+        if self._body_whole:
+            attempt.end_body()
+        elif not attempt.is_full:
+            self._conn.resume()
+
+    def on_attempt_drained(self, attempt: Attempt) -> None:
+        """Read on from the caller."""
+        if attempt is self._attempt and not self._body_whole:
+            self._conn.resume()
+
+    def on_attempt_fail(self, attempt: Attempt, exc: WireError) -> None:
+        """Try another instance if that is safe, else give the request up."""
+        if attempt is not self._attempt or self.is_done:
+            return
+        self._attempt = None
+        kind = SAMPLE_KINDS.get(exc.kind, SampleKind.ERROR)
+        self._record(attempt, kind)
+        self._last_fault = exc.kind
+        if not exc.bytes_sent:
+            self._last_fault = ErrorKind.BACKEND_REFUSED
+        if self._is_passing:
+            self._settle_ticket(Unknown())
+            self._abort_caller(str(exc.kind))
+            return
+        self._answer = None
+        self._held.clear()
+        may_repeat = self._is_idempotent or not exc.bytes_sent
+        if may_repeat and self._can_try_again():
+            self._seek_slot()
+            return
+        if exc.bytes_sent:
+            self._finish_unknown(exc)
+            return
+        self._finish_unserved(ErrorKind.BACKEND_REFUSED, exc.detail)
+
+    def _can_try_again(self) -> bool:
+        if self._streams_body and not self._body:
+            return False
+        return self._attempts < MAX_ATTEMPTS and not self._caller_gone
+
+    def _record(self, attempt: Attempt, kind: SampleKind) -> None:
+        sample = Sample(
+            service=self._match.service.name,
+            instance=attempt.slot.instance.name,
+            is_idempotent=self._is_idempotent,
+            kind=kind,
+            latency_s=attempt.latency_s,
+            at=self._parts.reactor.clock.monotonic(),
+        )
+        self._parts.health.record(sample)
+
+    # Relaying the answer.
+
+    def on_attempt_head(self, attempt: Attempt, head: ResponseHead) -> None:
+        """Hold the answer until it is whole or too large to hold."""
+        if attempt is self._attempt:
+            self._answer = head
+            attempt.rearm(self._parts.stall_timeout_s)
+
+    def on_attempt_body(self, attempt: Attempt, data: bytes) -> None:
+        """Hold a piece of the answer, or pass it on."""
+        if attempt is not self._attempt:
+            return
+        attempt.rearm(self._parts.stall_timeout_s)
+        if not self._is_passing:
+            self._held += data
+            if len(self._held) <= HOLD_BYTES:
+                return
+            self._begin_passing()
+        else:
+            self._conn.send_body(data)
+        if self._conn.is_full:
+            attempt.pause()
+            self._watch_caller_progress()
+
+    def _begin_passing(self) -> None:
+        self._is_passing = True
+        if self._caller_gone:
+            return
+        self._conn.send_head(self._answer.status, self._answer_headers())
+        self._conn.send_body(bytes(self._held))
+        self._held.clear()
+
+    def _answer_headers(self) -> list[Header]:
+        headers = answer_headers(self._answer.headers)
+        headers = [pair for pair in headers if pair[0] != REQUEST_ID]
+        headers.append((REQUEST_ID, self.request_id.encode()))
+        headers.append((OUTCOME, Outcome.RAN.encode()))
+        return headers
+
+    def on_conn_drained(self) -> None:
+        """Read on from the back end."""
+        if self._attempt is not None:
+            self._attempt.rearm(self._parts.stall_timeout_s)
+            self._attempt.resume()
+
+    def _watch_caller_progress(self) -> None:
+        """Keep a slow caller's attempt alive as long as the caller takes bytes."""
+        mark = self._conn.written_bytes
+        timeout_s = self._parts.stall_timeout_s
+        self._attempt.rearm(timeout_s * 2)
+        self._parts.reactor.call_later(timeout_s, self._check_progress, mark)
+
+    def _check_progress(self, mark: int) -> None:
+        if self.is_done or self._attempt is None or not self._conn.is_full:
+            return
+        if self._conn.written_bytes > mark:
+            self._watch_caller_progress()
+            return
+        self._stop_work(Unknown())
+        self._abort_caller("caller-stalled")
+
+    def on_attempt_end(self, attempt: Attempt) -> None:
+        """Answer the caller, now that the back end's answer is whole."""
+        if attempt is not self._attempt:
+            return
+        self._attempt = None
+        head = self._answer
+        if head.header(NOT_EXECUTED) is not None:
+            self._on_not_executed(attempt)
+            return
+        is_error = head.status >= SERVER_ERROR
+        self._record(attempt, SampleKind.ERROR if is_error else SampleKind.OK)
+        self._settle_ticket(Ran(self._kept_answer()))
+        if not self._is_passing:
+            self._begin_passing()
+        if not self._caller_gone:
+            self._conn.end_answer()
+        whole = not self._caller_gone
+        self._close("served", head.status, Outcome.RAN, is_whole=whole)
+
+    def _on_not_executed(self, attempt: Attempt) -> None:
+        """Go elsewhere with what a back end shed by its documented word."""
+        self._record(attempt, SampleKind.SHED)
+        self._answer = None
+        self._held.clear()
+        self._last_fault = ErrorKind.BACKEND_SHED
+        if self._can_try_again():
+            self._seek_slot()
+            return
+        self._finish_unserved(ErrorKind.BACKEND_SHED)
+
+    def _kept_answer(self) -> StoredAnswer | None:
+        if self._is_passing or len(self._held) > KEPT_ANSWER_BYTES:
+            return None
+        return StoredAnswer(
+            self._answer.status,
+            answer_headers(self._answer.headers),
+            bytes(self._held),
+        )
+
+    # Ending.
+
+    def refuse(self, kind: ErrorKind, detail: str = "") -> None:
+        """Answer with an error kind; nothing of the request has run."""
+        if self.is_done:
+            return
+        self._stop_work(NotRun())
+        self._send_error(kind, detail)
+
+    def _finish_unserved(self, kind: ErrorKind, detail: str = "") -> None:
+        """Answer that the request was not run.
+
+        An idempotent request may have been tried before; what its last attempt
+        met is then the honest answer.
+        """
+        self._settle_ticket(NotRun())
+        self._send_error(kind, detail)
+
+    def _finish_unknown(self, exc: WireError) -> None:
+        self._settle_ticket(Unknown())
+        self._send_error(exc.kind, exc.detail)
+
+    def _send_error(self, kind: ErrorKind, detail: str) -> None:
+        answer = answer_for(kind)
+        if not self._caller_gone:
+            send_error(self._conn, kind, detail, self.request_id)
+        self._close(str(kind), answer.status, answer.outcome, is_whole=True)
+
+    def _abort_caller(self, reason: str) -> None:
+        self._close(reason, 0, Outcome.UNKNOWN, is_whole=False)
+        self._conn.abort()
+
+    def _stop_work(self, result: KeyResult) -> None:
+        if self._waiter is not None:
+            self._waiter.cancel()
+        if self._attempt is not None:
+            attempt, self._attempt = self._attempt, None
+            attempt.cancel()
+        self._settle_ticket(result)
+
+    def _settle_ticket(self, result: KeyResult) -> None:
+        ticket, self._ticket = self._ticket, None
+        if ticket is not None:
+            self._parts.keys.finish(ticket, result)
+
+    def _close(
+        self, reason: str, status: int, outcome: Outcome, is_whole: bool
+    ) -> None:
+        self.is_done = True
+        self._on_done(self)
+        latency_s = self._parts.reactor.clock.monotonic() - self.started_at
+        service = self._match.service.name if self._match else ""
+        served = Served(
+            service, self._is_idempotent, outcome, status, latency_s, is_whole
+        )
+        self._parts.burn.record(served)
+        log_event(
+            "request",
+            id=self.request_id,
+            service=service,
+            method=self._head.method,
+            reason=reason,
+            status=status,
+            outcome=outcome,
+            attempts=self._attempts,
+            ms=latency_s * 1000,
+        )
+
+
+def send_error(
+    conn: ServerConn, kind: ErrorKind, detail: str, request_id: str = ""
+) -> None:
+    """Answer a request with an error kind, at once."""
+    answer = answer_for(kind)
+    text = f"{answer.text} {detail}".strip()
+    body = (text + "\n").encode("utf-8", "replace")
+    headers = [
+        (b"content-type", b"text/plain; charset=utf-8"),
+        (b"content-length", str(len(body)).encode()),
+        (OUTCOME, answer.outcome.encode()),
+        (ERROR_KIND, kind.encode()),
+    ]
+    if request_id:
+        headers.append((REQUEST_ID, request_id.encode()))
+    if answer.retry_after_s is not None:
+        headers.append((b"retry-after", str(answer.retry_after_s).encode()))
+    conn.send_head(answer.status, headers)
+    conn.send_body(body)
+    conn.end_answer()
--- /dev/null
+++ b/dogwoodtack/door/headers.py
@@ -0,0 +1,98 @@
+"""Which headers pass through, and which this system adds."""
+
+from ..backends import Header
+from .conn import RequestHead
+
+__all__ = [
+    "CUSTOMER",
+    "DEADLINE_MS",
+    "IDEMPOTENCY_KEY",
+    "NOT_EXECUTED",
+    "OUTCOME",
+    "REQUEST_ID",
+    "answer_headers",
+    "backend_headers",
+    "customer_of",
+    "deadline_of",
+]
+
+CUSTOMER = b"x-customer"
+DEADLINE_MS = b"x-deadline-ms"
+ERROR_KIND = b"x-dogwoodtack-error"
+IDEMPOTENCY_KEY = b"idempotency-key"
+NOT_EXECUTED = b"x-not-executed"
+OUTCOME = b"x-dogwoodtack-outcome"
+REQUEST_ID = b"x-request-id"
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"upgrade",
+        b"expect",
+    }
+)
+REPLACED = frozenset({DEADLINE_MS, REQUEST_ID})
+OWN_ANSWER = frozenset({OUTCOME, ERROR_KIND, NOT_EXECUTED})
+
+
+def _named_by_connection(headers: list[Header]) -> set[bytes]:
+    """Return the headers that the Connection header declares hop-by-hop."""
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    return named - {b"content-length", b"transfer-encoding", b"host"}
+
+
+def backend_headers(
+    head: RequestHead, request_id: str, left_s: float, body_bytes: int | None
+) -> list[Header]:
+    """Return the headers of the request that goes to a back end.
+
+    Args:
+        head: the caller's request.
+        request_id: this system's name for the attempt.
+        left_s: seconds left until the deadline.
+        body_bytes: the body's length where all of it is at hand, else None.
+    """
+    dropped = HOP_BY_HOP | REPLACED | _named_by_connection(head.headers)
+    framing = {b"content-length", b"transfer-encoding"}
+    if body_bytes is not None:
+        dropped = dropped | framing
+    headers = [pair for pair in head.headers if pair[0] not in dropped]
+    if body_bytes is not None:
+        headers.append((b"content-length", str(body_bytes).encode()))
+    headers.append((REQUEST_ID, request_id.encode()))
+    headers.append((DEADLINE_MS, str(max(1, int(left_s * 1000))).encode()))
+    return headers
+
+
+def answer_headers(headers: list[Header]) -> list[Header]:
+    """Return the headers of a back end's answer that reach the caller."""
+    dropped = HOP_BY_HOP | OWN_ANSWER | _named_by_connection(headers)
+    return [pair for pair in headers if pair[0] not in dropped]
+
+
+def customer_of(head: RequestHead) -> str:
+    """Return the customer a request names, or an empty name."""
+    return (head.header(CUSTOMER) or "")[:100]
+
+
+def deadline_of(head: RequestHead, default_s: float) -> float:
+    """Return the seconds a request may take, never more than the route's.
+
+    Raises:
+        ValueError: the caller's deadline is not a whole number above 0.
+    """
+    text = head.header(DEADLINE_MS)
+    if text is None:
+        return default_s
+    if not text.isdigit() or int(text) == 0:
+        raise ValueError(f"{DEADLINE_MS.decode()} must be a whole number above 0")
+    return min(default_s, int(text) / 1000)
--- /dev/null
+++ b/dogwoodtack/errors.py
@@ -0,0 +1,204 @@
+"""The exception tree, and the closed list of error kinds with their answers."""
+
+import enum
+from typing import NamedTuple
+
+__all__ = [
+    "Answer",
+    "DogwoodtackError",
+    "ErrorKind",
+    "Outcome",
+    "RequestError",
+    "SettingsError",
+    "StoreConflict",
+    "StoreError",
+    "WireError",
+    "answer_for",
+]
+
+
+class Outcome(enum.StrEnum):
+    """What a caller may conclude about its request."""
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(enum.StrEnum):
+    """Every reason for which this system itself answers a request."""
+
+    BAD_REQUEST = "bad-request"
+    HEADERS_TOO_LARGE = "headers-too-large"
+    BODY_TOO_LARGE = "body-too-large"
+    CALLER_TIMEOUT = "caller-timeout"
+    VERSION_UNSUPPORTED = "version-unsupported"
+    NO_ROUTE = "no-route"
+    KEY_MALFORMED = "key-malformed"
+    KEY_MISSING = "key-missing"
+    KEY_EXPIRED = "key-expired"
+    KEY_IN_FLIGHT = "key-in-flight"
+    KEY_VOIDED = "key-voided"
+    KEY_REUSED = "key-reused"
+    KEY_OUTCOME_LOST = "key-outcome-lost"
+    OWNER_UNREACHABLE = "owner-unreachable"
+    OVERLOADED = "overloaded"
+    NO_INSTANCE = "no-instance"
+    DRAINING = "draining"
+    CUT_OFF = "cut-off"
+    DEADLINE_PASSED = "deadline-passed"
+    BACKEND_REFUSED = "backend-refused"
+    BACKEND_SHED = "backend-shed"
+    BACKEND_TIMEOUT = "backend-timeout"
+    BACKEND_CUT = "backend-cut"
+    BACKEND_MALFORMED = "backend-malformed"
+    UNAUTHORIZED = "unauthorized"
+    NOT_FOUND = "not-found"
+    INVALID_INTENT = "invalid-intent"
+    CONFLICT = "conflict"
+    BELOW_FLOOR = "below-floor"
+    STORE_UNAVAILABLE = "store-unavailable"
+    NOT_CONFIRMED = "not-confirmed"
+    INTERNAL = "internal"
+
+
+class Answer(NamedTuple):
+    """How one error kind is answered over HTTP.
+
+    Attributes:
+        status: HTTP status code.
+        outcome: what the caller may conclude.
+        retry_after_s: seconds until asking again makes sense, None for never.
+        text: one sentence for a person.
+    """
+
+    status: int
+    outcome: Outcome
+    retry_after_s: int | None
+    text: str
+
+
+_NOT = Outcome.NOT_RUN
+_UNK = Outcome.UNKNOWN
+
+_ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, _NOT, None, "The request is malformed."),
+    ErrorKind.HEADERS_TOO_LARGE: Answer(431, _NOT, None, "The headers are too large."),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, _NOT, None, "The body is too large."),
+    ErrorKind.CALLER_TIMEOUT: Answer(408, _NOT, 1, "The request came too slowly."),
+    ErrorKind.VERSION_UNSUPPORTED: Answer(505, _NOT, None, "HTTP/1.1 is required."),
+    ErrorKind.NO_ROUTE: Answer(404, _NOT, None, "No service has this route."),
+    ErrorKind.KEY_MALFORMED: Answer(
+        400, _NOT, None, "The idempotency key was not made from a discovery answer."
+    ),
+    ErrorKind.KEY_MISSING: Answer(
+        428, _NOT, None, "This service requires an idempotency key."
+    ),
+    ErrorKind.KEY_EXPIRED: Answer(
+        410, _UNK, None, "The idempotency key is too old to be settled."
+    ),
+    ErrorKind.KEY_IN_FLIGHT: Answer(
+        409, _UNK, 1, "A request with this key is still running."
+    ),
+    ErrorKind.KEY_VOIDED: Answer(
+        409, _UNK, 1, "This key was handed over to another entry host."
+    ),
+    ErrorKind.KEY_REUSED: Answer(
+        422, _NOT, None, "This key was used for a different request."
+    ),
+    ErrorKind.KEY_OUTCOME_LOST: Answer(
+        502, _UNK, None, "A request with this key started; its outcome is not known."
+    ),
+    ErrorKind.OWNER_UNREACHABLE: Answer(
+        504, _UNK, 5, "The entry host that owns this key cannot be asked."
+    ),
+    ErrorKind.OVERLOADED: Answer(503, _NOT, 1, "The service is at its limit."),
+    ErrorKind.NO_INSTANCE: Answer(503, _NOT, 1, "No back end can take the request."),
+    ErrorKind.DRAINING: Answer(503, _NOT, 1, "This entry host is leaving."),
+    ErrorKind.CUT_OFF: Answer(
+        503, _NOT, 1, "This entry host cannot confirm its configuration."
+    ),
+    ErrorKind.DEADLINE_PASSED: Answer(
+        504, _NOT, 1, "The deadline passed before the request was sent on."
+    ),
+    ErrorKind.BACKEND_REFUSED: Answer(502, _NOT, 1, "No back end took a connection."),
+    ErrorKind.BACKEND_SHED: Answer(503, _NOT, 1, "The back ends are shedding load."),
+    ErrorKind.BACKEND_TIMEOUT: Answer(
+        504, _UNK, None, "The back end did not answer in time."
+    ),
+    ErrorKind.BACKEND_CUT: Answer(
+        502, _UNK, None, "The back end closed before its answer was whole."
+    ),
+    ErrorKind.BACKEND_MALFORMED: Answer(
+        502, _UNK, None, "The back end's answer is malformed."
+    ),
+    ErrorKind.UNAUTHORIZED: Answer(401, _NOT, None, "The access key is not valid."),
+    ErrorKind.NOT_FOUND: Answer(404, _NOT, None, "There is no such thing."),
+    ErrorKind.INVALID_INTENT: Answer(400, _NOT, None, "The intent is not valid."),
+    ErrorKind.CONFLICT: Answer(
+        409, _NOT, None, "The configuration changed since the plan was made."
+    ),
+    ErrorKind.BELOW_FLOOR: Answer(
+        409, _NOT, None, "The plan would take a service below its floor."
+    ),
+    ErrorKind.STORE_UNAVAILABLE: Answer(
+        503, _NOT, 5, "The platform's store cannot be reached."
+    ),
+    ErrorKind.NOT_CONFIRMED: Answer(
+        504, _UNK, 5, "The store did not say whether the change took effect."
+    ),
+    ErrorKind.INTERNAL: Answer(500, _UNK, None, "An internal error occurred."),
+}
+
+
+def answer_for(kind: ErrorKind) -> Answer:
+    """Return the answer that belongs to an error kind."""
+    return _ANSWERS[kind]
+
+
+class DogwoodtackError(Exception):
+    """The base of every exception this project raises."""
+
+
+class SettingsError(DogwoodtackError):
+    """A setting is missing, unknown or out of range."""
+
+
+class WireError(DogwoodtackError):
+    """A connection failed, or a message on it was malformed.
+
+    Attributes:
+        kind: the error kind that fits what was seen.
+        bytes_sent: whether any byte of the request left this process.
+    """
+
+    def __init__(self, kind: ErrorKind, detail: str, bytes_sent: bool = True) -> None:
+        super().__init__(f"{kind}: {detail}")
+        self.kind = kind
+        self.detail = detail
+        self.bytes_sent = bytes_sent
+
+
+class RequestError(DogwoodtackError):
+    """A request is answered by this system and not by a back end."""
+
+    def __init__(self, kind: ErrorKind, detail: str = "") -> None:
+        super().__init__(f"{kind}: {detail}" if detail else str(kind))
+        self.kind = kind
+        self.detail = detail
+
+
+class StoreError(DogwoodtackError):
+    """The platform's store did not give a usable answer.
+
+    Attributes:
+        maybe_applied: whether a write may have taken effect all the same.
+    """
+
+    def __init__(self, detail: str, maybe_applied: bool = False) -> None:
+        super().__init__(detail)
+        self.maybe_applied = maybe_applied
+
+
+class StoreConflict(StoreError):
+    """A conditional write met another version than it named."""
--- /dev/null
+++ b/dogwoodtack/limits/__init__.py
@@ -0,0 +1,6 @@
+"""Concurrency limits, queues, fair shares and retry budgets."""
+
+from .limits import Limits, Waiter
+from .messages import OnSlot, Slot, SlotRequest
+
+__all__ = ["Limits", "OnSlot", "Slot", "SlotRequest", "Waiter"]
--- /dev/null
+++ b/dogwoodtack/limits/messages.py
@@ -0,0 +1,49 @@
+"""What the caller's door asks of the limits."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ..catalog import Instance, Service
+from ..errors import ErrorKind
+
+__all__ = ["OnSlot", "Slot", "SlotRequest"]
+
+
+class SlotRequest(NamedTuple):
+    """A request that waits for a slot on an instance.
+
+    Attributes:
+        service: the service as it stands now.
+        customer: who asks, for fair shares.
+        deadline: monotonic time in seconds after which waiting is pointless.
+        exclude: instances this request has already tried.
+        is_retry: whether the slot is for a further attempt at the same request.
+    """
+
+    service: Service
+    customer: str
+    deadline: float
+    exclude: frozenset[str]
+    is_retry: bool
+
+
+class Slot:
+    """One slot in use on one instance; `release` must be called once."""
+
+    __slots__ = ("_on_release", "instance", "service")
+
+    def __init__(
+        self, service: str, instance: Instance, on_release: Callable[["Slot"], None]
+    ) -> None:
+        self.service = service
+        self.instance = instance
+        self._on_release: Callable[[Slot], None] | None = on_release
+
+    def release(self) -> None:
+        """Give the slot back; a second call does nothing."""
+        on_release, self._on_release = self._on_release, None
+        if on_release is not None:
+            on_release(self)
+
+
+OnSlot = Callable[[Slot | None, ErrorKind | None], None]
--- /dev/null
+++ b/dogwoodtack/membership/__init__.py
@@ -0,0 +1,5 @@
+"""Membership of the fleet of entry hosts."""
+
+from .members import Member, Membership
+
+__all__ = ["Member", "Membership"]
--- /dev/null
+++ b/dogwoodtack/metrics.py
@@ -0,0 +1,33 @@
+"""Metrics by aioprometheus, rendered for the operator port."""
+
+from aioprometheus import Counter, Gauge, Registry
+from aioprometheus.renderer import render
+
+__all__ = ["Metrics"]
+
+
+class Metrics:
+    """The counters and gauges of one process."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.requests = Counter(
+            "dogwoodtack_requests_total",
+            "Requests by service, outcome and status.",
+            registry=self.registry,
+        )
+        self.in_flight = Gauge(
+            "dogwoodtack_requests_in_flight",
+            "Requests under way.",
+            registry=self.registry,
+        )
+        self.store_calls = Gauge(
+            "dogwoodtack_store_calls",
+            "Calls made to the platform's store since the start.",
+            registry=self.registry,
+        )
+
+    def render(self) -> str:
+        """Return every metric in the text format."""
+        content, _headers = render(self.registry, ["text/plain"])
+        return content.decode()
--- /dev/null
+++ b/dogwoodtack/misc.py
@@ -0,0 +1,45 @@
+"""Small helpers that several modules need."""
+
+import hmac
+import secrets
+from typing import NamedTuple
+
+__all__ = ["Address", "new_token", "parse_address", "same_secret"]
+
+TOKEN_BYTES = 16
+MAX_PORT = 65535
+
+
+class Address(NamedTuple):
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Read `host:port` and return an Address.
+
+    Raises:
+        ValueError: the text has no host, or no port from 1 to 65535.
+    """
+    host, sep, port = text.strip().rpartition(":")
+    if not sep or not host or not port.isdigit():
+        raise ValueError(f"{text!r} is not host:port")
+    number = int(port)
+    if not 0 < number <= MAX_PORT:
+        raise ValueError(f"port {number} is not from 1 to {MAX_PORT}")
+    return Address(host, number)
+
+
+def new_token() -> str:
+    """Return a random hexadecimal token that no other process will draw."""
+    return secrets.token_hex(TOKEN_BYTES)
+
+
+def same_secret(left: str, right: str) -> bool:
+    """Compare two secrets in constant time and return whether they match."""
+    return hmac.compare_digest(left.encode(), right.encode())
--- /dev/null
+++ b/dogwoodtack/node.py
@@ -0,0 +1,202 @@
+"""One entry host: every part, wired together on one loop."""
+
+import random
+import signal
+from typing import Any
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+
+from .backends import LinkPool
+from .burn import Burn
+from .calls import Client
+from .catalog import Catalog
+from .clock import SystemClock
+from .discovery import Discovery
+from .door import Door, Parts
+from .errors import ErrorKind
+from .floor import Floor
+from .health import Health
+from .keys import KeyTable
+from .limits import Limits
+from .logs import log_event
+from .membership import Member, Membership
+from .metrics import Metrics
+from .misc import new_token
+from .reactor import Reactor
+from .settings import Settings
+from .spread import ConfigState, Watcher
+from .store import Store, StoreObject
+from .surface import Route, Surface, SurfaceRequest
+
+__all__ = ["Node"]
+
+STOP_POLL_S = 0.05
+SERVICE_KIND = "service"
+
+
+class Node(BaseComponent):
+    """The daemon's root component."""
+
+    channel = "node"
+
+    def __init__(self, settings: Settings) -> None:
+        super().__init__()
+        self.settings = settings
+        self.incarnation = new_token()
+        self.exit_code = 0
+        self._stopping = False
+        self._build_loop()
+        self._build_state()
+        self._build_door()
+        self._build_surfaces()
+
+    def _build_loop(self) -> None:
+        clock = SystemClock()
+        self.reactor = Reactor(clock, EPoll().register(self)).register(self)
+        dial_timeout_s = self.settings.backends_dial_timeout_s
+        self.client = Client(self.reactor, dial_timeout_s)
+        self.store = Store(
+            self.client, self.settings.store_address, self.settings.store_timeout_s
+        )
+        self.rng = random.Random()
+
+    def _build_state(self) -> None:
+        cfg = self.settings
+        me = Member(
+            name=cfg.node_name,
+            incarnation=self.incarnation,
+            zone=cfg.node_zone,
+            caller_address=cfg.node_caller_address,
+            peer_address=cfg.node_peer_address,
+        )
+        self.metrics = Metrics()
+        self.burn = Burn()
+        self.catalog = Catalog()
+        self.state = ConfigState()
+        self.state.subscribe(self._on_object)
+        self.watcher = Watcher(self.reactor, self.store, self.state)
+        self.membership = Membership(me)
+        self.keys = KeyTable(self.incarnation, self.reactor.clock)
+        self.health = Health()
+        self.floor = Floor()
+        self.limits = Limits(
+            self.reactor, self.catalog, self.health, self.floor, self.rng
+        )
+
+    def _build_door(self) -> None:
+        cfg = self.settings
+        discovery = Discovery(
+            self.catalog,
+            self.membership,
+            self.keys,
+            cfg.callers_discovery_ttl_s,
+            self.rng,
+        )
+        parts = Parts(
+            reactor=self.reactor,
+            catalog=self.catalog,
+            keys=self.keys,
+            limits=self.limits,
+            health=self.health,
+            pool=LinkPool(self.reactor, cfg.backends_dial_timeout_s),
+            burn=self.burn,
+            max_body_bytes=cfg.callers_max_body_bytes,
+            stall_timeout_s=cfg.callers_stall_timeout_s,
+        )
+        self.door = Door(
+            parts,
+            cfg.node_caller_address,
+            discovery.answer,
+            cfg.callers_max_connections,
+            cfg.callers_head_timeout_s,
+        )
+
+    def _build_surfaces(self) -> None:
+        cfg = self.settings
+        Surface(
+            "operator",
+            cfg.node_operator_address,
+            cfg.operators_access_key,
+            self.operator_routes(),
+        ).register(self)
+        Surface(
+            "peer", cfg.node_peer_address, cfg.peers_access_key, self.peer_routes()
+        ).register(self)
+
+    def operator_routes(self) -> list[Route]:
+        """Return what the operator port answers."""
+        return [
+            Route("GET", "/metrics", self._view_metrics),
+            Route("GET", "/status", self._view_status),
+        ]
+
+    def peer_routes(self) -> list[Route]:
+        """Return what the peer port answers."""
+        return []
+
+    def _view_metrics(self, req: SurfaceRequest) -> str:
+        self.metrics.in_flight.set({}, self.door.in_flight)
+        self.metrics.store_calls.set({}, self.store.calls_made)
+        return self.metrics.render()
+
+    def _view_status(self, req: SurfaceRequest) -> Any:
+        return {
+            "node": self.settings.node_name,
+            "incarnation": self.incarnation,
+            "zone": self.settings.node_zone,
+            "leaving": self._stopping,
+            "in_flight": self.door.in_flight,
+            "connections": self.door.connections,
+            "store_calls": self.store.calls_made,
+            "services": {
+                service.name: self.catalog.version(service.name)
+                for service in self.catalog.services()
+            },
+        }
+
+    def _on_object(self, obj: StoreObject) -> None:
+        if obj.kind == SERVICE_KIND:
+            self.catalog.put(obj.name, obj.version, obj.value)
+
+    def start_work(self) -> None:
+        """Begin to work, once every part stands."""
+        self.watcher.start()
+        log_event("started", caller=self.door.address, incarnation=self.incarnation)
+
+    @handler("signal", channel="*", priority=10)
+    def _on_signal(self, event: Any, signo: int, stack: Any) -> None:
+        event.stop()
+        if signo not in (signal.SIGTERM, signal.SIGINT):
+            return
+        if self._stopping:
+            self._exit("second-signal")
+            return
+        self._begin_stop()
+
+    def _begin_stop(self) -> None:
+        """Leave discovery, wait out its lifetime, then refuse and drain."""
+        self._stopping = True
+        self.membership.leave()
+        ttl_s = self.settings.callers_discovery_ttl_s
+        log_event("leaving", in_flight=self.door.in_flight, wait_s=ttl_s)
+        self.reactor.call_later(ttl_s, self._drain)
+        self.reactor.call_later(self.settings.stop_limit_s, self._exit, "stop-limit")
+
+    def _drain(self) -> None:
+        log_event("draining", in_flight=self.door.in_flight)
+        self.door.refusal = ErrorKind.DRAINING
+        self.door.stop_accepting()
+        self._poll_drained()
+
+    def _poll_drained(self) -> None:
+        if self.door.in_flight == 0 and self.door.connections == 0:
+            self._exit("drained")
+            return
+        self.reactor.call_later(STOP_POLL_S, self._poll_drained)
+
+    def _exit(self, reason: str) -> None:
+        cut = self.door.close()
+        log_event("stopped", reason=reason, cut=cut)
+        self.exit_code = 1 if cut else 0
+        self.stop()
--- /dev/null
+++ b/dogwoodtack/reactor.py
@@ -0,0 +1,279 @@
+"""The one loop: sockets and timers on the circuits poller.
+
+Connections are plain objects that one component owns.  A component for each
+connection would be visited by every broadcast event, and circuits' own client
+takes a tenth of a second to connect, so neither is used on the data path.
+"""
+
+import errno
+import heapq
+import itertools
+import os
+import socket
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+
+from .clock import Clock
+from .logs import log_event
+from .misc import Address
+
+__all__ = ["Dial", "FdHandler", "Listener", "Reactor", "Timer"]
+
+LISTEN_BACKLOG = 1024
+ACCEPT_BATCH = 64
+EXHAUSTED_PAUSE_S = 0.1
+
+
+class FdHandler(Protocol):
+    """What owns a file descriptor on the loop."""
+
+    def on_readable(self) -> None:
+        """Take what the descriptor has to read."""
+
+    def on_writable(self) -> None:
+        """Write what waits to be written."""
+
+    def on_hangup(self) -> None:
+        """Note that the poller gave the descriptor up."""
+
+
+class Timer:
+    """One pending call; `cancel` takes it back."""
+
+    __slots__ = ("args", "fn")
+
+    def __init__(self, fn: Callable[..., None], args: tuple[Any, ...]) -> None:
+        self.fn: Callable[..., None] | None = fn
+        self.args = args
+
+    def cancel(self) -> None:
+        """Take the call back; it is harmless to do so twice."""
+        self.fn = None
+        self.args = ()
+
+    def run(self) -> None:
+        """Make the call unless it was taken back."""
+        fn, args = self.fn, self.args
+        self.cancel()
+        if fn is not None:
+            fn(*args)
+
+
+class Reactor(BaseComponent):
+    """Own every data-path socket and timer of a process."""
+
+    channel = "reactor"
+
+    def __init__(self, clock: Clock, poller: EPoll) -> None:
+        super().__init__()
+        self.clock = clock
+        self._poller = poller
+        self._owners: dict[int, FdHandler] = {}
+        self._heap: list[tuple[float, int, Timer]] = []
+        self._order = itertools.count()
+
+    def watch(
+        self, fd: int, owner: FdHandler, read: bool = False, write: bool = False
+    ) -> None:
+        """Ask for events of a descriptor; both flags are set as given."""
+        self._owners[fd] = owner
+        if read != self._poller.isReading(fd):
+            if read:
+                self._poller.addReader(self, fd)
+            else:
+                self._poller.removeReader(fd)
+        if write != self._poller.isWriting(fd):
+            if write:
+                self._poller.addWriter(self, fd)
+            else:
+                self._poller.removeWriter(fd)
+
+    def forget(self, fd: int) -> None:
+        """Ask for no more events of a descriptor."""
+        if self._owners.pop(fd, None) is not None:
+            self._poller.discard(fd)
+
+    def call_later(self, delay_s: float, fn: Callable[..., None], *args: Any) -> Timer:
+        """Call a function after a number of seconds and return its Timer."""
+        timer = Timer(fn, args)
+        due = self.clock.monotonic() + max(0.0, delay_s)
+        heapq.heappush(self._heap, (due, next(self._order), timer))
+        return timer
+
+    def call_soon(self, fn: Callable[..., None], *args: Any) -> Timer:
+        """Call a function on the next turn of the loop."""
+        return self.call_later(0.0, fn, *args)
+
+    @handler("generate_events")
+    def _on_generate_events(self, event: Any) -> None:
+        self._run_due()
+        if not self._heap:
+            return
+        wait = self._heap[0][0] - self.clock.monotonic()
+        event.reduce_time_left(max(0.0, wait))
+
+    def _run_due(self) -> None:
+        now = self.clock.monotonic()
+        while self._heap and self._heap[0][0] <= now:
+            timer = heapq.heappop(self._heap)[2]
+            self._guard(timer.run)
+
+    @handler("_read")
+    def _on_read(self, fd: int) -> None:
+        owner = self._owners.get(fd)
+        if owner is not None:
+            self._guard(owner.on_readable)
+
+    @handler("_write")
+    def _on_write(self, fd: int) -> None:
+        owner = self._owners.get(fd)
+        if owner is not None:
+            self._guard(owner.on_writable)
+
+    @handler("_disconnect")
+    def _on_disconnect(self, fd: int) -> None:
+        owner = self._owners.pop(fd, None)
+        if owner is not None:
+            self._guard(owner.on_hangup)
+
+    @staticmethod
+    def _guard(fn: Callable[[], None]) -> None:
+        """Run a callback so that its failure ends no other connection."""
+        try:
+            fn()
+        except Exception as exc:
+            log_event("callback-failed", level="ERROR", error=repr(exc))
+            log_event("callback-trace", level="DEBUG", trace=_trace(exc))
+
+
+def _trace(exc: Exception) -> str:
+    frames = []
+    tb = exc.__traceback__
+    while tb is not None:
+        code = tb.tb_frame.f_code
+        frames.append(f"{os.path.basename(code.co_filename)}:{tb.tb_lineno}")
+        tb = tb.tb_next
+    return ">".join(frames)
+
+
+class Listener:
+    """Accept connections on one address and hand each socket on."""
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        address: Address,
+        on_accept: Callable[[socket.socket, Address], None],
+    ) -> None:
+        self._reactor = reactor
+        self._on_accept = on_accept
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.setblocking(False)
+        self._sock.bind(address)
+        self._sock.listen(LISTEN_BACKLOG)
+        self.address = Address(*self._sock.getsockname())
+        self._fd = self._sock.fileno()
+        reactor.watch(self._fd, self, read=True)
+
+    def on_readable(self) -> None:
+        """Accept what waits, up to a batch, so that others get their turn."""
+        for _ in range(ACCEPT_BATCH):
+            try:
+                sock, peer = self._sock.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            except OSError as exc:
+                self._pause(exc)
+                return
+            sock.setblocking(False)
+            self._on_accept(sock, Address(*peer))
+
+    def _pause(self, exc: OSError) -> None:
+        """Stop accepting for a moment when descriptors have run out."""
+        log_event("accept-failed", level="WARNING", error=errno.errorcode[exc.errno])
+        self._reactor.watch(self._fd, self)
+        self._reactor.call_later(EXHAUSTED_PAUSE_S, self._resume)
+
+    def _resume(self) -> None:
+        if self._sock.fileno() >= 0:
+            self._reactor.watch(self._fd, self, read=True)
+
+    def on_writable(self) -> None:
+        """Do nothing: a listening socket is never written to."""
+
+    def on_hangup(self) -> None:
+        """Do nothing: a listening socket has no other end."""
+
+    def close(self) -> None:
+        """Accept no more connections."""
+        self._reactor.forget(self._fd)
+        self._sock.close()
+
+
+class Dial:
+    """Open one connection without blocking the loop.
+
+    The outcome goes to `on_done(sock, exc)`, exactly one of which is None, and
+    never before the constructor has returned.
+    """
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        address: Address,
+        timeout_s: float,
+        on_done: Callable[[socket.socket | None, OSError | None], None],
+    ) -> None:
+        self._reactor = reactor
+        self._on_done = on_done
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setblocking(False)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._fd = self._sock.fileno()
+        self._timer = reactor.call_later(timeout_s, self._on_timeout)
+        code = self._sock.connect_ex(address)
+        if code in (0, errno.EINPROGRESS):
+            reactor.watch(self._fd, self, write=True)
+        else:
+            reactor.call_soon(self._finish, OSError(code, os.strerror(code)))
+
+    def cancel(self) -> None:
+        """Give the attempt up; `on_done` is not called any more."""
+        self._timer.cancel()
+        self._reactor.forget(self._fd)
+        self._on_done = _ignore
+        self._sock.close()
+
+    def on_readable(self) -> None:
+        """Do nothing: only writability tells that a connection stands."""
+
+    def on_writable(self) -> None:
+        """Ask the socket how the attempt ended."""
+        code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        self._finish(OSError(code, os.strerror(code)) if code else None)
+
+    def on_hangup(self) -> None:
+        """Treat a descriptor the poller gave up as a failed attempt."""
+        self.on_writable()
+
+    def _on_timeout(self) -> None:
+        code = errno.ETIMEDOUT
+        self._finish(OSError(code, os.strerror(code)))
+
+    def _finish(self, exc: OSError | None) -> None:
+        self._timer.cancel()
+        self._reactor.forget(self._fd)
+        on_done, self._on_done = self._on_done, _ignore
+        if exc is None:
+            on_done(self._sock, None)
+            return
+        self._sock.close()
+        on_done(None, exc)
+
+
+def _ignore(sock: socket.socket | None, exc: OSError | None) -> None:
+    """Take an outcome that nobody waits for any more."""
--- /dev/null
+++ b/dogwoodtack/store/client.py
@@ -0,0 +1,166 @@
+"""The platform's object service as this project sees it."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+from urllib.parse import quote
+
+from ..calls import Call, Client, Reply
+from ..errors import StoreConflict, StoreError, WireError
+from ..misc import Address
+
+__all__ = ["HostEntry", "Snapshot", "Store", "StoreObject"]
+
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+HTTP_NOT_FOUND = 404
+WATCH_MARGIN_S = 2.0
+
+
+class StoreObject(NamedTuple):
+    """One object of the store.
+
+    Attributes:
+        kind: what it is, such as `service`.
+        name: unique within its kind.
+        version: a number that grows with every change to any object.
+        value: its JSON value, None once it was deleted.
+    """
+
+    kind: str
+    name: str
+    version: int
+    value: Any
+
+
+class Snapshot(NamedTuple):
+    """Objects as of one revision of the store."""
+
+    revision: int
+    objects: list[StoreObject]
+
+
+class HostEntry(NamedTuple):
+    """One line of the platform's host list, which may lag.
+
+    Attributes:
+        name: the host's name.
+        state: `live` or `leaving`.
+    """
+
+    name: str
+    state: str
+
+
+OnSnapshot = Callable[[Snapshot | None, StoreError | None], None]
+OnVersion = Callable[[int | None, StoreError | None], None]
+OnObject = Callable[[StoreObject | None, StoreError | None], None]
+OnHosts = Callable[[list[HostEntry] | None, StoreError | None], None]
+
+
+class Store:
+    """Read, watch and conditionally write the platform's objects."""
+
+    def __init__(self, client: Client, address: Address, timeout_s: float) -> None:
+        self._client = client
+        self._address = address
+        self._timeout_s = timeout_s
+        self.calls_made = 0
+
+    def list(self, on_done: OnSnapshot) -> None:
+        """Read every object."""
+        self._send("GET", "/objects", None, self._timeout_s, _snapshot(on_done))
+
+    def watch(self, after: int, wait_s: float, on_done: OnSnapshot) -> None:
+        """Read what changed after a revision, waiting for a change."""
+        target = f"/watch?after={after}&wait_s={wait_s:g}"
+        timeout_s = wait_s + WATCH_MARGIN_S + self._timeout_s
+        self._send("GET", target, None, timeout_s, _snapshot(on_done))
+
+    def get(self, kind: str, name: str, on_done: OnObject) -> None:
+        """Read one object; version 0 and value None mean there is none."""
+
+        def on_reply(reply: Reply | None, exc: WireError | None) -> None:
+            if reply is not None and reply.status == HTTP_NOT_FOUND:
+                on_done(StoreObject(kind, name, 0, None), None)
+                return
+            error = _fault(reply, exc, is_write=False)
+            if error is not None:
+                on_done(None, error)
+                return
+            on_done(_read_object(reply.body), None)
+
+        self._send("GET", _path(kind, name), None, self._timeout_s, on_reply)
+
+    def put(
+        self, kind: str, name: str, value: Any, if_version: int, on_done: OnVersion
+    ) -> None:
+        """Write an object if it still has a version; 0 means it must not exist.
+
+        The error's `maybe_applied` tells whether the write may have taken
+        effect although no answer came.
+        """
+        body = {"value": value, "if_version": if_version}
+
+        def on_reply(reply: Reply | None, exc: WireError | None) -> None:
+            error = _fault(reply, exc, is_write=True)
+            if error is not None:
+                on_done(None, error)
+                return
+            on_done(int(reply.body["version"]), None)
+
+        self._send("PUT", _path(kind, name), body, self._timeout_s, on_reply)
+
+    def hosts(self, on_done: OnHosts) -> None:
+        """Read the lagging list of live and leaving hosts."""
+
+        def on_reply(reply: Reply | None, exc: WireError | None) -> None:
+            error = _fault(reply, exc, is_write=False)
+            if error is not None:
+                on_done(None, error)
+                return
+            items = reply.body["hosts"]
+            on_done([HostEntry(item["name"], item["state"]) for item in items], None)
+
+        self._send("GET", "/hosts", None, self._timeout_s, on_reply)
+
+    def _send(
+        self, method: str, target: str, body: Any, timeout_s: float, on_reply: Any
+    ) -> None:
+        self.calls_made += 1
+        call = Call(self._address, method, target, body, timeout_s)
+        self._client.call(call, on_reply)
+
+
+def _path(kind: str, name: str) -> str:
+    return f"/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
+
+
+def _read_object(item: Any) -> StoreObject:
+    return StoreObject(
+        item["kind"], item["name"], int(item["version"]), item.get("value")
+    )
+
+
+def _snapshot(on_done: OnSnapshot) -> Callable[..., None]:
+    def on_reply(reply: Reply | None, exc: WireError | None) -> None:
+        error = _fault(reply, exc, is_write=False)
+        if error is not None:
+            on_done(None, error)
+            return
+        objects = [_read_object(item) for item in reply.body["objects"]]
+        on_done(Snapshot(int(reply.body["revision"]), objects), None)
+
+    return on_reply
+
+
+def _fault(
+    reply: Reply | None, exc: WireError | None, is_write: bool
+) -> StoreError | None:
+    """Return the error a reply amounts to, or None for a usable one."""
+    if exc is not None:
+        return StoreError(str(exc), maybe_applied=is_write and exc.bytes_sent)
+    if reply.status == HTTP_OK:
+        return None
+    if reply.status == HTTP_CONFLICT:
+        return StoreConflict("the object has another version")
+    return StoreError(f"status {reply.status}", maybe_applied=is_write)
--- /dev/null
+++ b/dogwoodtack/stream.py
@@ -0,0 +1,187 @@
+"""A byte stream over one socket, with write buffering and backpressure."""
+
+import socket
+from typing import Protocol
+
+from .reactor import Reactor
+
+__all__ = ["HIGH_MARK_BYTES", "Stream", "StreamOwner"]
+
+READ_BYTES = 65536
+HIGH_MARK_BYTES = 262144
+LOW_MARK_BYTES = 65536
+LINGER_S = 2.0
+
+
+class StreamOwner(Protocol):
+    """What is told of a stream's events."""
+
+    def on_bytes(self, data: bytes) -> None:
+        """Take bytes that were read."""
+
+    def on_eof(self) -> None:
+        """Note that the other side will send nothing more."""
+
+    def on_drained(self) -> None:
+        """Note that the write buffer fell below its low mark."""
+
+    def on_closed(self) -> None:
+        """Note that the stream broke, or closed after `finish`."""
+
+
+class Stream:
+    """Read and write one connected socket on the loop."""
+
+    def __init__(
+        self, reactor: Reactor, sock: socket.socket, owner: StreamOwner
+    ) -> None:
+        self._reactor = reactor
+        self._sock = sock
+        self._fd = sock.fileno()
+        self.owner = owner
+        self._buffer = bytearray()
+        self._reading = True
+        self._was_full = False
+        self._closing = False
+        self.closed = False
+        self.written_bytes = 0
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._update()
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Return how many bytes wait to be written."""
+        return len(self._buffer)
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether writers should wait for `on_drained`."""
+        return len(self._buffer) >= HIGH_MARK_BYTES
+
+    def write(self, data: bytes) -> None:
+        """Write bytes now or, where the socket takes no more, later."""
+        if self.closed or self._closing or not data:
+            return
+        if not self._buffer:
+            data = data[self._send(data) :]
+            if self.closed:
+                return
+        if data:
+            self._buffer += data
+            self._was_full = self._was_full or self.is_full
+            self._update()
+
+    def _send(self, data: bytes) -> int:
+        try:
+            sent = self._sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            return 0
+        except OSError:
+            self._fail()
+            return 0
+        self.written_bytes += sent
+        return sent
+
+    def pause(self) -> None:
+        """Read no more until `resume`."""
+        self._reading = False
+        self._update()
+
+    def resume(self) -> None:
+        """Read again."""
+        self._reading = True
+        self._update()
+
+    def finish(self) -> None:
+        """Close once everything that waits has been written.
+
+        Bytes that the other side is still sending are read and dropped for a
+        moment: closing on unread bytes resets the connection, and the reset can
+        overtake the answer that was just written.
+        """
+        if self.closed or self._closing:
+            return
+        self._closing = True
+        self._reading = True
+        if not self._buffer:
+            self._shut()
+        self._update()
+
+    def _shut(self) -> None:
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._fail()
+            return
+        self._reactor.call_later(LINGER_S, self._fail)
+
+    def close(self) -> None:
+        """Close now; what waits to be written is lost."""
+        if self.closed:
+            return
+        self.closed = True
+        self._reactor.forget(self._fd)
+        self._buffer.clear()
+        self._sock.close()
+
+    def abort(self) -> None:
+        """Close with a reset, so that a cut answer cannot look complete."""
+        if not self.closed:
+            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.close()
+
+    def on_readable(self) -> None:
+        """Read once and hand the bytes on."""
+        if self.closed:
+            return
+        try:
+            data = self._sock.recv(READ_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            self._fail()
+            return
+        if self._closing:
+            if not data:
+                self._fail()
+            return
+        if data:
+            self.owner.on_bytes(data)
+            return
+        self._reading = False
+        self._update()
+        self.owner.on_eof()
+
+    def on_writable(self) -> None:
+        """Write what waits."""
+        if self.closed:
+            return
+        if self._buffer:
+            sent = self._send(bytes(self._buffer[:HIGH_MARK_BYTES]))
+            if self.closed:
+                return
+            del self._buffer[:sent]
+        if self._closing and not self._buffer:
+            self._shut()
+        self._update()
+        if self._closing:
+            return
+        if self._was_full and len(self._buffer) <= LOW_MARK_BYTES:
+            self._was_full = False
+            self.owner.on_drained()
+
+    def on_hangup(self) -> None:
+        """Treat a hang-up seen by the poller as a failed connection."""
+        self._fail()
+
+    def _fail(self) -> None:
+        if not self.closed:
+            self.close()
+            self.owner.on_closed()
+
+    def _update(self) -> None:
+        if not self.closed:
+            self._reactor.watch(
+                self._fd, self, read=self._reading, write=bool(self._buffer)
+            )
--- /dev/null
+++ b/dogwoodtack_standins/platform.py
@@ -0,0 +1,219 @@
+"""A stand-in for the platform: objects, watches, a host list, and their faults."""
+
+import json
+import sys
+from collections import Counter
+from typing import Any, NamedTuple
+
+from absl import app, flags
+
+from dogwoodtack.logs import log_event, set_up_logs
+from dogwoodtack.misc import Address, parse_address
+from dogwoodtack.surface import Later, Responder, Route, Surface, SurfaceRequest
+
+from .process import Process
+
+__all__ = ["Platform", "run"]
+
+FLAGS = flags.FLAGS
+flags.DEFINE_string("address", "127.0.0.1:7000", "Where the platform listens.")
+
+MAX_VALUE_BYTES = 1_000_000
+MAX_WAIT_S = 60.0
+HTTP_CONFLICT = 409
+HTTP_DOWN = 503
+HTTP_TOO_LARGE = 413
+
+
+class Fault(NamedTuple):
+    """What is wrong with the platform now.
+
+    Attributes:
+        down: every call but those for tests is answered with an error.
+        hang: calls get no answer.
+        delay_s: seconds each answer is held back.
+        lose_answers: how many writes from now take effect without an answer.
+        stale_reads: lists and reads show the state before the last change.
+        list_lag_s: seconds the host list lags.
+    """
+
+    down: bool = False
+    hang: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+    stale_reads: bool = False
+    list_lag_s: float = 0.0
+
+
+class Waiting(NamedTuple):
+    """A watch that waits for a change."""
+
+    after: int
+    responder: Responder
+
+
+class Platform(Process):
+    """Hold objects and answer for them."""
+
+    def __init__(self, address: Address) -> None:
+        super().__init__()
+        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._before: dict[tuple[str, str], dict[str, Any]] = {}
+        self._revision = 0
+        self._waiting: list[Waiting] = []
+        self._hosts: dict[str, str] = {}
+        self._host_changes: list[tuple[float, dict[str, str]]] = [(0.0, {})]
+        self._fault = Fault()
+        self.calls: Counter[str] = Counter()
+        Surface("platform", address, "", self._routes()).register(self)
+
+    def _routes(self) -> list[Route]:
+        name = "/objects/(?P<kind>[^/]+)/(?P<name>[^/]+)"
+        return [
+            Route("GET", "/objects", self._counted("list", self._list), True),
+            Route("GET", name, self._counted("get", self._get), True),
+            Route("PUT", name, self._counted("put", self._put), True),
+            Route("GET", "/watch", self._counted("watch", self._watch), True),
+            Route("GET", "/hosts", self._counted("hosts", self._list_hosts), True),
+            Route("PUT", "/test/fault", self._set_fault, True),
+            Route("PUT", "/test/hosts", self._set_hosts, True),
+            Route("GET", "/test/calls", lambda req: dict(self.calls), True),
+        ]
+
+    def _counted(self, name: str, act: Any) -> Any:
+        """Return a view that counts its call and suffers the present fault."""
+
+        def view(req: SurfaceRequest) -> Later:
+            self.calls[name] += 1
+            return Later(lambda responder: self._run(act, req, responder))
+
+        return view
+
+    def _run(self, act: Any, req: SurfaceRequest, responder: Responder) -> None:
+        fault = self._fault
+        if fault.hang:
+            return
+        if fault.down:
+            responder.send({"error": "down"}, HTTP_DOWN)
+            return
+        if fault.delay_s:
+            self.reactor.call_later(fault.delay_s, act, req, responder)
+            return
+        act(req, responder)
+
+    def _readable(self) -> dict[tuple[str, str], dict[str, Any]]:
+        return self._before if self._fault.stale_reads else self._objects
+
+    def _list(self, req: SurfaceRequest, responder: Responder) -> None:
+        objects = list(self._readable().values())
+        revision = max((one["version"] for one in objects), default=0)
+        responder.send({"revision": revision, "objects": objects})
+
+    def _get(self, req: SurfaceRequest, responder: Responder) -> None:
+        key = (req.params["kind"], req.params["name"])
+        obj = self._readable().get(key)
+        if obj is None:
+            responder.send({"error": "not-found"}, 404)
+            return
+        responder.send(obj)
+
+    def _put(self, req: SurfaceRequest, responder: Responder) -> None:
+        key = (req.params["kind"], req.params["name"])
+        value = req.body["value"]
+        if len(json.dumps(value)) > MAX_VALUE_BYTES:
+            responder.send({"error": "too-large"}, HTTP_TOO_LARGE)
+            return
+        known = self._objects.get(key)
+        version = 0 if known is None else known["version"]
+        if version != req.body["if_version"]:
+            responder.send({"error": "conflict", "version": version}, HTTP_CONFLICT)
+            return
+        self._before = dict(self._objects)
+        self._revision += 1
+        self._objects[key] = {
+            "kind": key[0],
+            "name": key[1],
+            "version": self._revision,
+            "value": value,
+        }
+        self._wake()
+        if self._fault.lose_answers > 0:
+            left = self._fault.lose_answers - 1
+            self._fault = self._fault._replace(lose_answers=left)
+            return
+        responder.send({"version": self._revision})
+
+    def _watch(self, req: SurfaceRequest, responder: Responder) -> None:
+        after = int(req.query.get("after", "0"))
+        if after < self._revision:
+            responder.send(self._changes(after))
+            return
+        waiting = Waiting(after, responder)
+        self._waiting.append(waiting)
+        wait_s = min(MAX_WAIT_S, float(req.query.get("wait_s", "10")))
+        self.reactor.call_later(wait_s, self._end_watch, waiting)
+
+    def _changes(self, after: int) -> dict[str, Any]:
+        objects = [one for one in self._objects.values() if one["version"] > after]
+        return {"revision": self._revision, "objects": objects}
+
+    def _end_watch(self, waiting: Waiting) -> None:
+        if waiting in self._waiting:
+            self._waiting.remove(waiting)
+            self._answer_watch(waiting)
+
+    def _answer_watch(self, waiting: Waiting) -> None:
+        if self._fault.hang:
+            return
+        if self._fault.down:
+            waiting.responder.send({"error": "down"}, HTTP_DOWN)
+            return
+        waiting.responder.send(self._changes(waiting.after))
+
+    def _wake(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for one in waiting:
+            self._answer_watch(one)
+
+    def _list_hosts(self, req: SurfaceRequest, responder: Responder) -> None:
+        seen_at = self.clock.monotonic() - self._fault.list_lag_s
+        shown = [hosts for at, hosts in self._host_changes if at <= seen_at]
+        hosts = shown[-1] if shown else {}
+        responder.send(
+            {"hosts": [{"name": key, "state": val} for key, val in hosts.items()]}
+        )
+
+    def _set_hosts(self, req: SurfaceRequest) -> Any:
+        """Change hosts' states; a state of null takes a host off the list."""
+        for name, state in req.body.items():
+            self._hosts.pop(name, None)
+            if state is not None:
+                self._hosts[name] = state
+        self._host_changes.append((self.clock.monotonic(), dict(self._hosts)))
+        return {"hosts": self._hosts}
+
+    def _set_fault(self, req: SurfaceRequest) -> Any:
+        self._fault = Fault(**req.body)
+        log_event("fault-set", **self._fault._asdict())
+        if self._fault.down:
+            self._wake()
+        return self._fault._asdict()
+
+
+def main(argv: list[str]) -> int:
+    """Run the platform until it is stopped."""
+    if len(argv) > 1:
+        print("usage: dogwoodtack-platform --address HOST:PORT", file=sys.stderr)
+        return 2
+    set_up_logs("INFO", standin="platform")
+    Platform(parse_address(FLAGS.address)).run()
+    return 0
+
+
+def run() -> None:
+    """Run the platform as a program."""
+    app.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/lab/fleet.py
@@ -0,0 +1,292 @@
+"""Start stand-ins and entry hosts as separate processes on loopback, and end them.
+
+Only this launcher starts processes; the daemon starts none.
+"""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from dogwoodtack.misc import Address
+from dogwoodtack.surface import ACCESS_HEADER
+
+__all__ = ["Answered", "Fleet", "NodeInfo", "free_ports", "http_call"]
+
+ACCESS_KEY = "loopback-only-key"
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
+POLL_S = 0.02
+
+
+class Answered(NamedTuple):
+    """An HTTP answer; header names are lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the body decoded as JSON."""
+        return json.loads(self.body)
+
+
+class NodeInfo(NamedTuple):
+    """One entry host that was started."""
+
+    name: str
+    zone: str
+    caller: Address
+    peer: Address
+    operator: Address
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    socks = [socket.socket() for _ in range(count)]
+    try:
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in socks]
+    finally:
+        for sock in socks:
+            sock.close()
+
+
+def http_call(
+    address: Address,
+    method: str,
+    target: str,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 30.0,
+) -> Answered:
+    """Make one HTTP call on a connection of its own."""
+    conn = http.client.HTTPConnection(*address, timeout=timeout_s)
+    try:
+        conn.request(method, target, body=body, headers=headers or {})
+        resp = conn.getresponse()
+        data = resp.read()
+        named = {key.lower(): value for key, value in resp.getheaders()}
+        return Answered(resp.status, named, data)
+    finally:
+        conn.close()
+
+
+class Fleet:
+    """Processes of one run; use it as a context manager."""
+
+    def __init__(self, settings: dict[str, dict[str, Any]] | None = None) -> None:
+        self._extra = settings or {}
+        self._dir = tempfile.TemporaryDirectory(prefix="dogwoodtack-")
+        self.path = Path(self._dir.name)
+        self.procs: dict[str, subprocess.Popen] = {}
+        self.nodes: list[NodeInfo] = []
+        self.backends: dict[str, Address] = {}
+        self.platform: Address | None = None
+
+    def __enter__(self) -> "Fleet":
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """End every process that was started here."""
+        for proc in self.procs.values():
+            if proc.poll() is None:
+                proc.send_signal(signal.SIGCONT)
+                proc.kill()
+        for proc in self.procs.values():
+            proc.wait(STOP_TIMEOUT_S)
+        self._dir.cleanup()
+
+    def _spawn(self, name: str, module: str, *args: str) -> None:
+        log = open(self.path / f"{name}.log", "ab")
+        env = dict(os.environ, PYTHONUNBUFFERED="1")
+        cmd = [sys.executable, "-m", module, *args]
+        self.procs[name] = subprocess.Popen(
+            cmd, stdout=log, stderr=log, stdin=subprocess.DEVNULL, env=env
+        )
+        log.close()
+
+    def log_text(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (self.path / f"{name}.log").read_text()
+
+    def start_platform(self) -> Address:
+        """Start the platform stand-in."""
+        self.platform = Address("127.0.0.1", free_ports(1)[0])
+        self._spawn(
+            "platform", "dogwoodtack_standins.platform", f"--address={self.platform}"
+        )
+        self.wait_port("platform", self.platform)
+        return self.platform
+
+    def start_backend(self, name: str, **flags: Any) -> Address:
+        """Start a back end stand-in; flags are those of its command."""
+        address = Address("127.0.0.1", free_ports(1)[0])
+        args = [f"--{key}={value}" for key, value in flags.items()]
+        journal = self.path / f"{name}.journal"
+        self._spawn(
+            name,
+            "dogwoodtack_standins.backend",
+            f"--listen={address}",
+            f"--name={name}",
+            f"--journal={journal}",
+            *args,
+        )
+        self.backends[name] = address
+        self.wait_port(name, address)
+        return address
+
+    def journal(self, name: str) -> list[dict[str, Any]]:
+        """Return what a back end has executed."""
+        path = self.path / f"{name}.journal"
+        if not path.exists():
+            return []
+        return [json.loads(line) for line in path.read_text().splitlines()]
+
+    def start_nodes(self, count: int, zones: int = 3) -> list[NodeInfo]:
+        """Start entry hosts that know each other's peer addresses."""
+        first = len(self.nodes)
+        ports = free_ports(3 * count)
+        added = []
+        for index in range(count):
+            caller, peer, operator = (
+                Address("127.0.0.1", port) for port in ports[3 * index : 3 * index + 3]
+            )
+            number = first + index
+            zone = f"zone-{'abcdefgh'[number % zones]}"
+            added.append(NodeInfo(f"entry-{number}", zone, caller, peer, operator))
+        self.nodes.extend(added)
+        for node in added:
+            self.spawn_node(node)
+        for node in added:
+            self.wait_port(node.name, node.caller)
+        return added
+
+    def spawn_node(self, node: NodeInfo) -> None:
+        """Start the process of an entry host, again if it has ended."""
+        path = self.path / f"{node.name}.ini"
+        path.write_text(self._ini(node))
+        self._spawn(node.name, "dogwoodtack.daemon", f"--config={path}")
+
+    def _ini(self, node: NodeInfo) -> str:
+        sections: dict[str, dict[str, Any]] = {
+            "node": {
+                "name": node.name,
+                "zone": node.zone,
+                "caller_address": node.caller,
+                "peer_address": node.peer,
+                "operator_address": node.operator,
+            },
+            "peers": {
+                "seeds": " ".join(str(one.peer) for one in self.nodes if one != node),
+                "access_key": ACCESS_KEY,
+            },
+            "operators": {"access_key": ACCESS_KEY},
+            "store": {"address": self.platform},
+            "callers": {"discovery_ttl_s": 1},
+        }
+        for section, values in self._extra.items():
+            sections.setdefault(section, {}).update(values)
+        lines = []
+        for section, values in sections.items():
+            lines.append(f"[{section}]")
+            lines.extend(f"{key} = {value}" for key, value in values.items())
+        return "\n".join(lines) + "\n"
+
+    def wait_port(self, name: str, address: Address) -> None:
+        """Wait until a process takes connections."""
+
+        def is_open() -> bool:
+            if self.procs[name].poll() is not None:
+                raise RuntimeError(f"{name} ended: {self.log_text(name)[-2000:]}")
+            try:
+                socket.create_connection(address, timeout=1).close()
+            except OSError:
+                return False
+            return True
+
+        self.wait_until(is_open, f"{name} listens")
+
+    @staticmethod
+    def wait_until(check: Any, what: str, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Wait until a check holds.
+
+        Raises:
+            TimeoutError: it did not hold in time.
+        """
+        end = time.monotonic() + timeout_s
+        while not check():
+            if time.monotonic() > end:
+                raise TimeoutError(what)
+            time.sleep(POLL_S)
+
+    def signal(self, name: str, signo: int) -> None:
+        """Send a signal to one process of this run."""
+        self.procs[name].send_signal(signo)
+
+    def wait_exit(self, name: str, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Wait until a process ends and return its exit code."""
+        return self.procs[name].wait(timeout_s)
+
+    def operator(
+        self, node: NodeInfo, method: str, target: str, body: Any = None
+    ) -> Answered:
+        """Make a call to an entry host's operator port."""
+        data = None if body is None else json.dumps(body).encode()
+        headers = {ACCESS_HEADER: ACCESS_KEY}
+        return http_call(node.operator, method, target, data, headers)
+
+    def set_backend_fault(self, name: str, **fault: Any) -> None:
+        """Make a back end fail in some way; none given heals it."""
+        data = json.dumps(fault).encode()
+        http_call(self.backends[name], "PUT", "/test/fault", data)
+
+    def set_platform_fault(self, **fault: Any) -> None:
+        """Make the platform fail in some way; none given heals it."""
+        data = json.dumps(fault).encode()
+        http_call(self.platform, "PUT", "/test/fault", data)
+
+    def put_object(self, kind: str, name: str, value: Any, if_version: int = 0) -> int:
+        """Write an object to the platform and return its version."""
+        data = json.dumps({"value": value, "if_version": if_version}).encode()
+        answer = http_call(self.platform, "PUT", f"/objects/{kind}/{name}", data)
+        if answer.status != 200:
+            raise RuntimeError(f"{answer.status} {answer.body!r}")
+        return answer.json()["version"]
+
+    def service_value(self, host: str, **fields: Any) -> dict[str, Any]:
+        """Return a service's form with every back end of this run."""
+        value = {
+            "routes": [{"host": host, "prefix": "/"}],
+            "instances": [
+                {"name": name, "address": str(address), "zone": "zone-a", "slots": 2}
+                for name, address in self.backends.items()
+            ],
+        }
+        value.update(fields)
+        return value
+
+    def wait_service(self, name: str, version: int) -> None:
+        """Wait until a service's version is in force on every running node."""
+
+        def in_force() -> bool:
+            for node in self.nodes:
+                if self.procs[node.name].poll() is not None:
+                    continue
+                status = self.operator(node, "GET", "/status").json()
+                if status["services"].get(name, 0) < version:
+                    return False
+            return True
+
+        self.wait_until(in_force, f"{name} at {version} everywhere")
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that run separate processes."""
