Give leaving back ends no new work

Cause: a draining back end was still offered work by every entry host until the catalog said so; the shed requests went elsewhere but had arrived. Ruled out: the platform's list alone (lags), a hint by gossip (seconds), ending the hold with a real request (that is new work).

--- a/dogwoodtack/catalog/service.py
+++ b/dogwoodtack/catalog/service.py
@@ -10,6 +10,7 @@
 IDEMPOTENT_METHODS = ("GET", "HEAD", "OPTIONS")
 DEFAULT_TIMEOUT_MS = 5000
 MAX_TIMEOUT_MS = 3_600_000
+DEFAULT_PROBE_PATH = "/health"
 MAX_SLOTS = 10_000
 MAX_INSTANCES = 1000
 MAX_NAME_CHARS = 100
@@ -63,6 +64,7 @@
         shares: the weight of each named customer, 1 for all others.
         keyless: `run` or `refuse` non-idempotent requests without a key.
         retry_ratio: retries allowed per request, averaged.
+        probe_path: where an instance answers probes.
     """
 
     name: str
@@ -73,6 +75,7 @@
     shares: dict[str, float]
     keyless: str
     retry_ratio: float
+    probe_path: str
 
     @property
     def removable(self) -> int:
@@ -108,6 +111,7 @@
         shares=fields.shares("shares"),
         keyless=fields.choice("keyless", KEYLESS_CHOICES, "run"),
         retry_ratio=fields.number("retry_ratio", 0.0, 1.0, 0.1),
+        probe_path=fields.path("probe_path", DEFAULT_PROBE_PATH),
     )
     fields.done()
     return service
@@ -130,14 +134,11 @@
 
 def _parse_route(value: Any) -> RouteRule:
     fields = _Fields(value, "route")
-    prefix = fields.text("prefix", "/")
-    if not prefix.startswith("/"):
-        raise invalid(f"route prefix {prefix!r} does not start with /")
     methods = fields.names("idempotent_methods", IDEMPOTENT_METHODS)
     timeout_ms = fields.number("timeout_ms", 1, MAX_TIMEOUT_MS, DEFAULT_TIMEOUT_MS)
     route = RouteRule(
         host=fields.text("host").lower(),
-        prefix=prefix,
+        prefix=fields.path("prefix", "/"),
         idempotent_methods=frozenset(method.upper() for method in methods),
         timeout_s=timeout_ms / 1000,
     )
@@ -181,6 +182,13 @@
             raise invalid(f"{self._where}: {key} must be a text")
         return value
 
+    def path(self, key: str, default: str) -> str:
+        """Take a path that starts with a slash."""
+        value = self.text(key, default)
+        if not value.startswith("/"):
+            raise invalid(f"{self._where}: {key} {value!r} does not start with /")
+        return value
+
     def flag(self, key: str) -> bool:
         """Take true or false, false where it is missing."""
         value = self._left.pop(key, False)
--- a/dogwoodtack/leaving/__init__.py
+++ b/dogwoodtack/leaving/__init__.py
@@ -1,5 +1,14 @@
 """Leaving back ends."""
 
-from .leaving import Leaving
+from .courier import HintSender, LeavingCourier
+from .leaving import HOLD_S, Leaving
+from .messages import Hint, LeavingSource
 
-__all__ = ["Leaving"]
+__all__ = [
+    "HOLD_S",
+    "Hint",
+    "HintSender",
+    "Leaving",
+    "LeavingCourier",
+    "LeavingSource",
+]
--- /dev/null
+++ b/dogwoodtack/leaving/courier.py
@@ -0,0 +1,96 @@
+"""Carry hints to the other entry hosts of a service, and probe held instances."""
+
+from typing import Any
+
+from ..calls import Call, Client, Reply
+from ..catalog import Catalog
+from ..errors import WireError
+from ..membership import Membership, home_set
+from ..peers import Peers
+from ..reactor import Reactor
+from ..surface import Route, SurfaceRequest
+from .leaving import Leaving
+from .messages import Hint, hint_form, parse_hint
+
+__all__ = ["HINT_PATH", "HintSender", "LeavingCourier"]
+
+HINT_PATH = "/leaving/hint"
+TICK_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+HTTP_OK = 200
+DRAINING_HEADERS = (b"x-draining", b"x-not-executed")
+
+
+class HintSender:
+    """Send a hint to every other home host of its service."""
+
+    def __init__(self, peers: Peers, membership: Membership) -> None:
+        self._peers = peers
+        self._membership = membership
+
+    def send(self, hint: Hint) -> None:
+        """Send a hint once; a lost one is made good by the receiver's own look."""
+        homes = home_set(hint.service, self._membership.members())
+        for member in homes:
+            if member.name != self._membership.me.name:
+                self._peers.call(
+                    member.peer_address, HINT_PATH, hint_form(hint), _ignore_reply
+                )
+
+
+def _ignore_reply(reply: Reply | None, exc: WireError | None) -> None:
+    """Take no notice: the receiver finds out by itself where a hint is lost."""
+
+
+class LeavingCourier:
+    """Receive hints and run the probes that end a hold."""
+
+    def __init__(
+        self, reactor: Reactor, client: Client, catalog: Catalog, leaving: Leaving
+    ) -> None:
+        self._reactor = reactor
+        self._client = client
+        self._catalog = catalog
+        self._leaving = leaving
+
+    def begin(self) -> None:
+        """Probe once a second what is due."""
+        self._reactor.call_later(TICK_S, self.begin)
+        self._leaving.retain(
+            {
+                Hint(service.name, instance.name)
+                for service in self._catalog.services()
+                for instance in service.instances
+            }
+        )
+        for hint in self._leaving.due_probes():
+            self._probe(hint)
+
+    def routes(self) -> list[Route]:
+        """Return what the peer port answers for this slice."""
+        return [Route("POST", HINT_PATH, self._view_hint)]
+
+    def _view_hint(self, req: SurfaceRequest) -> Any:
+        self._leaving.take_hint(parse_hint(req.body))
+        return {}
+
+    def _probe(self, hint: Hint) -> None:
+        service = self._catalog.get(hint.service)
+        instance = service.instance(hint.instance) if service else None
+        if instance is None:
+            return
+
+        def on_reply(reply: Reply | None, exc: WireError | None) -> None:
+            self._leaving.take_probe(hint, _takes_work(reply))
+
+        call = Call(
+            instance.address, "GET", service.probe_path, timeout_s=PROBE_TIMEOUT_S
+        )
+        self._client.call(call, on_reply)
+
+
+def _takes_work(reply: Reply | None) -> bool:
+    """Return whether a probe's answer shows a back end that takes work."""
+    if reply is None or reply.status != HTTP_OK:
+        return False
+    return not any(name in DRAINING_HEADERS for name, _ in reply.headers)
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -18,7 +18,7 @@
 from .floor import Floor
 from .health import Health
 from .keys import KeyTable
-from .leaving import Leaving
+from .leaving import HintSender, Leaving, LeavingCourier
 from .limits import Limits
 from .logs import log_event
 from .membership import Member, Membership
@@ -83,7 +83,11 @@
         self.keys = KeyTable(self.incarnation, self.reactor.clock)
         self.health = Health()
         self.floor = Floor()
-        self.leaving = Leaving()
+        hints = HintSender(self.peers, self.membership)
+        self.leaving = Leaving(self.reactor.clock, hints.send)
+        self.courier = LeavingCourier(
+            self.reactor, self.client, self.catalog, self.leaving
+        )
         self.limits = Limits(
             self.reactor,
             self.catalog,
@@ -143,7 +147,7 @@
 
     def peer_routes(self) -> list[Route]:
         """Return what the peer port answers."""
-        return []
+        return self.courier.routes()
 
     def _view_metrics(self, req: SurfaceRequest) -> str:
         self.metrics.in_flight.set({}, self.door.in_flight)
@@ -172,6 +176,7 @@
     def start_work(self) -> None:
         """Begin to work, once every part stands."""
         self.watcher.start()
+        self.courier.begin()
         log_event("started", caller=self.door.address, incarnation=self.incarnation)
 
     @handler("signal", channel="*", priority=10)
--- a/dogwoodtack_standins/backend.py
+++ b/dogwoodtack_standins/backend.py
@@ -77,6 +77,7 @@
         self._fault = Fault()
         self._draining = False
         self._count = 0
+        self._arrived = 0
         self._executed = 0
         self._cancelled = 0
         self._journal = open(FLAGS.journal, "a") if FLAGS.journal else None
@@ -103,7 +104,12 @@
             self._answer_test(work, path)
         elif path in PROBE_PATHS:
             self._answer_probe(work)
-        elif self._draining:
+        else:
+            self._arrived += 1
+            self._take_work(work)
+
+    def _take_work(self, work: Work) -> None:
+        if self._draining:
             self._shed(work, b"draining")
         elif len(self._in_slots) < FLAGS.slots:
             self._run(work)
@@ -247,6 +253,7 @@
         elif path == "/test/drain":
             self._draining = True
         counts = {
+            "arrived": self._arrived,
             "executed": self._executed,
             "cancelled": self._cancelled,
             "received": self._count,
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -252,6 +252,14 @@
         data = json.dumps(fault).encode()
         http_call(self.backends[name], "PUT", "/test/fault", data)
 
+    def backend_counts(self, name: str) -> dict[str, int]:
+        """Return what a back end has counted of its work."""
+        return http_call(self.backends[name], "GET", "/test/counts").json()
+
+    def drain_backend(self, name: str) -> None:
+        """Make a back end refuse new work and say so in its answers."""
+        http_call(self.backends[name], "PUT", "/test/drain")
+
     def set_platform_fault(self, **fault: Any) -> None:
         """Make the platform fail in some way; none given heals it."""
         data = json.dumps(fault).encode()
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,45 @@
+"""A leaving back end gets no new work, though the platform's list lags."""
+
+import time
+import unittest
+
+from lab.fleet import Fleet, http_call
+
+HOST = {"Host": "jobtrack.example"}
+QUIET_AFTER_S = 5.0
+CALLS_A_ROUND = 10
+
+
+class LeavingBackEndTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.fleet.start_platform()
+        for name in ("jt-1", "jt-2", "jt-3"):
+            self.fleet.start_backend(name, work_ms=2)
+        self.fleet.start_nodes(3)
+        value = self.fleet.service_value("jobtrack.example", floor=2)
+        version = self.fleet.put_object("service", "jobtrack", value)
+        self.fleet.wait_service("jobtrack", version)
+
+    def call_round(self):
+        for node in self.fleet.nodes:
+            for _ in range(CALLS_A_ROUND):
+                answer = http_call(node.caller, "GET", "/racks", None, HOST)
+                self.assertEqual(answer.status, 200)
+
+    def arrived(self):
+        return self.fleet.backend_counts("jt-1")["arrived"]
+
+    def test_own_word_stops_new_work_everywhere(self):
+        self.call_round()
+        self.assertGreater(self.arrived(), 0)
+        self.fleet.drain_backend("jt-1")
+        drained_at = time.monotonic()
+        self.call_round()
+        self.fleet.wait_until(
+            lambda: time.monotonic() > drained_at + QUIET_AFTER_S, "a few seconds"
+        )
+        before = self.arrived()
+        self.call_round()
+        self.assertEqual(self.arrived(), before)
