Report service-level burn from what callers met

Cause: nothing said how fast a service uses up its error budget. Ruled out: counting probes or back-end answers (they are not what a caller met); counting callers' own faults and callers who left. Before: a bare counter.

--- a/dogwoodtack/burn/__init__.py
+++ b/dogwoodtack/burn/__init__.py
@@ -1,5 +1,19 @@
-"""Service-level burn."""
+"""Service-level burn: what callers met against what was promised."""
 
-from .burn import Burn, Served
+from .burn import WINDOWS_S, Burn, burn_rate
+from .messages import BurnPoint, BurnReport, BurnRow, Objective, Served, is_bad
+from .report import join_reports, report_text
 
-__all__ = ["Burn", "Served"]
+__all__ = [
+    "WINDOWS_S",
+    "Burn",
+    "BurnPoint",
+    "BurnReport",
+    "BurnRow",
+    "Objective",
+    "Served",
+    "burn_rate",
+    "is_bad",
+    "join_reports",
+    "report_text",
+]
--- /dev/null
+++ b/dogwoodtack/burn/tests/test_burn.py
@@ -0,0 +1,75 @@
+"""Tests of what counts as bad, over which windows, and of joined reports."""
+
+import unittest
+
+from nose2.tools import params
+
+from dogwoodtack.burn import Burn, Objective, Served, is_bad, join_reports, report_text
+from dogwoodtack.clock import VirtualClock
+from dogwoodtack.errors import ErrorKind, Outcome
+
+OBJECTIVE = Objective(good_ratio=0.99, slow_s=0.5)
+GOOD = Served("jobtrack", True, Outcome.RAN, 200, 0.1, True)
+
+
+class IsBadTest(unittest.TestCase):
+    @params(
+        ("good", GOOD, False),
+        ("slow", GOOD._replace(latency_s=0.6), True),
+        ("server error", GOOD._replace(status=500), True),
+        ("caller's error", GOOD._replace(status=404), False),
+        ("cut", GOOD._replace(is_whole=False), True),
+        ("unknown", GOOD._replace(outcome=Outcome.UNKNOWN, status=504), True),
+        (
+            "overloaded",
+            GOOD._replace(outcome=Outcome.NOT_RUN, error=ErrorKind.OVERLOADED),
+            True,
+        ),
+        (
+            "key malformed",
+            GOOD._replace(outcome=Outcome.NOT_RUN, error=ErrorKind.KEY_MALFORMED),
+            False,
+        ),
+    )
+    def test_is_bad(self, _name, served, expected):
+        self.assertEqual(is_bad(served, OBJECTIVE), expected)
+
+
+class BurnTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = VirtualClock()
+        self.burn = Burn(self.clock, lambda name: OBJECTIVE)
+
+    def serve(self, good, bad):
+        for _ in range(good):
+            self.burn.record(GOOD)
+        for _ in range(bad):
+            self.burn.record(GOOD._replace(status=500))
+
+    def rows(self):
+        return {row["window_s"]: row for row in self.burn.report()["rows"]}
+
+    @params((99, 1, 1.0), (50, 50, 50.0), (10, 0, 0.0))
+    def test_rate(self, good, bad, rate):
+        self.serve(good, bad)
+        for row in self.rows().values():
+            self.assertAlmostEqual(row["burn"], rate)
+
+    @params((400, 0, 100, 100), (4000, 0, 0, 100), (30_000, 0, 0, 0))
+    def test_windows_forget(self, later_s, short, middle, long):
+        self.serve(0, 100)
+        self.clock.advance(later_s)
+        totals = [row["total"] for row in self.rows().values()]
+        self.assertEqual(totals, [short, middle, long])
+
+    def test_callers_who_left_do_not_count(self):
+        self.burn.record(GOOD._replace(is_caller_gone=True))
+        self.assertEqual(self.burn.report()["rows"], [])
+
+    def test_joined(self):
+        self.serve(9, 1)
+        joined = join_reports([self.burn.report(), self.burn.report()])
+        row = joined["rows"][0]
+        self.assertEqual((row["total"], row["bad"]), (20, 2))
+        self.assertAlmostEqual(row["burn"], 10.0)
+        self.assertIn("jobtrack  idempotent  5m", report_text(joined))
--- a/dogwoodtack/catalog/service.py
+++ b/dogwoodtack/catalog/service.py
@@ -11,6 +11,8 @@
 DEFAULT_TIMEOUT_MS = 5000
 MAX_TIMEOUT_MS = 3_600_000
 DEFAULT_PROBE_PATH = "/health"
+DEFAULT_SLOW_MS = 1000
+MAX_GOOD_RATIO = 0.999999
 MAX_SLOTS = 10_000
 MAX_INSTANCES = 1000
 MAX_NAME_CHARS = 100
@@ -65,6 +67,8 @@
         keyless: `run` or `refuse` non-idempotent requests without a key.
         retry_ratio: retries allowed per request, averaged.
         probe_path: where an instance answers probes.
+        good_ratio: share of requests that must be good, below 1.
+        slow_s: seconds after which a request counts as bad.
     """
 
     name: str
@@ -76,6 +80,8 @@
     keyless: str
     retry_ratio: float
     probe_path: str
+    good_ratio: float
+    slow_s: float
 
     @property
     def removable(self) -> int:
@@ -112,6 +118,8 @@
         keyless=fields.choice("keyless", KEYLESS_CHOICES, "run"),
         retry_ratio=fields.number("retry_ratio", 0.0, 1.0, 0.1),
         probe_path=fields.path("probe_path", DEFAULT_PROBE_PATH),
+        good_ratio=fields.number("good_ratio", 0.0, MAX_GOOD_RATIO, 0.999),
+        slow_s=fields.number("slow_ms", 1, MAX_TIMEOUT_MS, DEFAULT_SLOW_MS) / 1000,
     )
     fields.done()
     return service
--- a/dogwoodtack/door/exchange.py
+++ b/dogwoodtack/door/exchange.py
@@ -51,6 +51,7 @@
 FIRST_ATTEMPT_SHARE = 0.6
 KEPT_ANSWER_BYTES = 16384
 SERVER_ERROR = 500
+CALLER_GONE = 499
 
 SAMPLE_KINDS: dict[ErrorKind, SampleKind] = {
     ErrorKind.BACKEND_REFUSED: SampleKind.REFUSED,
@@ -114,6 +115,7 @@
         self._held = bytearray()
         self._is_passing = False
         self._caller_gone = False
+        self._answered_at: float | None = None
         self._last_fault = ErrorKind.NO_INSTANCE
 
     # Receiving the request.
@@ -196,7 +198,7 @@
         if dispatched and not self._is_idempotent and not self._streams_body:
             return
         self._stop_work(Unknown() if dispatched else NotRun())
-        self._close("caller-gone", 499, Outcome.UNKNOWN, is_whole=False)
+        self._close("caller-gone", CALLER_GONE, Outcome.UNKNOWN, is_whole=False)
 
     # Settling the key.
 
@@ -381,6 +383,7 @@
 
     def _begin_passing(self) -> None:
         self._is_passing = True
+        self._answered_at = self._parts.reactor.clock.monotonic()
         if self._caller_gone:
             return
         self._conn.send_head(self._answer.status, self._answer_headers())
@@ -487,7 +490,7 @@
         answer = answer_for(kind)
         if not self._caller_gone:
             send_error(self._conn, kind, detail, self.request_id)
-        self._close(str(kind), answer.status, answer.outcome, is_whole=True)
+        self._close(kind, answer.status, answer.outcome, is_whole=True)
 
     def _abort_caller(self, reason: str) -> None:
         self._close(reason, 0, Outcome.UNKNOWN, is_whole=False)
@@ -511,10 +514,18 @@
     ) -> None:
         self.is_done = True
         self._on_done(self)
-        latency_s = self._parts.reactor.clock.monotonic() - self.started_at
+        now = self._parts.reactor.clock.monotonic()
+        latency_s = now - self.started_at
         service = self._match.service.name if self._match else ""
         served = Served(
-            service, self._is_idempotent, outcome, status, latency_s, is_whole
+            service=service,
+            is_idempotent=self._is_idempotent,
+            outcome=outcome,
+            status=status,
+            latency_s=(self._answered_at or now) - self.started_at,
+            is_whole=is_whole,
+            error=reason if isinstance(reason, ErrorKind) else None,
+            is_caller_gone=self._caller_gone,
         )
         self._parts.burn.record(served)
         log_event(
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -8,7 +8,7 @@
 from circuits.core.pollers import EPoll
 
 from .backends import LinkPool
-from .burn import Burn
+from .burn import Burn, Objective
 from .calls import Client
 from .catalog import Catalog
 from .clock import SystemClock
@@ -34,6 +34,7 @@
 __all__ = ["Node"]
 
 STOP_POLL_S = 0.05
+DEFAULT_OBJECTIVE = Objective(good_ratio=0.999, slow_s=1.0)
 SERVICE_KIND = "service"
 
 
@@ -74,8 +75,8 @@
             peer_address=cfg.node_peer_address,
         )
         self.metrics = Metrics()
-        self.burn = Burn()
         self.catalog = Catalog()
+        self.burn = Burn(self.reactor.clock, self._objective_of)
         self.state = ConfigState()
         self.state.subscribe(self._on_object)
         self.watcher = Watcher(self.reactor, self.store, self.state)
@@ -143,6 +144,7 @@
         return [
             Route("GET", "/metrics", self._view_metrics),
             Route("GET", "/status", self._view_status),
+            Route("GET", "/burn", lambda req: self.burn.report()),
         ]
 
     def peer_routes(self) -> list[Route]:
@@ -169,6 +171,12 @@
             },
         }
 
+    def _objective_of(self, name: str) -> Objective:
+        service = self.catalog.get(name)
+        if service is None:
+            return DEFAULT_OBJECTIVE
+        return Objective(service.good_ratio, service.slow_s)
+
     def _on_object(self, obj: StoreObject) -> None:
         if obj.kind == SERVICE_KIND:
             self.catalog.put(obj.name, obj.version, obj.value)
