Know the entry hosts by gossip over the peer port

Cause: the membership view held only its own node, so discovery named one address and no other slice could tell whether an incarnation still lives.

Ruled out: ordering incarnations of a name by wall clock (kept only to choose which of two is shown); heartbeats into the store (6,300 writes a second against several hundred). A process that holds a peer address knows that former incarnations there are gone and says so at once.

--- a/dogwoodtack/discovery/discovery.py
+++ b/dogwoodtack/discovery/discovery.py
@@ -55,13 +55,16 @@
         """Return the answer to `services/<name>`.
 
         Raises:
-            RequestError: NOT_FOUND for a path or service that is not known.
+            RequestError: NOT_FOUND for a path or service that is not known,
+                CUT_OFF while this node cannot know what is in force.
         """
+        if self._membership.is_cut_off() or not self._membership.me.is_ready:
+            raise RequestError(ErrorKind.CUT_OFF)
         head, _, name = path.partition("/")
         if head != "services" or self._catalog.get(name) is None:
             raise RequestError(ErrorKind.NOT_FOUND, path[:100])
         me = self._membership.me
-        members = [one for one in self._membership.members() if not one.is_leaving]
+        members = self._membership.usable()
         self._rng.shuffle(members)
         members.sort(key=lambda one: one.name != me.name)
         return {
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -21,7 +21,7 @@
 from .leaving import Leaving
 from .limits import Limits
 from .logs import log_event
-from .membership import Member, Membership
+from .membership import Contact, Gossip, Member, Membership
 from .metrics import Metrics
 from .misc import new_token
 from .peers import Peers
@@ -34,6 +34,7 @@
 __all__ = ["Node"]
 
 STOP_POLL_S = 0.05
+STANDING_POLL_S = 0.1
 SERVICE_KIND = "service"
 
 
@@ -59,8 +60,12 @@
         dial_timeout_s = self.settings.backends_dial_timeout_s
         self.client = Client(self.reactor, dial_timeout_s)
         self.peers = Peers(self.client, self.settings.peers_access_key)
+        self.contact = Contact(self.reactor.clock, bool(self.settings.peers_seeds))
         self.store = Store(
-            self.client, self.settings.store_address, self.settings.store_timeout_s
+            self.client,
+            self.settings.store_address,
+            self.settings.store_timeout_s,
+            self.contact.note_store,
         )
         self.rng = random.Random()
 
@@ -72,14 +77,23 @@
             zone=cfg.node_zone,
             caller_address=cfg.node_caller_address,
             peer_address=cfg.node_peer_address,
+            is_ready=False,
         )
         self.metrics = Metrics()
         self.burn = Burn()
         self.catalog = Catalog()
         self.state = ConfigState()
         self.state.subscribe(self._on_object)
-        self.watcher = Watcher(self.reactor, self.store, self.state)
-        self.membership = Membership(me)
+        self.watcher = Watcher(self.reactor, self.store, self.state, self._on_synced)
+        self.membership = Membership(me, self.reactor.clock.wall())
+        self.gossip = Gossip(
+            self.reactor,
+            self.peers,
+            self.membership,
+            self.contact,
+            cfg.peers_seeds,
+            self.rng,
+        )
         self.keys = KeyTable(self.incarnation, self.reactor.clock)
         self.health = Health()
         self.floor = Floor()
@@ -143,7 +157,7 @@
 
     def peer_routes(self) -> list[Route]:
         """Return what the peer port answers."""
-        return []
+        return self.gossip.routes()
 
     def _view_metrics(self, req: SurfaceRequest) -> str:
         self.metrics.in_flight.set({}, self.door.in_flight)
@@ -159,6 +173,8 @@
             "in_flight": self.door.in_flight,
             "connections": self.door.connections,
             "store_calls": self.store.calls_made,
+            "cut_off": self.membership.is_cut_off(),
+            "members": self.gossip.status(),
             "services": {
                 service.name: self.catalog.version(service.name)
                 for service in self.catalog.services()
@@ -171,9 +187,27 @@
 
     def start_work(self) -> None:
         """Begin to work, once every part stands."""
+        self.gossip.begin()
         self.watcher.start()
+        self._check_standing()
         log_event("started", caller=self.door.address, incarnation=self.incarnation)
 
+    def _check_standing(self) -> None:
+        """Refuse new work while the configuration is not known to be in force."""
+        self.reactor.call_later(STANDING_POLL_S, self._check_standing)
+        self._set_refusal()
+
+    def _on_synced(self) -> None:
+        self.gossip.note_ready()
+        log_event("ready", services=len(self.catalog.services()))
+        self._set_refusal()
+
+    def _set_refusal(self) -> None:
+        if self.door.refusal is ErrorKind.DRAINING:
+            return
+        is_sure = self.membership.me.is_ready and not self.membership.is_cut_off()
+        self.door.refusal = None if is_sure else ErrorKind.CUT_OFF
+
     @handler("signal", channel="*", priority=10)
     def _on_signal(self, event: Any, signo: int, stack: Any) -> None:
         event.stop()
@@ -187,7 +221,7 @@
     def _begin_stop(self) -> None:
         """Leave discovery, wait out its lifetime, then refuse and drain."""
         self._stopping = True
-        self.membership.leave()
+        self.gossip.leave()
         ttl_s = self.settings.callers_discovery_ttl_s
         log_event("leaving", in_flight=self.door.in_flight, wait_s=ttl_s)
         self.reactor.call_later(ttl_s, self._drain)
--- a/dogwoodtack/spread/watcher.py
+++ b/dogwoodtack/spread/watcher.py
@@ -1,5 +1,7 @@
 """Follow the store's changes with one long poll at a time."""
 
+from collections.abc import Callable
+
 from ..errors import StoreError
 from ..logs import log_event
 from ..reactor import Reactor
@@ -15,10 +17,17 @@
 class Watcher:
     """Read the whole store once, then its changes."""
 
-    def __init__(self, reactor: Reactor, store: Store, state: ConfigState) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        store: Store,
+        state: ConfigState,
+        on_synced: Callable[[], None],
+    ) -> None:
         self._reactor = reactor
         self._store = store
         self._state = state
+        self._on_synced = on_synced
         self.revision = -1
         self.last_contact_at: float | None = None
 
@@ -37,5 +46,8 @@
         self.last_contact_at = self._reactor.clock.monotonic()
         for obj in snapshot.objects:
             self._state.apply(obj)
+        is_first = self.revision < 0
         self.revision = max(self.revision, snapshot.revision)
+        if is_first:
+            self._on_synced()
         self._reactor.call_soon(self.start)
--- a/dogwoodtack/store/client.py
+++ b/dogwoodtack/store/client.py
@@ -13,6 +13,7 @@
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 HTTP_NOT_FOUND = 404
+HTTP_SERVER_ERROR = 500
 WATCH_MARGIN_S = 2.0
 
 
@@ -60,8 +61,15 @@
 class Store:
     """Read, watch and conditionally write the platform's objects."""
 
-    def __init__(self, client: Client, address: Address, timeout_s: float) -> None:
+    def __init__(
+        self,
+        client: Client,
+        address: Address,
+        timeout_s: float,
+        on_contact: Callable[[], None] | None = None,
+    ) -> None:
         self._client = client
+        self._on_contact = on_contact
         self._address = address
         self._timeout_s = timeout_s
         self.calls_made = 0
@@ -128,7 +136,14 @@
     ) -> None:
         self.calls_made += 1
         call = Call(self._address, method, target, body, timeout_s)
-        self._client.call(call, on_reply)
+
+        def on_answer(reply: Reply | None, exc: WireError | None) -> None:
+            is_up = reply is not None and reply.status < HTTP_SERVER_ERROR
+            if is_up and self._on_contact is not None:
+                self._on_contact()
+            on_reply(reply, exc)
+
+        self._client.call(call, on_answer)
 
 
 def _path(kind: str, name: str) -> str:
