--- a/dogwoodtack/discovery/discovery.py
+++ b/dogwoodtack/discovery/discovery.py
@@ -57,8 +57,11 @@
         """Return the answer to `services/<name>`.
 
         Raises:
-            RequestError: NOT_FOUND for a path or service that is not known.
+            RequestError: NOT_FOUND for a path or service that is not known,
+                CUT_OFF while this node cannot know what is in force.
         """
+        if self._membership.is_cut_off() or not self._membership.me.is_ready:
+            raise RequestError(ErrorKind.CUT_OFF)
         head, _, name = path.partition("/")
         service = self._catalog.get(name) if head == "services" else None
         if service is None:
--- a/dogwoodtack/membership/homes.py
+++ b/dogwoodtack/membership/homes.py
@@ -68,13 +68,13 @@
         self._known: dict[str, _Known] = {}
 
     def _refresh(self) -> None:
-        view = [one for one in self._membership.members() if not one.is_leaving]
+        view = self._membership.usable()
         if view != self._view:
             self._view = view
             self._revision += 1
 
     def of(self, service: Service) -> list[Member]:
-        """Return a service's home set; hosts that are leaving are not in it."""
+        """Return a service's home set; hosts that callers should avoid are not in it."""
         self._refresh()
         size = home_size(service)
         known = self._known.get(service.name)
