Answer operators' intents with plans and confirm them by one conditional update

Cause: operators had no way to change anything; tests wrote to the platform by hand, and a lost answer from the platform left open what was in force.

Ruled out: keeping plans on an entry host (hosts keep nothing, and a confirmation may reach another one) and keeping them in the store (a write for every question). The whole plan goes to the operator and comes back; its identifier is a digest keyed with the operators' access key. A single mark in the value was ruled out too: a later change would erase it before a confirmation is asked again, so the value carries the marks of its last 16 plans.

Before: no operators' interface.

Conclusion: a version above the plan's base carries the plan's mark exactly when the plan's write came first, so reading back settles every lost answer, and a read that does not get past the base version settles nothing.

The catalog takes drains, ignores marks, and treats a confirmed removal as none; its field reader moved to dogwoodtack/fields.py for the intents to use.

--- /dev/null
+++ b/dogwoodtack/api.py
@@ -0,0 +1,130 @@
+"""The operators' client: what the command-line tool does, as a class."""
+
+import http.client
+import json
+from typing import Any, NamedTuple
+from urllib.parse import quote
+
+from .errors import DogwoodtackError, ErrorKind
+from .intents import Plan, Receipt
+from .misc import Address
+from .surface import ACCESS_HEADER
+
+__all__ = ["ApiError", "OperatorApi", "Unreachable"]
+
+DEFAULT_TIMEOUT_S = 30.0
+HTTP_OK = 200
+
+
+class ApiError(DogwoodtackError):
+    """An entry host refused a call.
+
+    Attributes:
+        kind: the error kind it named.
+        text: its sentence for a person.
+        detail: what exactly was wrong.
+    """
+
+    def __init__(self, kind: ErrorKind, text: str, detail: str) -> None:
+        super().__init__(f"{kind}: {detail or text}")
+        self.kind = kind
+        self.text = text
+        self.detail = detail
+
+
+class Unreachable(DogwoodtackError):
+    """No entry host gave an answer.
+
+    Attributes:
+        was_sent: whether a call may have reached an entry host.
+    """
+
+    def __init__(self, detail: str, was_sent: bool) -> None:
+        super().__init__(detail)
+        self.was_sent = was_sent
+
+
+class _Attempt(NamedTuple):
+    """One call to one entry host: its answer, or why there is none."""
+
+    status: int
+    body: Any
+    failure: str
+    was_sent: bool
+
+
+class OperatorApi:
+    """Call the operator port of the first entry host that answers."""
+
+    def __init__(
+        self,
+        addresses: list[Address],
+        access_key: str,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> None:
+        self._addresses = addresses
+        self._access_key = access_key
+        self._timeout_s = timeout_s
+
+    def submit(self, intent: Any) -> Plan:
+        """Return the plan for an intent; nothing takes effect."""
+        return self.call("POST", "/intents", intent)
+
+    def confirm(self, plan: Plan) -> Receipt:
+        """Bring a plan into force; asking again with the same plan is safe."""
+        return self.call("POST", f"/plans/{quote(plan['plan_id'])}/confirm", plan)
+
+    def status(self) -> Any:
+        """Return one entry host's status."""
+        return self.call("GET", "/status")
+
+    def explain_instance(self, service: str, instance: str) -> Any:
+        """Return why an instance gets the work it gets."""
+        target = f"/explain/instance/{quote(service)}/{quote(instance)}"
+        return self.call("GET", target)
+
+    def call(self, method: str, target: str, body: Any = None) -> Any:
+        """Return the JSON answer of the first entry host that gives one.
+
+        Raises:
+            ApiError: an entry host refused.
+            Unreachable: none answered.
+        """
+        failures = []
+        was_sent = False
+        for address in self._addresses:
+            attempt = self._attempt(address, method, target, body)
+            if attempt.status == HTTP_OK:
+                return attempt.body
+            if attempt.status:
+                raise _error(attempt)
+            was_sent = was_sent or attempt.was_sent
+            failures.append(f"{address}: {attempt.failure}")
+        raise Unreachable("; ".join(failures) or "no operator address", was_sent)
+
+    def _attempt(
+        self, address: Address, method: str, target: str, body: Any
+    ) -> _Attempt:
+        conn = http.client.HTTPConnection(*address, timeout=self._timeout_s)
+        was_sent = False
+        try:
+            conn.connect()
+            was_sent = True
+            data = None if body is None else json.dumps(body).encode()
+            conn.request(method, target, data, {ACCESS_HEADER: self._access_key})
+            resp = conn.getresponse()
+            return _Attempt(resp.status, json.loads(resp.read()), "", was_sent)
+        except (OSError, http.client.HTTPException, ValueError) as exc:
+            return _Attempt(0, None, str(exc) or type(exc).__name__, was_sent)
+        finally:
+            conn.close()
+
+
+def _error(attempt: _Attempt) -> ApiError:
+    body = attempt.body if isinstance(attempt.body, dict) else {}
+    try:
+        kind = ErrorKind(body.get("error", ""))
+    except ValueError:
+        kind = ErrorKind.INTERNAL
+    text = body.get("text", f"status {attempt.status}")
+    return ApiError(kind, text, body.get("detail", ""))
--- a/dogwoodtack/catalog/__init__.py
+++ b/dogwoodtack/catalog/__init__.py
@@ -1,6 +1,14 @@
 """Services and routes as operators declared them."""
 
-from .catalog import Catalog, Match
+from .catalog import Catalog, Match, is_removed
 from .service import Instance, RouteRule, Service, parse_service
 
-__all__ = ["Catalog", "Instance", "Match", "RouteRule", "Service", "parse_service"]
+__all__ = [
+    "Catalog",
+    "Instance",
+    "Match",
+    "RouteRule",
+    "Service",
+    "is_removed",
+    "parse_service",
+]
--- a/dogwoodtack/catalog/catalog.py
+++ b/dogwoodtack/catalog/catalog.py
@@ -6,7 +6,7 @@
 from ..logs import log_event
 from .service import RouteRule, Service, parse_service
 
-__all__ = ["Catalog", "Match"]
+__all__ = ["Catalog", "Match", "is_removed"]
 
 
 class Match(NamedTuple):
@@ -31,7 +31,7 @@
         force: a newer node may have written what this one does not know.
         """
         try:
-            service = None if value is None else parse_service(name, value)
+            service = None if is_removed(value) else parse_service(name, value)
         except RequestError as exc:
             log_event("service-unreadable", "ERROR", service=name, detail=exc.detail)
             return
@@ -80,6 +80,15 @@
         return None
 
 
+def is_removed(value: Any) -> bool:
+    """Return whether an object's value says that there is no such thing now.
+
+    A removal that an operator confirmed is a value of its own, so that it can
+    carry the marks of the plans behind it.
+    """
+    return value is None or (isinstance(value, dict) and value.get("removed") is True)
+
+
 def _is_under(path: str, prefix: str) -> bool:
     """Return whether a path lies under a prefix, by whole segments."""
     if not path.startswith(prefix):
--- a/dogwoodtack/catalog/service.py
+++ b/dogwoodtack/catalog/service.py
@@ -2,8 +2,8 @@
 
 from typing import Any, NamedTuple
 
-from ..errors import ErrorKind, RequestError
-from ..misc import Address, parse_address
+from ..fields import Fields, invalid
+from ..misc import Address
 
 __all__ = ["Instance", "RouteRule", "Service", "parse_service"]
 
@@ -69,6 +69,8 @@
         probe_path: where an instance answers probes.
         good_ratio: share of requests that must be good, below 1.
         slow_s: seconds after which a request counts as bad.
+        drains: instances that operators want without new work; the floor slice
+            says from when on they get none.
     """
 
     name: str
@@ -82,6 +84,7 @@
     probe_path: str
     good_ratio: float
     slow_s: float
+    drains: tuple[str, ...] = ()
 
     @property
     def removable(self) -> int:
@@ -103,7 +106,8 @@
         RequestError: INVALID_INTENT, with the field and what is allowed there.
     """
     _check_name("name", name)
-    fields = _Fields(value, f"service {name}")
+    fields = Fields(value, f"service {name}")
+    fields.names("marks", ())
     instances = tuple(
         _parse_instance(item) for item in fields.items("instances", MAX_INSTANCES)
     )
@@ -120,13 +124,22 @@
         probe_path=fields.path("probe_path", DEFAULT_PROBE_PATH),
         good_ratio=fields.number("good_ratio", 0.0, MAX_GOOD_RATIO, 0.999),
         slow_s=fields.number("slow_ms", 1, MAX_TIMEOUT_MS, DEFAULT_SLOW_MS) / 1000,
+        drains=_parse_drains(fields, instances),
     )
     fields.done()
     return service
 
 
+def _parse_drains(fields: Fields, instances: tuple[Instance, ...]) -> tuple[str, ...]:
+    drains = tuple(fields.names("drains", ()))
+    _check_unique("drains", list(drains))
+    for name in set(drains).difference(one.name for one in instances):
+        raise invalid(f"drains: there is no instance {name!r}")
+    return drains
+
+
 def _parse_instance(value: Any) -> Instance:
-    fields = _Fields(value, "instance")
+    fields = Fields(value, "instance")
     name = fields.text("name")
     _check_name("instance name", name)
     instance = Instance(
@@ -141,7 +154,7 @@
 
 
 def _parse_route(value: Any) -> RouteRule:
-    fields = _Fields(value, "route")
+    fields = Fields(value, "route")
     methods = fields.names("idempotent_methods", IDEMPOTENT_METHODS)
     timeout_ms = fields.number("timeout_ms", 1, MAX_TIMEOUT_MS, DEFAULT_TIMEOUT_MS)
     route = RouteRule(
@@ -154,11 +167,6 @@
     return route
 
 
-def invalid(detail: str) -> RequestError:
-    """Return the error that refuses an intent."""
-    return RequestError(ErrorKind.INVALID_INTENT, detail)
-
-
 def _check_name(what: str, name: str) -> None:
     plain = all(char.isalnum() or char in NAME_EXTRA_CHARS for char in name)
     if not name or len(name) > MAX_NAME_CHARS or not plain or not name.isascii():
@@ -172,88 +180,3 @@
     for name in names:
         if names.count(name) > 1:
             raise invalid(f"{what}: {name!r} stands more than once")
-
-
-class _Fields:
-    """Take typed fields out of one JSON object, then refuse what is left."""
-
-    def __init__(self, value: Any, where: str) -> None:
-        if not isinstance(value, dict):
-            raise invalid(f"{where} must be an object")
-        self._left = dict(value)
-        self._where = where
-
-    def text(self, key: str, default: str | None = None) -> str:
-        """Take a text."""
-        value = self._left.pop(key, default)
-        if not isinstance(value, str) or not value:
-            raise invalid(f"{self._where}: {key} must be a text")
-        return value
-
-    def path(self, key: str, default: str) -> str:
-        """Take a path that starts with a slash."""
-        value = self.text(key, default)
-        if not value.startswith("/"):
-            raise invalid(f"{self._where}: {key} {value!r} does not start with /")
-        return value
-
-    def flag(self, key: str) -> bool:
-        """Take true or false, false where it is missing."""
-        value = self._left.pop(key, False)
-        if not isinstance(value, bool):
-            raise invalid(f"{self._where}: {key} must be true or false")
-        return value
-
-    def number(self, key: str, low: float, high: float, default: float) -> float:
-        """Take a number within bounds."""
-        value = self._left.pop(key, default)
-        is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
-        if not is_number or not low <= value <= high:
-            raise invalid(f"{self._where}: {key} must be from {low} to {high}")
-        return value
-
-    def choice(self, key: str, allowed: tuple[str, ...], default: str) -> str:
-        """Take one of a few words."""
-        value = self._left.pop(key, default)
-        if value not in allowed:
-            raise invalid(f"{self._where}: {key} must be one of {', '.join(allowed)}")
-        return value
-
-    def address(self, key: str) -> Address:
-        """Take host:port."""
-        try:
-            return parse_address(self.text(key))
-        except ValueError as exc:
-            raise invalid(f"{self._where}: {key}: {exc}") from exc
-
-    def items(self, key: str, most: int) -> list[Any]:
-        """Take a list of at most a number of items."""
-        value = self._left.pop(key, [])
-        if not isinstance(value, list) or len(value) > most:
-            raise invalid(f"{self._where}: {key} must be a list of at most {most}")
-        return value
-
-    def names(self, key: str, default: tuple[str, ...]) -> list[str]:
-        """Take a list of texts."""
-        value = self._left.pop(key, list(default))
-        if not isinstance(value, list) or not all(
-            isinstance(item, str) for item in value
-        ):
-            raise invalid(f"{self._where}: {key} must be a list of texts")
-        return value
-
-    def shares(self, key: str) -> dict[str, float]:
-        """Take an object of positive numbers."""
-        value = self._left.pop(key, {})
-        numbers = isinstance(value, dict) and all(
-            isinstance(share, (int, float)) and share > 0 for share in value.values()
-        )
-        if not numbers:
-            raise invalid(f"{self._where}: {key} must map customers to numbers above 0")
-        return {name: float(share) for name, share in value.items()}
-
-    def done(self) -> None:
-        """Refuse fields that nobody took."""
-        if self._left:
-            unknown = ", ".join(sorted(self._left))
-            raise invalid(f"{self._where}: unknown field {unknown}")
--- /dev/null
+++ b/dogwoodtack/cmdline.py
@@ -0,0 +1,343 @@
+"""The operators' command-line tool."""
+
+import configparser
+import enum
+import json
+import os
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from absl import flags
+
+from .api import ApiError, OperatorApi, Unreachable
+from .errors import DogwoodtackError, ErrorKind
+from .intents import Plan
+from .misc import parse_address
+
+__all__ = ["COMMANDS", "Command", "Context", "ExitCode", "UsageError", "main", "run"]
+
+CONFIG_SECTION = "operator"
+CONFIG_KEYS = ("addresses", "access_key", "plans_dir")
+ACCESS_KEY_VARIABLE = "DOGWOODTACK_ACCESS_KEY"
+
+FLAGS = flags.FlagValues()
+FLAGS.set_gnu_getopt(True)
+flags.DEFINE_string(
+    "config",
+    None,
+    "An INI file with a section [operator] and the keys addresses, access_key and "
+    "plans_dir. Flags take precedence over it.",
+    flag_values=FLAGS,
+)
+flags.DEFINE_list(
+    "addresses",
+    None,
+    "Operator addresses, host:port,host:port; they are tried in turn.",
+    flag_values=FLAGS,
+)
+flags.DEFINE_string(
+    "access_key",
+    None,
+    f"The operators' access key; better in the file or in ${ACCESS_KEY_VARIABLE}.",
+    flag_values=FLAGS,
+)
+flags.DEFINE_string(
+    "plans_dir",
+    None,
+    "Where submit keeps plans for show and confirm; default: ./plans.",
+    flag_values=FLAGS,
+)
+flags.DEFINE_float(
+    "timeout_s", 30.0, "Seconds to wait for one entry host.", 0.1, flag_values=FLAGS
+)
+flags.DEFINE_bool("json", False, "Print JSON.", flag_values=FLAGS)
+flags.DEFINE_bool(
+    "yes", False, "Confirm without asking on the terminal.", flag_values=FLAGS
+)
+flags.DEFINE_bool("help", False, "Show this help.", short_name="h", flag_values=FLAGS)
+
+
+class ExitCode(enum.IntEnum):
+    """What the shell is told."""
+
+    OK = 0
+    REFUSED = 1
+    USAGE = 2
+    CONFLICT = 3
+    UNKNOWN_OUTCOME = 4
+    UNREACHABLE = 5
+
+
+_EXIT_CODES = {
+    ErrorKind.CONFLICT: ExitCode.CONFLICT,
+    ErrorKind.NOT_CONFIRMED: ExitCode.UNKNOWN_OUTCOME,
+    ErrorKind.INTERNAL: ExitCode.UNKNOWN_OUTCOME,
+    ErrorKind.STORE_UNAVAILABLE: ExitCode.UNREACHABLE,
+}
+
+
+class UsageError(DogwoodtackError):
+    """The command line or the settings are not usable."""
+
+
+class Context(NamedTuple):
+    """What a command works with.
+
+    Attributes:
+        api: the operators' client.
+        args: the command's own arguments.
+        plans_dir: where plans are kept.
+        is_json: whether to print JSON.
+        is_yes: whether to confirm without asking.
+    """
+
+    api: OperatorApi
+    args: list[str]
+    plans_dir: Path
+    is_json: bool
+    is_yes: bool
+
+
+class Command(NamedTuple):
+    """One subcommand.
+
+    Attributes:
+        usage: its name and arguments.
+        text: one line of help.
+        arg_count: how many arguments it takes.
+        act: does the work, prints and returns the exit code.
+    """
+
+    usage: str
+    text: str
+    arg_count: int
+    act: Callable[[Context], ExitCode]
+
+
+def submit(ctx: Context) -> ExitCode:
+    """Send an intent and keep the plan it is answered with."""
+    plan = ctx.api.submit(_read_json(ctx.args[0]))
+    path = ctx.plans_dir / f"{plan['plan_id']}.json"
+    try:
+        ctx.plans_dir.mkdir(parents=True, exist_ok=True)
+        path.write_text(json.dumps(plan, indent=2) + "\n")
+    except OSError as exc:
+        raise UsageError(f"the plan cannot be kept: {exc}") from exc
+    _print(ctx, plan, plan_text(plan))
+    return ExitCode.OK if plan["allowed"] else ExitCode.REFUSED
+
+
+def show(ctx: Context) -> ExitCode:
+    """Print a kept plan."""
+    plan = _load_plan(ctx)
+    _print(ctx, plan, plan_text(plan))
+    return ExitCode.OK
+
+
+def confirm(ctx: Context) -> ExitCode:
+    """Bring a kept plan into force."""
+    plan = _load_plan(ctx)
+    if not ctx.is_yes and not _agrees(plan):
+        return ExitCode.REFUSED
+    receipt = ctx.api.confirm(plan)
+    text = (
+        f"accepted: {receipt['object_kind']} {receipt['object_name']} "
+        f"is at version {receipt['version']}"
+    )
+    _print(ctx, receipt, text)
+    return ExitCode.OK
+
+
+def status(ctx: Context) -> ExitCode:
+    """Print one entry host's status."""
+    seen = ctx.api.status()
+    _print(ctx, seen, fields_text(seen))
+    return ExitCode.OK
+
+
+def explain(ctx: Context) -> ExitCode:
+    """Print why an instance gets the work it gets."""
+    what, service, instance = ctx.args
+    if what != "instance":
+        raise UsageError("explain knows: instance SERVICE INSTANCE")
+    seen = ctx.api.explain_instance(service, instance)
+    _print(ctx, seen, fields_text(seen))
+    return ExitCode.OK
+
+
+COMMANDS: dict[str, Command] = {
+    "submit": Command(
+        "submit FILE|-", "Send an intent (JSON) and keep its plan.", 1, submit
+    ),
+    "show": Command("show PLAN", "Print a kept plan.", 1, show),
+    "confirm": Command(
+        "confirm PLAN [--yes]", "Bring a kept plan into force.", 1, confirm
+    ),
+    "status": Command("status", "Print one entry host's status.", 0, status),
+    "explain": Command(
+        "explain instance SERVICE INSTANCE",
+        "Say why an instance gets the work it gets.",
+        3,
+        explain,
+    ),
+}
+
+
+def plan_text(plan: Plan) -> str:
+    """Return a plan as lines for a person."""
+    name = f"{plan['object_kind']} {plan['object_name']}"
+    lines = [f"plan {plan['plan_id']}: {name}, made on version {plan['base_version']}"]
+    lines.append("changes:")
+    lines.extend(f"  {line}" for line in plan["changes"] or ["none"])
+    lines.append("steps:")
+    for number, step in enumerate(plan["steps"], 1):
+        lines.append(f"  {number}. {step['text']}")
+        if step["capacity"] is not None:
+            lines.append(
+                f"     instances in work: {step['capacity']}, floor: {step['floor']}"
+            )
+    if plan["allowed"]:
+        lines.append("allowed; nothing is in force before:")
+        lines.append(f"  dogwoodtack confirm {plan['plan_id']}")
+    else:
+        lines.append(f"refused ({plan['refusal']}): {plan['refusal_detail']}")
+    return "\n".join(lines)
+
+
+def fields_text(value: Any, indent: str = "") -> str:
+    """Return an answer as `name: value` lines."""
+    lines = []
+    for key, item in value.items():
+        if isinstance(item, dict) and item:
+            lines.append(f"{indent}{key}:")
+            lines.append(fields_text(item, indent + "  "))
+        else:
+            shown = item if isinstance(item, str) else json.dumps(item)
+            lines.append(f"{indent}{key}: {shown}")
+    return "\n".join(lines)
+
+
+def _print(ctx: Context, value: Any, text: str) -> None:
+    print(json.dumps(value, indent=2) if ctx.is_json else text)
+
+
+def _agrees(plan: Plan) -> bool:
+    if not sys.stdin.isatty():
+        raise UsageError("confirm asks on a terminal; without one, give --yes")
+    print(plan_text(plan))
+    return input("confirm? [y/N] ").strip().lower() in ("y", "yes")
+
+
+def _read_json(source: str) -> Any:
+    try:
+        text = sys.stdin.read() if source == "-" else Path(source).read_text()
+        return json.loads(text)
+    except (OSError, ValueError) as exc:
+        raise UsageError(f"{source}: {exc}") from exc
+
+
+def _load_plan(ctx: Context) -> Plan:
+    name = ctx.args[0]
+    path = Path(name) if os.sep in name else ctx.plans_dir / f"{name}.json"
+    plan = _read_json(str(path))
+    if not isinstance(plan, dict) or set(plan) != set(Plan.__annotations__):
+        raise UsageError(f"{path} is not a plan")
+    return plan
+
+
+def _load_config(path: str | None) -> dict[str, str]:
+    if path is None:
+        return {}
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with open(path, encoding="utf-8") as file:
+            parser.read_file(file)
+        values = dict(parser[CONFIG_SECTION])
+    except (OSError, KeyError, configparser.Error) as exc:
+        raise UsageError(f"{path}: no usable section [{CONFIG_SECTION}]") from exc
+    unknown = set(values).difference(CONFIG_KEYS)
+    if unknown:
+        raise UsageError(
+            f"{path}: [{CONFIG_SECTION}] {sorted(unknown)[0]}: unknown setting; "
+            f"allowed: {', '.join(CONFIG_KEYS)}"
+        )
+    return values
+
+
+def _context(args: list[str]) -> Context:
+    cfg = _load_config(FLAGS.config)
+    texts = FLAGS.addresses or cfg.get("addresses", "").replace(",", " ").split()
+    key = FLAGS.access_key or os.environ.get(ACCESS_KEY_VARIABLE)
+    key = key or cfg.get("access_key")
+    if not texts or not key:
+        raise UsageError(
+            "addresses and access_key are needed: by flags, by --config FILE, or the "
+            f"key in ${ACCESS_KEY_VARIABLE}"
+        )
+    try:
+        addresses = [parse_address(text) for text in texts]
+    except ValueError as exc:
+        raise UsageError(f"addresses: {exc}") from exc
+    plans_dir = Path(FLAGS.plans_dir or cfg.get("plans_dir", "plans"))
+    api = OperatorApi(addresses, key, FLAGS.timeout_s)
+    return Context(api, args, plans_dir, FLAGS.json, FLAGS.yes)
+
+
+def help_text() -> str:
+    """Return what --help prints."""
+    width = max(len(command.usage) for command in COMMANDS.values()) + 2
+    lines = [
+        "dogwoodtack: the operators' tool of a proxy fleet.",
+        "",
+        "usage: dogwoodtack [flags] COMMAND ...",
+        "",
+        "An intent is a JSON file, such as:",
+        '  {"kind": "set-floor", "service": "jobtrack", "floor": 14}',
+        "submit answers with a plan; nothing is in force before confirm.",
+        "",
+        "commands:",
+    ]
+    for command in COMMANDS.values():
+        lines.append(f"  {command.usage:{width}}{command.text}")
+    lines += ["", "exit codes:"]
+    for code in ExitCode:
+        lines.append(f"  {code.value}  {code.name.lower().replace('_', ' ')}")
+    lines += ["", "flags:", FLAGS.main_module_help() or FLAGS.get_help()]
+    return "\n".join(lines)
+
+
+def main(argv: list[str]) -> int:
+    """Run one command and return the exit code."""
+    args: list[str] = []
+    try:
+        args = FLAGS(argv)[1:]
+        if FLAGS.help or args[:1] == ["help"]:
+            print(help_text())
+            return ExitCode.OK
+        command = COMMANDS.get(args[0]) if args else None
+        if command is None:
+            raise UsageError(f"commands: {', '.join(COMMANDS)}; see --help")
+        if len(args) - 1 != command.arg_count:
+            raise UsageError(f"usage: dogwoodtack {command.usage}")
+        return command.act(_context(args[1:]))
+    except (UsageError, flags.Error) as exc:
+        print(f"dogwoodtack: {exc}", file=sys.stderr)
+        return ExitCode.USAGE
+    except ApiError as exc:
+        print(f"dogwoodtack: {exc.text} ({exc})", file=sys.stderr)
+        return _EXIT_CODES.get(exc.kind, ExitCode.REFUSED)
+    except Unreachable as exc:
+        print(f"dogwoodtack: no entry host answered: {exc}", file=sys.stderr)
+        is_open = exc.was_sent and args[0] == "confirm"
+        return ExitCode.UNKNOWN_OUTCOME if is_open else ExitCode.UNREACHABLE
+
+
+def run() -> None:
+    """Run the tool as a program."""
+    sys.exit(main(sys.argv))
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/dogwoodtack/intents/intents.py
@@ -0,0 +1,58 @@
+"""The operators' interface: intents, plans and confirmations over HTTP."""
+
+from typing import Any
+
+from ..errors import RequestError
+from ..membership import Membership
+from ..reactor import Reactor
+from ..spread import ConfigState
+from ..store import Store
+from ..surface import Later, Responder, Route, SurfaceRequest
+from .confirm import Confirmation
+from .draft import View
+from .messages import Plan, Receipt
+from .plans import make_plan, read_plan
+
+__all__ = ["Intents"]
+
+
+class Intents:
+    """Answer intents with plans, and put confirmed plans into the store."""
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        store: Store,
+        state: ConfigState,
+        membership: Membership,
+        access_key: str,
+    ) -> None:
+        self._reactor = reactor
+        self._store = store
+        self._state = state
+        self._view = View(state, membership)
+        self._access_key = access_key
+
+    def operator_routes(self) -> list[Route]:
+        """Return what the operator port answers."""
+        confirm = "/plans/(?P<plan_id>[0-9a-f]+)/confirm"
+        return [
+            Route("POST", "/intents", self._view_submit),
+            Route("POST", confirm, self._view_confirm),
+        ]
+
+    def _view_submit(self, req: SurfaceRequest) -> Plan:
+        return make_plan(req.body, self._view, self._access_key)
+
+    def _view_confirm(self, req: SurfaceRequest) -> Any:
+        plan = read_plan(req.body, req.params["plan_id"], self._access_key)
+        return Later(lambda responder: self._confirm(plan, responder))
+
+    def _confirm(self, plan: Plan, responder: Responder) -> None:
+        def on_settled(receipt: Receipt | None, exc: RequestError | None) -> None:
+            if exc is not None:
+                responder.refuse(exc)
+                return
+            responder.send(receipt)
+
+        Confirmation(plan, self._store, self._state, self._reactor, on_settled)
--- /dev/null
+++ b/dogwoodtack/intents/messages.py
@@ -0,0 +1,202 @@
+"""What operators ask for, and the plans and receipts they are answered with."""
+
+import enum
+from typing import Any, NamedTuple, TypedDict
+
+from ..fields import Fields, invalid
+
+__all__ = [
+    "DefineService",
+    "DrainBackEnd",
+    "DrainEntryHost",
+    "Intent",
+    "IntentKind",
+    "Plan",
+    "PlanStep",
+    "Receipt",
+    "RemoveService",
+    "SetCustomerShare",
+    "SetFloor",
+    "parse_intent",
+]
+
+MAX_FLOOR = 1000
+MAX_SHARE = 1_000_000.0
+
+
+class IntentKind(enum.StrEnum):
+    """Everything an operator can ask for."""
+
+    DEFINE_SERVICE = "define-service"
+    REMOVE_SERVICE = "remove-service"
+    SET_FLOOR = "set-floor"
+    SET_CUSTOMER_SHARE = "set-customer-share"
+    DRAIN_BACK_END = "drain-back-end"
+    DRAIN_ENTRY_HOST = "drain-entry-host"
+
+
+class DefineService(NamedTuple):
+    """Create a service or replace its definition.
+
+    Attributes:
+        service: the service's name.
+        value: its definition as JSON, without what other intents set.
+    """
+
+    service: str
+    value: dict[str, Any]
+
+
+class RemoveService(NamedTuple):
+    """Remove a service."""
+
+    service: str
+
+
+class SetFloor(NamedTuple):
+    """Set how many instances of a service must always take work."""
+
+    service: str
+    floor: int
+
+
+class SetCustomerShare(NamedTuple):
+    """Set one customer's weight in a service's fair shares."""
+
+    service: str
+    customer: str
+    share: float
+
+
+class DrainBackEnd(NamedTuple):
+    """Give an instance no new work, or take it back into work.
+
+    Attributes:
+        service: the service's name.
+        instance: the instance's name.
+        is_on: whether the drain begins; False ends it.
+    """
+
+    service: str
+    instance: str
+    is_on: bool
+
+
+class DrainEntryHost(NamedTuple):
+    """Take an entry host out of discovery, or back into it.
+
+    Attributes:
+        host: the entry host's name.
+        is_on: whether the drain begins; False ends it.
+    """
+
+    host: str
+    is_on: bool
+
+
+Intent = (
+    DefineService
+    | RemoveService
+    | SetFloor
+    | SetCustomerShare
+    | DrainBackEnd
+    | DrainEntryHost
+)
+
+
+class PlanStep(TypedDict):
+    """One step of a plan.
+
+    `capacity` is how many instances take work once the step is done, `floor`
+    how many must; both are None where a step touches no service's capacity.
+    """
+
+    text: str
+    capacity: int | None
+    floor: int | None
+
+
+class Plan(TypedDict):
+    """What confirming an intent would do.
+
+    `base_version` is the version of the object the plan was made on, `value`
+    what is written over it.  `plan_id` is a keyed digest of everything else.
+    """
+
+    plan_id: str
+    intent: dict[str, Any]
+    object_kind: str
+    object_name: str
+    base_version: int
+    value: dict[str, Any]
+    changes: list[str]
+    steps: list[PlanStep]
+    allowed: bool
+    refusal: str
+    refusal_detail: str
+
+
+class Receipt(TypedDict):
+    """The answer to a confirmation that was accepted."""
+
+    plan_id: str
+    result: str
+    object_kind: str
+    object_name: str
+    version: int
+
+
+def parse_intent(body: Any) -> Intent:
+    """Read an intent's JSON form.
+
+    Raises:
+        RequestError: INVALID_INTENT, with the field and what is allowed there.
+    """
+    fields = Fields(body, "intent")
+    kind = fields.text("kind")
+    if kind not in tuple(IntentKind):
+        raise invalid(f"intent: kind must be one of {', '.join(IntentKind)}")
+    intent = _PARSERS[IntentKind(kind)](fields)
+    fields.done()
+    return intent
+
+
+def _parse_define(fields: Fields) -> DefineService:
+    service = fields.text("service")
+    return DefineService(service, fields.rest())
+
+
+def _parse_remove(fields: Fields) -> RemoveService:
+    return RemoveService(fields.text("service"))
+
+
+def _parse_floor(fields: Fields) -> SetFloor:
+    return SetFloor(fields.text("service"), fields.whole("floor", 0, MAX_FLOOR))
+
+
+def _parse_share(fields: Fields) -> SetCustomerShare:
+    return SetCustomerShare(
+        fields.text("service"),
+        fields.text("customer"),
+        fields.number("share", 0.0, MAX_SHARE, 1.0),
+    )
+
+
+def _parse_drain_back_end(fields: Fields) -> DrainBackEnd:
+    return DrainBackEnd(
+        fields.text("service"), fields.text("instance"), fields.flag("on", True)
+    )
+
+
+def _parse_drain_entry_host(fields: Fields) -> DrainEntryHost:
+    return DrainEntryHost(fields.text("host"), fields.flag("on", True))
+
+
+_PARSERS = {
+    IntentKind.DEFINE_SERVICE: _parse_define,
+    IntentKind.REMOVE_SERVICE: _parse_remove,
+    IntentKind.SET_FLOOR: _parse_floor,
+    IntentKind.SET_CUSTOMER_SHARE: _parse_share,
+    IntentKind.DRAIN_BACK_END: _parse_drain_back_end,
+    IntentKind.DRAIN_ENTRY_HOST: _parse_drain_entry_host,
+}
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -17,6 +17,7 @@
 from .errors import ErrorKind
 from .floor import Floor
 from .health import Health
+from .intents import Intents
 from .keys import KeyTable
 from .leaving import HintSender, Leaving, LeavingCourier
 from .limits import Limits
@@ -129,6 +130,13 @@
 
     def _build_surfaces(self) -> None:
         cfg = self.settings
+        self.intents = Intents(
+            self.reactor,
+            self.store,
+            self.state,
+            self.membership,
+            cfg.operators_access_key,
+        )
         Surface(
             "operator",
             cfg.node_operator_address,
@@ -145,6 +153,7 @@
             Route("GET", "/metrics", self._view_metrics),
             Route("GET", "/status", self._view_status),
             Route("GET", "/burn", lambda req: self.burn.report()),
+            *self.intents.operator_routes(),
         ]
 
     def peer_routes(self) -> list[Route]:
--- /dev/null
+++ b/tests/test_intents.py
@@ -0,0 +1,139 @@
+"""Intents through the command-line tool, entry hosts and the platform."""
+
+import json
+import signal
+import subprocess
+import sys
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from nose2.tools import params
+
+from lab.fleet import ACCESS_KEY, Fleet, free_ports, http_call
+
+OK, REFUSED, USAGE, CONFLICT, UNKNOWN, UNREACHABLE = range(6)
+RACES = 5
+
+
+class IntentsTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet({"store": {"timeout_s": 0.5}})
+        self.addCleanup(self.fleet.close)
+        self.fleet.start_platform()
+        for name in ("jt-1", "jt-2", "jt-3"):
+            self.fleet.start_backend(name, work_ms=5)
+        self.fleet.start_nodes(2)
+        value = self.fleet.service_value("jobtrack.example", floor=2)
+        self.assertEqual(self.apply("define-service", **value)[0], OK)
+        self.fleet.wait_service("jobtrack", 1)
+
+    def tool(self, *args, stdin="", nodes=None):
+        nodes = self.fleet.nodes if nodes is None else nodes
+        addresses = ",".join(str(node.operator) for node in nodes)
+        cmd = [sys.executable, "-m", "dogwoodtack.cmdline", *args, "--json"]
+        cmd += [f"--addresses={addresses}", f"--access_key={ACCESS_KEY}"]
+        cmd += [f"--plans_dir={self.fleet.path / 'plans'}"]
+        done = subprocess.run(cmd, input=stdin, capture_output=True, text=True)
+        answer = json.loads(done.stdout) if done.stdout else done.stderr
+        return done.returncode, answer
+
+    def submit(self, kind, **fields):
+        intent = {"kind": kind, "service": "jobtrack", **fields}
+        return self.tool("submit", "-", stdin=json.dumps(intent))
+
+    def apply(self, kind, **fields):
+        code, plan = self.submit(kind, **fields)
+        self.assertEqual(code, OK, plan)
+        return self.tool("confirm", plan["plan_id"], "--yes")
+
+    def stored(self, name="jobtrack", kind="service"):
+        return http_call(self.fleet.platform, "GET", f"/objects/{kind}/{name}").json()
+
+    def test_nothing_is_in_force_before_confirm(self):
+        before = self.stored()
+        code, plan = self.submit("set-floor", floor=3)
+        self.assertEqual((code, plan["allowed"]), (OK, True))
+        self.assertEqual(self.stored(), before)
+        self.assertEqual(self.tool("show", plan["plan_id"]), (OK, plan))
+        code, receipt = self.tool("confirm", plan["plan_id"], "--yes")
+        self.assertEqual((code, receipt["result"]), (OK, "accepted"))
+        self.assertEqual(self.stored()["value"]["floor"], 3)
+        self.fleet.wait_service("jobtrack", receipt["version"])
+        code, again = self.tool("confirm", plan["plan_id"], "--yes")
+        self.assertEqual((code, again), (OK, receipt))
+
+    def test_racing_operators_get_one_winner(self):
+        for round_number in range(RACES):
+            floors = (1, 2) if round_number % 2 else (2, 1)
+            plans = [self.submit("set-floor", floor=floor)[1] for floor in floors]
+            with ThreadPoolExecutor(2) as pool:
+                results = list(
+                    pool.map(
+                        lambda pair: self.tool(
+                            "confirm", pair[0]["plan_id"], "--yes", nodes=[pair[1]]
+                        ),
+                        zip(plans, self.fleet.nodes),
+                    )
+                )
+            codes = sorted(code for code, _ in results)
+            self.assertEqual(codes, [OK, CONFLICT], results)
+            winner = [code for code, _ in results].index(OK)
+            stored = self.stored()
+            self.assertEqual(stored["value"]["floor"], floors[winner])
+            self.fleet.wait_service("jobtrack", stored["version"])
+
+    @params((1,), (2,))
+    def test_lost_answer_is_settled(self, lost):
+        _, plan = self.submit("set-floor", floor=1)
+        self.fleet.set_platform_fault(lose_answers=lost)
+        code, receipt = self.tool("confirm", plan["plan_id"], "--yes")
+        self.assertEqual((code, receipt["version"]), (OK, 2), receipt)
+        self.assertEqual(self.stored()["value"]["floor"], 1)
+
+    def test_lost_answer_and_then_an_outage_is_not_confirmed(self):
+        _, plan = self.submit("set-floor", floor=1)
+        self.fleet.set_platform_fault(hang=True)
+        code, text = self.tool("confirm", plan["plan_id"], "--yes")
+        self.assertEqual(code, UNKNOWN, text)
+        self.fleet.set_platform_fault()
+        code, receipt = self.tool("confirm", plan["plan_id"], "--yes")
+        self.assertEqual(code, OK, receipt)
+        self.assertEqual(self.stored()["value"]["floor"], 1)
+
+    def test_stale_reads_do_not_hide_an_accepted_change(self):
+        _, plan = self.submit("set-floor", floor=1)
+        self.fleet.set_platform_fault(lose_answers=1, stale_reads=True)
+        code, _ = self.tool("confirm", plan["plan_id"], "--yes")
+        self.assertEqual(code, UNKNOWN)
+        self.fleet.set_platform_fault()
+        code, receipt = self.tool("confirm", plan["plan_id"], "--yes")
+        self.assertEqual((code, receipt["version"]), (OK, 2))
+
+    def test_store_gone(self):
+        _, plan = self.submit("set-floor", floor=1)
+        self.fleet.signal("platform", signal.SIGKILL)
+        self.fleet.wait_exit("platform")
+        code, text = self.tool("confirm", plan["plan_id"], "--yes")
+        self.assertEqual(code, UNREACHABLE, text)
+
+    def test_removed_service_is_gone_and_can_come_back(self):
+        self.assertEqual(self.apply("set-floor", floor=0)[0], OK)
+        self.assertEqual(self.apply("remove-service")[0], OK)
+        answer = self.fleet.operator(self.fleet.nodes[0], "GET", "/status")
+        self.assertEqual(answer.json()["services"], {})
+        value = self.fleet.service_value("jobtrack.example", floor=2)
+        self.assertEqual(self.apply("define-service", **value)[0], OK)
+
+    def test_refusals_and_exit_codes(self):
+        code, plan = self.submit("set-floor", floor=4)
+        self.assertEqual((code, plan["refusal"]), (REFUSED, "below-floor"))
+        self.assertEqual(self.tool("confirm", plan["plan_id"], "--yes")[0], REFUSED)
+        self.assertEqual(self.tool("confirm", plan["plan_id"])[0], USAGE)
+        self.assertEqual(self.submit("no-such-kind")[0], REFUSED)
+        self.assertEqual(self.tool("no-such-command")[0], USAGE)
+        self.assertEqual(self.tool("confirm", "0" * 32, "--yes")[0], USAGE)
+        gone = self.fleet.nodes[0]._replace(
+            operator=self.fleet.platform._replace(port=free_ports(1)[0])
+        )
+        self.assertEqual(self.tool("status", nodes=[gone])[0], UNREACHABLE)
+        self.assertEqual(self.tool("status", nodes=[gone, *self.fleet.nodes])[0], OK)
