--- a/dogwoodtack/membership/homes.py
+++ b/dogwoodtack/membership/homes.py
@@ -74,7 +74,7 @@
             self._revision += 1
 
     def of(self, service: Service) -> list[Member]:
-        """Return a service's home set; hosts that callers should avoid are not in it."""
+        """Return a service's home set, without hosts callers should avoid."""
         self._refresh()
         size = home_size(service)
         known = self._known.get(service.name)
