Add a demonstration and the burn subcommand

Cause: a newcomer had no single command to see the system work, and the burn report could only be read from one port. Before: none. Ruled out: a report from one host only; each host sees its share, so the tool adds up every address it is given and names the silent ones.

--- a/dogwoodtack/api.py
+++ b/dogwoodtack/api.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 from urllib.parse import quote
 
+from .burn import BurnReport, join_reports
 from .errors import DogwoodtackError, ErrorKind
 from .intents import Plan, Receipt
 from .misc import Address
@@ -44,6 +45,20 @@
         self.was_sent = was_sent
 
 
+class FleetBurn(NamedTuple):
+    """A burn report over several entry hosts.
+
+    Attributes:
+        report: the counts of all of them.
+        answered: how many entry hosts answered.
+        silent: the addresses that did not.
+    """
+
+    report: BurnReport
+    answered: int
+    silent: list[str]
+
+
 class _Attempt(NamedTuple):
     """One call to one entry host: its answer, or why there is none."""
 
@@ -83,6 +98,26 @@
         target = f"/explain/instance/{quote(service)}/{quote(instance)}"
         return self.call("GET", target)
 
+    def burn(self) -> "FleetBurn":
+        """Return the joined burn report of every entry host that answers.
+
+        Raises:
+            Unreachable: none answered.
+        """
+        reports: list[BurnReport] = []
+        silent: list[str] = []
+        for address in self._addresses:
+            attempt = self._attempt(address, "GET", "/burn", None)
+            if attempt.status == HTTP_OK:
+                reports.append(attempt.body)
+            elif attempt.status:
+                raise _error(attempt)
+            else:
+                silent.append(str(address))
+        if not reports:
+            raise Unreachable("; ".join(silent) or "no operator address", False)
+        return FleetBurn(join_reports(reports), len(reports), silent)
+
     def call(self, method: str, target: str, body: Any = None) -> Any:
         """Return the JSON answer of the first entry host that gives one.
 
--- a/dogwoodtack/burn/__init__.py
+++ b/dogwoodtack/burn/__init__.py
@@ -2,6 +2,7 @@
 
 from .burn import WINDOWS_S, Burn, burn_rate
 from .messages import BurnPoint, BurnReport, BurnRow, Objective, Served, is_bad
+from .plot import PlotUnavailable, draw_report
 from .report import join_reports, report_text
 
 __all__ = [
@@ -11,8 +12,10 @@
     "BurnReport",
     "BurnRow",
     "Objective",
+    "PlotUnavailable",
     "Served",
     "burn_rate",
+    "draw_report",
     "is_bad",
     "join_reports",
     "report_text",
--- /dev/null
+++ b/dogwoodtack/burn/plot.py
@@ -0,0 +1,65 @@
+"""Draw a burn report over time; needs the `plots` extra."""
+
+from typing import Any
+
+from ..errors import DogwoodtackError
+from .burn import burn_rate
+from .messages import BurnPoint, BurnReport, RequestClass
+from .series import Counted
+
+__all__ = ["PlotUnavailable", "draw_report"]
+
+SECONDS_A_MINUTE = 60
+FIGURE_INCHES = (8.0, 4.0)
+DOTS_PER_INCH = 80
+
+
+class PlotUnavailable(DogwoodtackError):
+    """The drawing library is not installed."""
+
+
+def _figure() -> Any:
+    try:
+        from matplotlib.figure import Figure
+    except ImportError as exc:
+        raise PlotUnavailable(
+            "a plot needs matplotlib: pip install 'dogwoodtack[plots]'"
+        ) from exc
+    return Figure(figsize=FIGURE_INCHES, dpi=DOTS_PER_INCH, layout="constrained")
+
+
+def _by_class(points: list[BurnPoint]) -> dict[RequestClass, list[BurnPoint]]:
+    found: dict[RequestClass, list[BurnPoint]] = {}
+    for point in points:
+        key = RequestClass(point["service"], point["idempotent"])
+        found.setdefault(key, []).append(point)
+    return found
+
+
+def draw_report(report: BurnReport, path: str) -> None:
+    """Write a picture of each class's burn rate over the last hour.
+
+    Raises:
+        PlotUnavailable: matplotlib is not installed.
+        OSError: the file cannot be written.
+    """
+    ratios = {
+        RequestClass(row["service"], row["idempotent"]): row["good_ratio"]
+        for row in report["rows"]
+    }
+    figure = _figure()
+    axes = figure.add_subplot()
+    for key, points in sorted(_by_class(report["points"]).items()):
+        points = sorted(points, key=lambda point: -point["age_s"])
+        minutes = [-point["age_s"] / SECONDS_A_MINUTE for point in points]
+        rates = [
+            burn_rate(Counted(point["total"], point["bad"]), ratios[key])
+            for point in points
+        ]
+        kind = "idempotent" if key.is_idempotent else "non-idempotent"
+        axes.plot(minutes, rates, marker=".", label=f"{key.service}, {kind}")
+    axes.axhline(1.0, linestyle="--", color="grey", label="budget used up on time")
+    axes.set_xlabel("minutes ago")
+    axes.set_ylabel("burn rate")
+    axes.legend()
+    figure.savefig(path)
--- a/dogwoodtack/cmdline.py
+++ b/dogwoodtack/cmdline.py
@@ -12,6 +12,7 @@
 from absl import flags
 
 from .api import ApiError, OperatorApi, Unreachable
+from .burn import PlotUnavailable, draw_report, report_text
 from .errors import DogwoodtackError, ErrorKind
 from .intents import Plan
 from .misc import parse_address
@@ -56,6 +57,7 @@
 flags.DEFINE_bool(
     "yes", False, "Confirm without asking on the terminal.", flag_values=FLAGS
 )
+flags.DEFINE_string("plot", None, "A picture file for burn.", flag_values=FLAGS)
 flags.DEFINE_bool("help", False, "Show this help.", short_name="h", flag_values=FLAGS)
 
 
@@ -91,6 +93,7 @@
         plans_dir: where plans are kept.
         is_json: whether to print JSON.
         is_yes: whether to confirm without asking.
+        plot: the picture file that burn writes, None for none.
     """
 
     api: OperatorApi
@@ -98,6 +101,7 @@
     plans_dir: Path
     is_json: bool
     is_yes: bool
+    plot: str | None
 
 
 class Command(NamedTuple):
@@ -167,6 +171,22 @@
     return ExitCode.OK
 
 
+def burn(ctx: Context) -> ExitCode:
+    """Print what callers met, over every entry host that is named."""
+    found = ctx.api.burn()
+    lines = [report_text(found.report), f"from {found.answered} entry hosts"]
+    if found.silent:
+        lines.append(f"no answer from {', '.join(found.silent)}")
+    if ctx.plot:
+        try:
+            draw_report(found.report, ctx.plot)
+        except (OSError, PlotUnavailable) as exc:
+            raise UsageError(f"{ctx.plot}: {exc}") from exc
+        lines.append(f"plot: {ctx.plot}")
+    _print(ctx, found._asdict(), "\n".join(lines))
+    return ExitCode.OK
+
+
 COMMANDS: dict[str, Command] = {
     "submit": Command(
         "submit FILE|-", "Send an intent (JSON) and keep its plan.", 1, submit
@@ -182,6 +202,9 @@
         3,
         explain,
     ),
+    "burn": Command(
+        "burn [--plot FILE]", "Print service-level burn, all hosts joined.", 0, burn
+    ),
 }
 
 
@@ -282,7 +305,7 @@
         raise UsageError(f"addresses: {exc}") from exc
     plans_dir = Path(FLAGS.plans_dir or cfg.get("plans_dir", "plans"))
     api = OperatorApi(addresses, key, FLAGS.timeout_s)
-    return Context(api, args, plans_dir, FLAGS.json, FLAGS.yes)
+    return Context(api, args, plans_dir, FLAGS.json, FLAGS.yes, FLAGS.plot)
 
 
 def help_text() -> str:
--- /dev/null
+++ b/lab/demo.py
@@ -0,0 +1,138 @@
+"""Bring up stand-ins and entry hosts, confirm an intent, serve, and show it all."""
+
+import json
+import subprocess
+import sys
+from typing import Any
+
+from absl import app, flags
+
+from dogwoodtack.misc import new_token
+
+from .fleet import ACCESS_KEY, Answered, Fleet, http_call
+
+__all__ = ["Demo"]
+
+FLAGS = flags.FLAGS
+flags.DEFINE_integer("hosts", 3, "Entry hosts.")
+flags.DEFINE_integer("backends", 4, "Back ends.")
+
+SITE = "jobtrack.example"
+DISCOVERY = "/.well-known/dogwoodtack/services/jobtrack"
+LOOKUPS = 60
+
+
+class Demo:
+    """One run of the demonstration."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+
+    def run(self) -> int:
+        """Run every step and return the exit code."""
+        self._start()
+        self._define()
+        answer = self._release()
+        self._meet_gray_back_end()
+        self._drain()
+        self._tool("burn")
+        return 0 if answer.status == 200 else 1
+
+    def _say(self, text: str) -> None:
+        print(f"\n# {text}", flush=True)
+
+    def _start(self) -> None:
+        self._say(f"platform, {FLAGS.backends} back ends, {FLAGS.hosts} entry hosts")
+        self._fleet.start_platform()
+        for number in range(1, FLAGS.backends + 1):
+            address = self._fleet.start_backend(f"jt-{number}", work_ms=5)
+            print(f"back end jt-{number} at {address}")
+        for node in self._fleet.start_nodes(FLAGS.hosts):
+            print(f"{node.name} in {node.zone}: callers at {node.caller}")
+
+    def _tool(self, *args: str, stdin: str = "") -> str:
+        """Run the operators' tool, show it and return its output."""
+        print(f"$ dogwoodtack {' '.join(args)}", flush=True)
+        addresses = ",".join(str(node.operator) for node in self._fleet.nodes)
+        cmd = [sys.executable, "-m", "dogwoodtack.cmdline", *args]
+        cmd += [f"--addresses={addresses}", f"--access_key={ACCESS_KEY}"]
+        cmd += [f"--plans_dir={self._fleet.path / 'plans'}"]
+        done = subprocess.run(cmd, input=stdin, capture_output=True, text=True)
+        print(done.stdout + done.stderr, end="", flush=True)
+        return done.stdout
+
+    def _define(self) -> None:
+        self._say("an operator defines a service; the plan is confirmed")
+        floor = FLAGS.backends - 1
+        value = self._fleet.service_value(SITE, floor=floor, caution=0.1)
+        intent = {"kind": "define-service", "service": "jobtrack", **value}
+        plan = self._tool("submit", "-", stdin=json.dumps(intent))
+        plan_id = plan.split()[1].rstrip(":")
+        self._tool("confirm", plan_id, "--yes")
+        self._fleet.wait_service("jobtrack", 1)
+
+    def _call(self, method: str, target: str, **headers: str) -> Answered:
+        """Make a caller's request and show it."""
+        named = {key.replace("_", "-"): value for key, value in headers.items()}
+        node = self._fleet.nodes[0]
+        body = b"release" if method == "POST" else None
+        answer = http_call(node.caller, method, target, body, {"Host": SITE, **named})
+        shown = {
+            key: value
+            for key, value in answer.headers.items()
+            if key.startswith("x-dogwoodtack") or key == "retry-after"
+        }
+        print(f"{method} {target} -> {answer.status} {shown}")
+        print(f"  {answer.body.decode().strip()}", flush=True)
+        return answer
+
+    def _release(self) -> Answered:
+        self._say("a caller asks which addresses to use, looks up a rack")
+        found: Any = self._call("GET", DISCOVERY).json()
+        self._call("GET", "/racks/7")
+        self._say("a batch release, sent twice with one key, runs once")
+        key = found["key_prefix"] + new_token()
+        first = self._call("POST", "/releases/41", Idempotency_Key=key)
+        self._call("POST", "/releases/41", Idempotency_Key=key)
+        runs = [
+            line
+            for name in self._fleet.backends
+            for line in self._fleet.journal(name)
+            if line["key"] == key
+        ]
+        print(f"the back ends' journals show {len(runs)} run of it")
+        return first
+
+    def _lookups(self) -> None:
+        statuses: dict[int, int] = {}
+        for number in range(LOOKUPS):
+            node = self._fleet.nodes[number % len(self._fleet.nodes)]
+            answer = http_call(node.caller, "GET", "/racks", None, {"Host": SITE})
+            statuses[answer.status] = statuses.get(answer.status, 0) + 1
+        print(f"{LOOKUPS} lookups answered with {statuses}", flush=True)
+
+    def _meet_gray_back_end(self) -> None:
+        self._say("jt-1 cuts every answer while its health endpoint says all is well")
+        self._fleet.set_backend_fault("jt-1", cut_ratio=1.0)
+        self._lookups()
+        self._tool("explain", "instance", "jobtrack", "jt-1")
+        self._fleet.set_backend_fault("jt-1")
+
+    def _drain(self) -> None:
+        self._say("jt-2 says that it drains")
+        self._fleet.drain_backend("jt-2")
+        self._lookups()
+        before = self._fleet.backend_counts("jt-2")["arrived"]
+        self._lookups()
+        after = self._fleet.backend_counts("jt-2")["arrived"]
+        print(f"requests that reached jt-2 in the second round: {after - before}")
+
+
+def main(argv: list[str]) -> int:
+    """Run the demonstration."""
+    with Fleet() as fleet:
+        return Demo(fleet).run()
+
+
+if __name__ == "__main__":
+    app.run(main)
