Settle keys between entry hosts and keep not-run true

Cause: only the owner knew a key and remembered it without bound; a repeat at another host was refused, and a copy refused before its key was looked up was called not run although another copy may have run.

Chosen: epochs in keys bound the memory by the owner's own boottime; a hand-over voids the owner's right first and is bound to a token that the asker draws, so an asker that forgot cannot be granted the key twice. Ruled out: hand-overs bound to the successor's incarnation alone, which need the successor to remember for longer than the owner on another machine's clock.

--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -17,13 +17,13 @@
 from .errors import ErrorKind
 from .floor import Floor
 from .health import Health
-from .keys import KeyTable
+from .keys import SETTLE_PATH, KeyRules, KeyTable, PeerAsker, parse_ask, reply_form
 from .leaving import Leaving
 from .limits import Limits
 from .logs import log_event
 from .membership import Member, Membership
 from .metrics import Metrics
-from .misc import new_token
+from .misc import Address, new_token
 from .peers import Peers
 from .reactor import Reactor
 from .settings import Settings
@@ -80,7 +80,7 @@
         self.state.subscribe(self._on_object)
         self.watcher = Watcher(self.reactor, self.store, self.state)
         self.membership = Membership(me)
-        self.keys = KeyTable(self.incarnation, self.reactor.clock)
+        self.keys = self._build_keys()
         self.health = Health()
         self.floor = Floor()
         self.leaving = Leaving()
@@ -93,6 +93,20 @@
             self.rng,
         )
 
+    def _build_keys(self) -> KeyTable:
+        cfg = self.settings
+        rules = KeyRules(
+            epoch_s=cfg.keys_epoch_s,
+            max_keys=cfg.keys_max_keys,
+            max_answer_bytes=cfg.keys_max_answer_bytes,
+        )
+        asker = PeerAsker(self.peers, self._peer_address)
+        return KeyTable(self.incarnation, self.reactor.clock, rules, asker)
+
+    def _peer_address(self, incarnation: str) -> Address | None:
+        member = self.membership.by_incarnation(incarnation)
+        return None if member is None else member.peer_address
+
     def _build_door(self) -> None:
         cfg = self.settings
         discovery = Discovery(
@@ -143,13 +157,23 @@
 
     def peer_routes(self) -> list[Route]:
         """Return what the peer port answers."""
-        return []
+        return [Route("POST", SETTLE_PATH, self._settle_key)]
+
+    def _settle_key(self, req: SurfaceRequest) -> Any:
+        return reply_form(self.keys.settle(parse_ask(req.body)))
 
     def _view_metrics(self, req: SurfaceRequest) -> str:
         self.metrics.in_flight.set({}, self.door.in_flight)
         self.metrics.store_calls.set({}, self.store.calls_made)
+        self._view_keys()
         return self.metrics.render()
 
+    def _view_keys(self) -> None:
+        self.metrics.keys.set({}, self.keys.remembered)
+        self.metrics.key_answer_bytes.set({}, self.keys.answer_bytes)
+        for word, count in self.keys.words.items():
+            self.metrics.key_words.set({"word": word}, count)
+
     def _view_status(self, req: SurfaceRequest) -> Any:
         return {
             "node": self.settings.node_name,
