Let discovery name a key owner that the caller will use

Cause: an entry host outside a service's home set handed out its own key prefix, so every booking took a settlement call, and that host's death made keys that had never run unsettleable. Ruled out: prefixes in the gossip (an epoch a minute on 6,300 hosts is 105 changes a second), a second question by the caller. Before: key_owner was the answering host. After: on 8 hosts with 6 homes every answer's key_owner is a home and the first address (tests.test_discovery, 2 tests pass). Conclusion: one peer call in 30 s per home; a silent home falls back to the answering host's own prefix.

--- a/dogwoodtack/discovery/__init__.py
+++ b/dogwoodtack/discovery/__init__.py
@@ -1,5 +1,6 @@
 """Discovery: which entry hosts a caller should use."""
 
 from .discovery import Discovery, DiscoveryAddress, DiscoveryAnswer
+from .prefixes import PrefixBook
 
-__all__ = ["Discovery", "DiscoveryAddress", "DiscoveryAnswer"]
+__all__ = ["Discovery", "DiscoveryAddress", "DiscoveryAnswer", "PrefixBook"]
--- a/dogwoodtack/door/door.py
+++ b/dogwoodtack/door/door.py
@@ -3,6 +3,7 @@
 import json
 import socket
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from ..errors import ErrorKind, RequestError
@@ -15,7 +16,7 @@
 
 DISCOVERY_PREFIX = "/.well-known/dogwoodtack/"
 
-Discover = Callable[[str], Any]
+Discover = Callable[[str, Callable[[Any], None]], None]
 
 
 class Door:
@@ -84,11 +85,14 @@
 
     def _answer_discovery(self, conn: ServerConn, head: RequestHead) -> None:
         self._conns[conn] = None
+        question = head.target.removeprefix(DISCOVERY_PREFIX)
         try:
-            answer = self._discover(head.target.removeprefix(DISCOVERY_PREFIX))
+            self._discover(question, partial(self._send_discovery, conn))
         except RequestError as exc:
             send_error(conn, exc.kind, exc.detail)
-            return
+
+    @staticmethod
+    def _send_discovery(conn: ServerConn, answer: Any) -> None:
         body = json.dumps(answer).encode()
         headers = [
             (b"content-type", b"application/json"),
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -12,7 +12,7 @@
 from .calls import Client
 from .catalog import Catalog
 from .clock import SystemClock
-from .discovery import Discovery
+from .discovery import Discovery, PrefixBook
 from .door import Door, Parts
 from .errors import ErrorKind
 from .floor import Floor
@@ -130,11 +130,12 @@
 
     def _build_door(self) -> None:
         cfg = self.settings
+        self.prefixes = PrefixBook(self.reactor, self.peers, lambda: self.keys.prefix)
         discovery = Discovery(
             self.catalog,
             self.membership,
             self.homes,
-            self.keys,
+            self.prefixes,
             cfg.callers_discovery_ttl_s,
             self.rng,
         )
@@ -191,6 +192,7 @@
         return [
             *self.courier.routes(),
             *self.gossip.routes(),
+            *self.prefixes.routes(),
             Route("POST", SETTLE_PATH, self._settle_key),
         ]
 
