Settle keys between entry hosts and keep not-run true

Cause: only the owner knew a key and remembered it without bound; a repeat at another host was refused, and a copy refused before its key was looked up was called not run although another copy may have run.

Chosen: epochs in keys bound the memory by the owner's own boottime; a hand-over voids the owner's right first and is bound to a token that the asker draws, so an asker that forgot cannot be granted the key twice. Ruled out: hand-overs bound to the successor's incarnation alone, which need the successor to remember for longer than the owner on another machine's clock.

Found by reading door/exchange.py and mended: a streamed body over the limit was called not run after bytes had reached a back end; an idempotent request whose first attempt had been sent was called not run after a refused second one; a shed answer over 64 KB was passed on as ran and then retried; a caller that had closed before dispatch was dispatched.

--- a/dogwoodtack/door/conn.py
+++ b/dogwoodtack/door/conn.py
@@ -98,6 +98,10 @@
         """Return how many bytes the socket has taken."""
         return self._stream.written_bytes
 
+    def has_left(self) -> bool:
+        """Return whether the caller has closed, though it is not read yet."""
+        return self._stream.has_ended()
+
     def close_when_idle(self) -> None:
         """Close now if no request is under way, else after its answer."""
         self._last = True
--- a/dogwoodtack/door/exchange.py
+++ b/dogwoodtack/door/exchange.py
@@ -117,6 +117,7 @@
         self._caller_gone = False
         self._answered_at: float | None = None
         self._last_fault = ErrorKind.NO_INSTANCE
+        self._may_have_run = False
 
     # Receiving the request.
 
@@ -150,7 +151,7 @@
             return
         self._body_bytes += len(data)
         if self._body_bytes > self._parts.max_body_bytes:
-            self.refuse(ErrorKind.BODY_TOO_LARGE, f"over {self._body_bytes} bytes")
+            self.on_fault(ErrorKind.BODY_TOO_LARGE, f"over {self._body_bytes} bytes")
             return
         attempt = self._attempt
         if self._streams_body and attempt is not None and attempt.is_linked:
@@ -181,7 +182,7 @@
             return
         if self._attempt is not None and self._attempt.bytes_sent:
             self._stop_work(Unknown())
-            self._abort_caller("request-malformed")
+            self._abort_caller(str(kind))
             return
         self.refuse(kind, detail)
 
@@ -222,7 +223,10 @@
         digest = hashlib.sha256()
         digest.update(self._head.method.encode())
         digest.update(b"\0" + self._head.target.encode() + b"\0")
-        digest.update(b"..." if self._streams_body else bytes(self._body))
+        if self._streams_body:
+            length = self._head.header(b"content-length") or ""
+            digest.update(f"in pieces, {length} bytes\0".encode())
+        digest.update(bytes(self._body[:BUFFER_BYTES]))
         return digest.hexdigest()
 
     @singledispatchmethod
@@ -242,7 +246,9 @@
         if self.is_done:
             return
         answer = decision.answer
-        headers = [*answer.headers, (OUTCOME, Outcome.RAN.encode())]
+        headers = [pair for pair in answer.headers if pair[0] != REQUEST_ID]
+        headers.append((REQUEST_ID, self.request_id.encode()))
+        headers.append((OUTCOME, Outcome.RAN.encode()))
         self._conn.send_head(answer.status, headers)
         if answer.body:
             self._conn.send_body(answer.body)
@@ -252,7 +258,8 @@
     @_on_decision.register
     def _(self, decision: Refuse) -> None:
         if not self.is_done:
-            self.refuse(decision.kind, decision.detail)
+            outcome = decision.outcome or answer_for(decision.kind).outcome
+            self._send_error(decision.kind, decision.detail, outcome)
 
     # Trying instances.
 
@@ -283,6 +290,12 @@
             slot.release()
             self._finish_unserved(ErrorKind.DEADLINE_PASSED)
             return
+        if not self._is_idempotent and self._conn.has_left():
+            slot.release()
+            self._caller_gone = True
+            self._settle_ticket(NotRun())
+            self._close("caller-gone", CALLER_GONE, Outcome.NOT_RUN, is_whole=False)
+            return
         self._attempts += 1
         self._tried.add(slot.instance.name)
         timeout_s = left_s
@@ -324,7 +337,9 @@
         kind = SAMPLE_KINDS.get(exc.kind, SampleKind.ERROR)
         self._record(attempt, kind)
         self._last_fault = exc.kind
-        if not exc.bytes_sent:
+        if exc.bytes_sent:
+            self._may_have_run = True
+        else:
             self._last_fault = ErrorKind.BACKEND_REFUSED
         if self._is_passing:
             self._settle_ticket(Unknown())
@@ -370,6 +385,8 @@
         if attempt is not self._attempt:
             return
         attempt.rearm(self._parts.stall_timeout_s)
+        if self._answer.header(NOT_EXECUTED) is not None:
+            return
         if not self._is_passing:
             self._held += data
             if len(self._held) <= HOLD_BYTES:
@@ -467,11 +484,25 @@
     # Ending.
 
     def refuse(self, kind: ErrorKind, detail: str = "") -> None:
-        """Answer with an error kind; nothing of the request has run."""
+        """Answer with an error kind before anything of the request was sent on."""
         if self.is_done:
             return
         self._stop_work(NotRun())
-        self._send_error(kind, detail)
+        outcome = answer_for(kind).outcome
+        if outcome is Outcome.NOT_RUN and self._key_may_have_run():
+            outcome = Outcome.UNKNOWN
+        self._send_error(kind, detail, outcome)
+
+    def _key_may_have_run(self) -> bool:
+        """Return whether another copy of a refused request may have run.
+
+        A caller that repeats a key asks about its request and not about this
+        copy, so a copy that is refused unsettled must not be called not run.
+        """
+        key = self._head.header(IDEMPOTENCY_KEY)
+        if key is None or self._is_idempotent:
+            return False
+        return self._parts.keys.may_have_run(key)
 
     def _finish_unserved(self, kind: ErrorKind, detail: str = "") -> None:
         """Answer that the request was not run.
@@ -480,17 +511,19 @@
         met is then the honest answer.
         """
         self._settle_ticket(NotRun())
-        self._send_error(kind, detail)
+        self._send_error(kind, detail, answer_for(kind).outcome)
 
     def _finish_unknown(self, exc: WireError) -> None:
         self._settle_ticket(Unknown())
-        self._send_error(exc.kind, exc.detail)
+        self._send_error(exc.kind, exc.detail, Outcome.UNKNOWN)
 
-    def _send_error(self, kind: ErrorKind, detail: str) -> None:
-        answer = answer_for(kind)
+    def _send_error(self, kind: ErrorKind, detail: str, outcome: Outcome) -> None:
+        if self._may_have_run and outcome is Outcome.NOT_RUN:
+            outcome = Outcome.UNKNOWN
         if not self._caller_gone:
-            send_error(self._conn, kind, detail, self.request_id)
-        self._close(kind, answer.status, answer.outcome, is_whole=True)
+            send_error(self._conn, kind, detail, self.request_id, outcome)
+        status = answer_for(kind).status
+        self._close(kind, status, outcome, is_whole=True)
 
     def _abort_caller(self, reason: str) -> None:
         self._close(reason, 0, Outcome.UNKNOWN, is_whole=False)
@@ -542,16 +575,23 @@
 
 
 def send_error(
-    conn: ServerConn, kind: ErrorKind, detail: str, request_id: str = ""
+    conn: ServerConn,
+    kind: ErrorKind,
+    detail: str,
+    request_id: str = "",
+    outcome: Outcome | None = None,
 ) -> None:
-    """Answer a request with an error kind, at once."""
+    """Answer a request with an error kind, at once.
+
+    The outcome is what the kind implies unless another one is given.
+    """
     answer = answer_for(kind)
     text = f"{answer.text} {detail}".strip()
     body = (text + "\n").encode("utf-8", "replace")
     headers = [
         (b"content-type", b"text/plain; charset=utf-8"),
         (b"content-length", str(len(body)).encode()),
-        (OUTCOME, answer.outcome.encode()),
+        (OUTCOME, (outcome or answer.outcome).encode()),
         (ERROR_KIND, kind.encode()),
     ]
     if request_id:
--- a/dogwoodtack/errors.py
+++ b/dogwoodtack/errors.py
@@ -41,6 +41,7 @@
     KEY_VOIDED = "key-voided"
     KEY_REUSED = "key-reused"
     KEY_OUTCOME_LOST = "key-outcome-lost"
+    KEY_ANSWER_LOST = "key-answer-lost"
     OWNER_UNREACHABLE = "owner-unreachable"
     OVERLOADED = "overloaded"
     NO_INSTANCE = "no-instance"
@@ -109,6 +110,9 @@
     ErrorKind.KEY_OUTCOME_LOST: Answer(
         502, _UNK, None, "A request with this key started; its outcome is not known."
     ),
+    ErrorKind.KEY_ANSWER_LOST: Answer(
+        409, Outcome.RAN, None, "The request ran; its answer is no longer kept."
+    ),
     ErrorKind.OWNER_UNREACHABLE: Answer(
         504, _UNK, 5, "The entry host that owns this key cannot be asked."
     ),
--- /dev/null
+++ b/dogwoodtack/keys/memory.py
@@ -0,0 +1,124 @@
+"""The keys a process remembers, within a bound on their number and answers."""
+
+import enum
+from collections import deque
+from typing import NamedTuple
+
+from .messages import StoredAnswer
+
+__all__ = ["KeyEntry", "KeyMemory", "KeyState"]
+
+HEADER_OVERHEAD_BYTES = 100
+
+
+class KeyState(enum.StrEnum):
+    """What is known of a key."""
+
+    IN_FLIGHT = "in-flight"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+    FREE = "free"
+    GIVEN = "given"
+    ASKING = "asking"
+    UNANSWERED = "unanswered"
+
+
+class KeyEntry(NamedTuple):
+    """One key's state.
+
+    Attributes:
+        state: what is known of it.
+        seal: a digest of the request it was used for.
+        serial: the number of the dispatch that is or was under way.
+        answer: the kept answer of a request that ran.
+        successor: the incarnation that a GIVEN key was handed to.
+        token: the asker's token, of a GIVEN key or of a question to the owner.
+        epoch: the epoch with which the entry is forgotten.
+    """
+
+    state: KeyState
+    seal: bytes
+    epoch: int
+    serial: int = 0
+    answer: StoredAnswer | None = None
+    successor: str = ""
+    token: str = ""
+
+
+def _size(answer: StoredAnswer) -> int:
+    """Return about how many bytes an answer takes."""
+    headers = sum(
+        len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in answer.headers
+    )
+    return len(answer.body) + headers
+
+
+class KeyMemory:
+    """Remember entries by key and forget them by whole epochs."""
+
+    def __init__(self, max_keys: int, max_answer_bytes: int) -> None:
+        self._max_keys = max_keys
+        self._max_answer_bytes = max_answer_bytes
+        self._entries: dict[str, KeyEntry] = {}
+        self._epochs: dict[int, list[str]] = {}
+        self._kept: deque[str] = deque()
+        self.answer_bytes = 0
+        self.answers_dropped = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether no further key fits."""
+        return len(self._entries) >= self._max_keys
+
+    def get(self, key: str) -> KeyEntry | None:
+        """Return a key's entry, or None."""
+        return self._entries.get(key)
+
+    def add(self, key: str, entry: KeyEntry) -> None:
+        """Remember a key until its epoch is forgotten."""
+        self._entries[key] = entry
+        self._epochs.setdefault(entry.epoch, []).append(key)
+
+    def remove(self, key: str) -> None:
+        """Forget a key now; only safe where this host never held its right."""
+        self._release(key)
+        del self._entries[key]
+
+    def change(self, key: str, entry: KeyEntry) -> None:
+        """Replace the entry of a key that is remembered."""
+        self._release(key)
+        self._entries[key] = entry
+        if entry.answer is None:
+            return
+        self._kept.append(key)
+        self.answer_bytes += _size(entry.answer)
+        self._drop_answers()
+
+    def forget_before(self, epoch: int) -> None:
+        """Forget every key of an epoch before this one."""
+        for old in [known for known in self._epochs if known < epoch]:
+            for key in self._epochs.pop(old):
+                entry = self._entries.get(key)
+                if entry is not None and entry.epoch == old:
+                    self.remove(key)
+        while self._kept and self._kept[0] not in self._entries:
+            self._kept.popleft()
+
+    def _release(self, key: str) -> None:
+        answer = self._entries[key].answer
+        if answer is not None:
+            self.answer_bytes -= _size(answer)
+
+    def _drop_answers(self) -> None:
+        """Drop the oldest answers over the budget, never a key."""
+        while self.answer_bytes > self._max_answer_bytes:
+            key = self._kept.popleft()
+            entry = self._entries.get(key)
+            if entry is None or entry.answer is None:
+                continue
+            self._release(key)
+            self._entries[key] = entry._replace(answer=None)
+            self.answers_dropped += 1
--- a/dogwoodtack/keys/messages.py
+++ b/dogwoodtack/keys/messages.py
@@ -1,20 +1,27 @@
-"""What the caller's door and the key table say to each other."""
+"""What the caller's door, the key table and other entry hosts say to each other."""
 
-from typing import NamedTuple
+import enum
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
 
 from ..backends import Header
-from ..errors import ErrorKind
+from ..errors import ErrorKind, Outcome
 
 __all__ = [
+    "Asker",
     "KeyDecision",
     "KeyRequest",
     "KeyResult",
     "KeyTicket",
     "NotRun",
+    "OnSettled",
     "Ran",
     "Refuse",
     "Replay",
     "Run",
+    "SettleAsk",
+    "SettleReply",
+    "SettleWord",
     "StoredAnswer",
     "Unknown",
 ]
@@ -63,10 +70,17 @@
 
 
 class Refuse(NamedTuple):
-    """The request is not dispatched, for this reason."""
+    """The request is not dispatched, for this reason.
+
+    Attributes:
+        kind: the reason.
+        detail: more about it, for a person.
+        outcome: what the caller may conclude, None for what the kind implies.
+    """
 
     kind: ErrorKind
     detail: str = ""
+    outcome: Outcome | None = None
 
 
 KeyDecision = Run | Replay | Refuse
@@ -87,3 +101,65 @@
 
 
 KeyResult = Ran | NotRun | Unknown
+
+
+class SettleWord(enum.StrEnum):
+    """What one entry host tells another about a key."""
+
+    DONE = "done"
+    ANSWER_LOST = "answer-lost"
+    IN_FLIGHT = "in-flight"
+    OUTCOME_LOST = "outcome-lost"
+    HANDED_OVER = "handed-over"
+    VOIDED = "voided"
+    HELD = "held"
+    REUSED = "reused"
+    EXPIRED = "expired"
+    MALFORMED = "malformed"
+    OVERLOADED = "overloaded"
+    NOT_HERE = "not-here"
+    UNREACHABLE = "unreachable"
+
+
+class SettleAsk(NamedTuple):
+    """A question about a key from one entry host to another.
+
+    Attributes:
+        to: the incarnation that is asked; another one at the same address
+            knows nothing of the key and says so.
+        asker: the incarnation that asks.
+        token: drawn by the asker for this key; a hand-over is bound to it, so
+            an asker that has forgotten the key cannot be given it again.
+        key: the caller's key.
+        seal: a digest of the service and the request's fingerprint, in hex.
+    """
+
+    to: str
+    asker: str
+    token: str
+    key: str
+    seal: str
+
+
+class SettleReply(NamedTuple):
+    """The answer to a SettleAsk.
+
+    Attributes:
+        word: what is known of the key.
+        answer: the kept answer, with DONE.
+        successor: the incarnation that holds the key, with VOIDED.
+    """
+
+    word: SettleWord
+    answer: StoredAnswer | None = None
+    successor: str = ""
+
+
+OnSettled = Callable[[SettleReply], None]
+
+
+class Asker(Protocol):
+    """What carries a SettleAsk to another entry host."""
+
+    def ask(self, ask: SettleAsk, on_settled: OnSettled) -> None:
+        """Ask, and give the reply to `on_settled` once; never raise."""
--- a/dogwoodtack/keys/table.py
+++ b/dogwoodtack/keys/table.py
@@ -1,12 +1,24 @@
-"""Which keys this entry host owns, and what became of each."""
+"""Which keys this entry host may run, and what became of each.
 
-import enum
+A key names the incarnation that owns it.  Only the owner takes a new key, and
+only while the key's epoch is young; it remembers the key for longer than that.
+Another host asks the owner, which either tells what it knows or gives its own
+right up for good and hands the key to that one asker.
+"""
+
+import hashlib
+import random
+from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 from ..clock import Clock
-from ..errors import ErrorKind
+from ..errors import ErrorKind, Outcome
+from ..logs import log_event
+from .memory import KeyEntry, KeyMemory, KeyState
 from .messages import (
+    Asker,
     KeyDecision,
     KeyRequest,
     KeyResult,
@@ -16,77 +28,342 @@
     Refuse,
     Replay,
     Run,
-    StoredAnswer,
+    SettleAsk,
+    SettleReply,
+    SettleWord,
 )
+from .names import KeyName, key_prefix, parse_key
+
+__all__ = ["KeyRules", "KeyTable"]
 
-__all__ = ["KeyTable"]
+SEAL_BYTES = 16
+TOKEN_BITS = 64
 
+OnDecision = Callable[[KeyDecision], None]
 
-class KeyState(enum.StrEnum):
-    """What is known of a key."""
+REFUSALS: dict[SettleWord, ErrorKind] = {
+    SettleWord.ANSWER_LOST: ErrorKind.KEY_ANSWER_LOST,
+    SettleWord.IN_FLIGHT: ErrorKind.KEY_IN_FLIGHT,
+    SettleWord.OUTCOME_LOST: ErrorKind.KEY_OUTCOME_LOST,
+    SettleWord.HANDED_OVER: ErrorKind.KEY_OUTCOME_LOST,
+    SettleWord.VOIDED: ErrorKind.KEY_OUTCOME_LOST,
+    SettleWord.HELD: ErrorKind.KEY_VOIDED,
+    SettleWord.REUSED: ErrorKind.KEY_REUSED,
+    SettleWord.EXPIRED: ErrorKind.KEY_EXPIRED,
+    SettleWord.MALFORMED: ErrorKind.KEY_MALFORMED,
+    SettleWord.OVERLOADED: ErrorKind.OVERLOADED,
+    SettleWord.NOT_HERE: ErrorKind.OWNER_UNREACHABLE,
+    SettleWord.UNREACHABLE: ErrorKind.OWNER_UNREACHABLE,
+}
+WORTH_ASKING_AGAIN = frozenset(
+    {SettleWord.UNREACHABLE, SettleWord.IN_FLIGHT, SettleWord.REUSED}
+)
+UNSETTLED = frozenset({KeyState.ASKING, KeyState.UNANSWERED})
 
-    IN_FLIGHT = "in-flight"
-    RAN = "ran"
-    UNKNOWN = "unknown"
 
+class KeyRules(NamedTuple):
+    """How long and how much is remembered.
 
-class KeyEntry(NamedTuple):
-    """One key's state."""
+    Attributes:
+        epoch_s: seconds of one epoch.
+        window_epochs: a new key is taken while its epoch is at most this many
+            epochs old.
+        keep_epochs: a key is forgotten when its epoch is older than this many
+            epochs; it must be more than `window_epochs`.
+        max_keys: keys remembered at most; further ones are refused.
+        max_answer_bytes: bytes of kept answers at most; the oldest are dropped.
+    """
 
-    state: KeyState
-    fingerprint: str
-    serial: int
-    answer: StoredAnswer | None = None
+    epoch_s: float = 60.0
+    window_epochs: int = 10
+    keep_epochs: int = 15
+    max_keys: int = 100_000
+    max_answer_bytes: int = 16 * 1024 * 1024
 
 
 class KeyTable:
-    """Decide for keys that this incarnation owns."""
+    """Decide for keys that this incarnation owns or was handed."""
 
-    def __init__(self, incarnation: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        incarnation: str,
+        clock: Clock,
+        rules: KeyRules = KeyRules(),
+        asker: Asker | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        if rules.keep_epochs <= rules.window_epochs:
+            raise ValueError("keys must be kept for longer than new ones are taken")
         self.incarnation = incarnation
+        self.asker = asker
+        self.words: Counter[str] = Counter()
         self._clock = clock
-        self._entries: dict[str, KeyEntry] = {}
+        self._rules = rules
+        self._rng = rng or random.SystemRandom()
+        self._began_at = clock.boottime()
+        self._memory = KeyMemory(rules.max_keys, rules.max_answer_bytes)
         self._serial = 0
 
     @property
     def prefix(self) -> str:
         """Return what a caller's new keys begin with."""
-        return f"{self.incarnation}/"
+        return key_prefix(self.incarnation, self._epoch())
+
+    @property
+    def remembered(self) -> int:
+        """Return how many keys are remembered."""
+        return len(self._memory)
+
+    @property
+    def answer_bytes(self) -> int:
+        """Return how many bytes of answers are kept."""
+        return self._memory.answer_bytes
+
+    def _epoch(self) -> int:
+        """Return the present epoch, by a clock that counts pauses too."""
+        return int((self._clock.boottime() - self._began_at) / self._rules.epoch_s)
+
+    def _refresh(self) -> int:
+        """Forget what is too old and return the present epoch."""
+        epoch = self._epoch()
+        self._memory.forget_before(epoch - self._rules.keep_epochs)
+        return epoch
+
+    def may_have_run(self, key: str) -> bool:
+        """Return whether some request with this key may have run anywhere."""
+        name = parse_key(key)
+        if name is None:
+            return False
+        epoch = self._refresh()
+        entry = self._memory.get(key)
+        if entry is not None:
+            return entry.state is not KeyState.FREE
+        return name.owner != self.incarnation or not self._is_young(name, epoch)
+
+    def _is_young(self, name: KeyName, epoch: int) -> bool:
+        return 0 <= epoch - name.epoch <= self._rules.window_epochs
+
+    # Requests of this host's own callers.
 
-    def begin(
-        self, req: KeyRequest, on_decision: Callable[[KeyDecision], None]
+    def begin(self, req: KeyRequest, on_decision: OnDecision) -> None:
+        """Decide whether a request may run; another host may be asked first."""
+        name = parse_key(req.key)
+        if name is None:
+            on_decision(Refuse(ErrorKind.KEY_MALFORMED))
+            return
+        epoch = self._refresh()
+        seal = seal_of(req)
+        entry = self._memory.get(req.key)
+        if entry is not None:
+            self._begin_known(req.key, entry, seal, on_decision)
+        elif name.owner != self.incarnation:
+            self._begin_foreign(req.key, name.owner, epoch, seal, on_decision)
+        else:
+            on_decision(self._begin_own(req.key, name, epoch, seal))
+
+    def _begin_own(
+        self, key: str, name: KeyName, epoch: int, seal: bytes
+    ) -> KeyDecision:
+        word = self._refusal_of_new(name, epoch)
+        if word is not None:
+            return Refuse(REFUSALS[word])
+        self._memory.add(key, KeyEntry(KeyState.FREE, seal, name.epoch))
+        return self._run(key)
+
+    def _refusal_of_new(self, name: KeyName, epoch: int) -> SettleWord | None:
+        """Return why a key that is not remembered cannot be taken, or None."""
+        if name.epoch > epoch:
+            return SettleWord.MALFORMED
+        if not self._is_young(name, epoch):
+            return SettleWord.EXPIRED
+        if self._memory.is_full:
+            log_event("keys-full", level="WARNING", keys=len(self._memory))
+            return SettleWord.OVERLOADED
+        return None
+
+    def _run(self, key: str) -> Run:
+        self._serial += 1
+        entry = self._memory.get(key)
+        entry = entry._replace(state=KeyState.IN_FLIGHT, serial=self._serial)
+        self._memory.change(key, entry)
+        return Run(KeyTicket(key, self._serial))
+
+    def _begin_known(
+        self, key: str, entry: KeyEntry, seal: bytes, on_decision: OnDecision
     ) -> None:
-        """Decide whether a request may run."""
-        on_decision(self._decide(req))
+        if entry.state is KeyState.UNANSWERED:
+            self._ask_owner(key, entry._replace(seal=seal), on_decision)
+        elif entry.state is KeyState.ASKING:
+            on_decision(Refuse(ErrorKind.KEY_IN_FLIGHT))
+        elif entry.seal != seal:
+            on_decision(Refuse(ErrorKind.KEY_REUSED))
+        elif entry.state is KeyState.FREE:
+            on_decision(self._run(key))
+        elif entry.state is KeyState.GIVEN:
+            ask = self._new_ask(entry.successor, key, entry)
+            self._ask(ask, partial(self._on_successor, on_decision))
+        else:
+            on_decision(_decision(_tell(entry)))
+
+    def _begin_foreign(
+        self, key: str, owner: str, epoch: int, seal: bytes, on_decision: OnDecision
+    ) -> None:
+        if self._memory.is_full:
+            log_event("keys-full", level="WARNING", keys=len(self._memory))
+            refusal = Refuse(ErrorKind.OVERLOADED, outcome=Outcome.UNKNOWN)
+            on_decision(refusal)
+            return
+        token = f"{self._rng.getrandbits(TOKEN_BITS):016x}"
+        entry = KeyEntry(KeyState.UNANSWERED, seal, epoch, token=token)
+        self._memory.add(key, entry)
+        self._ask_owner(key, entry, on_decision)
+
+    # Asking other hosts.
+
+    def _new_ask(self, to: str, key: str, entry: KeyEntry) -> SettleAsk:
+        return SettleAsk(to, self.incarnation, entry.token, key, entry.seal.hex())
+
+    def _ask(self, ask: SettleAsk, on_settled: Callable[[SettleReply], None]) -> None:
+        if self.asker is None:
+            on_settled(SettleReply(SettleWord.UNREACHABLE))
+            return
+        self.asker.ask(ask, on_settled)
 
-    def _decide(self, req: KeyRequest) -> KeyDecision:
-        if not req.key.startswith(self.prefix):
-            return Refuse(ErrorKind.OWNER_UNREACHABLE)
-        entry = self._entries.get(req.key)
+    def _ask_owner(self, key: str, entry: KeyEntry, on_decision: OnDecision) -> None:
+        asking = entry._replace(state=KeyState.ASKING)
+        self._memory.change(key, asking)
+        ask = self._new_ask(parse_key(key).owner, key, entry)
+        self._ask(ask, partial(self._on_owner, ask, on_decision))
+
+    def _on_owner(
+        self, ask: SettleAsk, on_decision: OnDecision, reply: SettleReply
+    ) -> None:
+        self.words[f"asked-{reply.word}"] += 1
+        log_event("key-settled", key=ask.key, word=reply.word, owner=ask.to)
+        entry = self._memory.get(ask.key)
+        expected = (KeyState.ASKING, ask.token)
+        if entry is None or (entry.state, entry.token) != expected:
+            on_decision(Refuse(ErrorKind.KEY_OUTCOME_LOST))
+            return
+        if reply.word is SettleWord.HANDED_OVER:
+            on_decision(self._run(ask.key))
+            return
+        self._keep_token(ask.key, entry, reply.word)
+        is_elsewhere = reply.successor not in ("", self.incarnation)
+        if reply.word is SettleWord.VOIDED and is_elsewhere:
+            further = ask._replace(to=reply.successor)
+            self._ask(further, partial(self._on_successor, on_decision))
+            return
+        on_decision(_decision(reply))
+
+    def _keep_token(self, key: str, entry: KeyEntry, word: SettleWord) -> None:
+        """Keep a question's token where asking again may bring more.
+
+        An earlier copy of the question may still reach the owner and be granted,
+        and only the same token can claim that.  Forgetting it is always safe.
+        """
+        if word in WORTH_ASKING_AGAIN:
+            self._memory.change(key, entry._replace(state=KeyState.UNANSWERED))
+        else:
+            self._memory.remove(key)
+
+    def _on_successor(self, on_decision: OnDecision, reply: SettleReply) -> None:
+        self.words[f"asked-{reply.word}"] += 1
+        on_decision(_decision(reply))
+
+    # Answering other hosts.
+
+    def settle(self, ask: SettleAsk) -> SettleReply:
+        """Tell another host what is known of a key, or hand the key over."""
+        reply = self._settle(ask)
+        self.words[f"told-{reply.word}"] += 1
+        if reply.word is SettleWord.HANDED_OVER:
+            log_event("key-handed-over", key=ask.key, successor=ask.asker)
+        return reply
+
+    def _settle(self, ask: SettleAsk) -> SettleReply:
+        if ask.to != self.incarnation:
+            return SettleReply(SettleWord.NOT_HERE)
+        name = parse_key(ask.key)
+        if name is None:
+            return SettleReply(SettleWord.MALFORMED)
+        epoch = self._refresh()
+        entry = self._memory.get(ask.key)
+        is_own = name.owner == self.incarnation
+        if entry is None and is_own:
+            return self._settle_new(ask, name, epoch)
         if entry is None:
-            return self._open(req)
-        if entry.fingerprint != req.fingerprint:
-            return Refuse(ErrorKind.KEY_REUSED)
-        if entry.state is KeyState.IN_FLIGHT:
-            return Refuse(ErrorKind.KEY_IN_FLIGHT)
-        if entry.answer is not None:
-            return Replay(entry.answer)
-        return Refuse(ErrorKind.KEY_OUTCOME_LOST)
-
-    def _open(self, req: KeyRequest) -> Run:
-        self._serial += 1
-        entry = KeyEntry(KeyState.IN_FLIGHT, req.fingerprint, self._serial)
-        self._entries[req.key] = entry
-        return Run(KeyTicket(req.key, self._serial))
+            return SettleReply(SettleWord.OUTCOME_LOST)
+        if entry.state in UNSETTLED:
+            return _tell(entry)
+        if entry.seal.hex() != ask.seal:
+            return SettleReply(SettleWord.REUSED)
+        if entry.state is KeyState.FREE and is_own:
+            return self._give(ask, entry)
+        if entry.state is KeyState.GIVEN:
+            return _tell_given(ask, entry)
+        return _tell(entry)
+
+    def _settle_new(self, ask: SettleAsk, name: KeyName, epoch: int) -> SettleReply:
+        word = self._refusal_of_new(name, epoch)
+        if word is not None:
+            return SettleReply(word)
+        entry = KeyEntry(KeyState.FREE, bytes.fromhex(ask.seal), name.epoch)
+        self._memory.add(ask.key, entry)
+        return self._give(ask, entry)
+
+    def _give(self, ask: SettleAsk, entry: KeyEntry) -> SettleReply:
+        """Give this host's right to a key up before anybody is told."""
+        given = entry._replace(
+            state=KeyState.GIVEN, successor=ask.asker, token=ask.token
+        )
+        self._memory.change(ask.key, given)
+        return SettleReply(SettleWord.HANDED_OVER)
 
     def finish(self, ticket: KeyTicket, result: KeyResult) -> None:
         """Note what became of a dispatched request."""
-        entry = self._entries.get(ticket.key)
-        if entry is None or entry.serial != ticket.serial:
-            return
-        if isinstance(result, NotRun):
-            del self._entries[ticket.key]
+        entry = self._memory.get(ticket.key)
+        if entry is None or entry.state is not KeyState.IN_FLIGHT:
             return
-        answer = result.answer if isinstance(result, Ran) else None
-        state = KeyState.RAN if isinstance(result, Ran) else KeyState.UNKNOWN
-        self._entries[ticket.key] = entry._replace(state=state, answer=answer)
+        if entry.serial == ticket.serial:
+            self._memory.change(ticket.key, _finished(entry, result))
+
+
+def seal_of(req: KeyRequest) -> bytes:
+    """Return a digest of what a key was used for."""
+    text = f"{req.service}\0{req.fingerprint}".encode()
+    return hashlib.blake2b(text, digest_size=SEAL_BYTES).digest()
+
+
+def _finished(entry: KeyEntry, result: KeyResult) -> KeyEntry:
+    if isinstance(result, NotRun):
+        return entry._replace(state=KeyState.FREE)
+    if isinstance(result, Ran):
+        return entry._replace(state=KeyState.RAN, answer=result.answer)
+    return entry._replace(state=KeyState.UNKNOWN)
+
+
+def _tell(entry: KeyEntry) -> SettleReply:
+    """Return what one remembered key means to another copy of its request."""
+    if entry.state is KeyState.RAN and entry.answer is not None:
+        return SettleReply(SettleWord.DONE, entry.answer)
+    words = {
+        KeyState.RAN: SettleWord.ANSWER_LOST,
+        KeyState.UNKNOWN: SettleWord.OUTCOME_LOST,
+        KeyState.FREE: SettleWord.HELD,
+        KeyState.UNANSWERED: SettleWord.HELD,
+    }
+    return SettleReply(words.get(entry.state, SettleWord.IN_FLIGHT))
+
+
+def _tell_given(ask: SettleAsk, entry: KeyEntry) -> SettleReply:
+    if (entry.successor, entry.token) == (ask.asker, ask.token):
+        return SettleReply(SettleWord.HANDED_OVER)
+    return SettleReply(SettleWord.VOIDED, successor=entry.successor)
+
+
+def _decision(reply: SettleReply) -> KeyDecision:
+    if reply.word is SettleWord.DONE and reply.answer is not None:
+        return Replay(reply.answer)
+    kind = REFUSALS.get(reply.word, ErrorKind.KEY_OUTCOME_LOST)
+    return Refuse(kind)
--- /dev/null
+++ b/dogwoodtack/keys/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of idempotency keys."""
--- /dev/null
+++ b/dogwoodtack/keys/tests/test_table.py
@@ -0,0 +1,219 @@
+"""Decisions about keys between tables that share a virtual clock."""
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from dogwoodtack.clock import VirtualClock
+from dogwoodtack.errors import ErrorKind
+from dogwoodtack.keys import (
+    KeyRequest,
+    KeyRules,
+    KeyTable,
+    NotRun,
+    Ran,
+    Refuse,
+    Replay,
+    Run,
+    SettleReply,
+    SettleWord,
+    StoredAnswer,
+    Unknown,
+)
+from dogwoodtack.keys.wire import ask_form, parse_ask, parse_reply, reply_form
+
+OWNER, LEFT, RIGHT = "a" * 32, "b" * 32, "c" * 32
+RULES = KeyRules(epoch_s=60, window_epochs=10, keep_epochs=15)
+KEPT = StoredAnswer(200, [(b"x-a", b"1")], b"done\xff")
+
+
+class Wires:
+    """Carry questions at once, or lose them or their replies on demand."""
+
+    def __init__(self):
+        self.tables = {}
+        self.lose_asks = False
+        self.lose_replies = False
+        self.carried = []
+
+    def ask(self, ask, on_settled):
+        table = self.tables.get(ask.to)
+        if table is None:
+            on_settled(SettleReply(SettleWord.NOT_HERE))
+            return
+        if not self.lose_asks:
+            self.carried.append(ask)
+            form = reply_form(table.settle(parse_ask(ask_form(ask))))
+            if not self.lose_replies:
+                on_settled(parse_reply(form))
+                return
+        on_settled(SettleReply(SettleWord.UNREACHABLE))
+
+
+class TableTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = VirtualClock()
+        self.wires = Wires()
+        for seed, name in enumerate((OWNER, LEFT, RIGHT)):
+            self.add(name, seed, RULES)
+        self.key = self.wires.tables[OWNER].prefix + "release-1"
+
+    def add(self, name, seed, rules):
+        rng = random.Random(seed)
+        table = KeyTable(name, self.clock, rules, self.wires, rng)
+        self.wires.tables[name] = table
+
+    def begin(self, name, key=None, fingerprint="f", service="jobtrack"):
+        seen = []
+        req = KeyRequest(key or self.key, service, fingerprint)
+        self.wires.tables[name].begin(req, seen.append)
+        self.assertEqual(len(seen), 1)
+        return seen[0]
+
+    def run_at(self, name, result=None):
+        decision = self.begin(name)
+        self.assertIsInstance(decision, Run)
+        if result is not None:
+            self.wires.tables[name].finish(decision.ticket, result)
+        return decision
+
+    def assert_refused(self, decision, kind):
+        self.assertIsInstance(decision, Refuse)
+        self.assertEqual(decision.kind, kind)
+
+    @params(
+        (None, ErrorKind.KEY_IN_FLIGHT),
+        (Ran(None), ErrorKind.KEY_ANSWER_LOST),
+        (Unknown(), ErrorKind.KEY_OUTCOME_LOST),
+    )
+    def test_used_key_is_refused_at_every_host(self, result, kind):
+        self.run_at(OWNER, result)
+        for name in (OWNER, LEFT, RIGHT):
+            self.assert_refused(self.begin(name), kind)
+
+    def test_kept_answer_is_given_at_every_host(self):
+        self.run_at(OWNER, Ran(KEPT))
+        for name in (OWNER, LEFT):
+            self.assertEqual(self.begin(name), Replay(KEPT))
+
+    def test_not_run_key_may_run_again_at_its_owner_or_elsewhere(self):
+        self.run_at(OWNER, NotRun())
+        self.run_at(OWNER, NotRun())
+        self.run_at(LEFT)
+
+    @params(
+        (None, ErrorKind.KEY_IN_FLIGHT),
+        (NotRun(), ErrorKind.KEY_VOIDED),
+        (Unknown(), ErrorKind.KEY_OUTCOME_LOST),
+    )
+    def test_handed_over_key_is_settled_with_its_successor(self, result, kind):
+        self.run_at(LEFT, result)
+        self.assert_refused(self.begin(OWNER), kind)
+        self.assert_refused(self.begin(RIGHT), kind)
+
+    def test_lost_reply_is_asked_again_and_runs_once(self):
+        self.wires.lose_replies = True
+        self.assert_refused(self.begin(LEFT), ErrorKind.OWNER_UNREACHABLE)
+        self.wires.lose_replies = False
+        self.assert_refused(self.begin(RIGHT), ErrorKind.KEY_VOIDED)
+        self.run_at(LEFT, Ran(KEPT))
+        self.assertEqual(self.begin(RIGHT), Replay(KEPT))
+
+    def test_late_copies_of_a_question_grant_nothing_twice(self):
+        self.run_at(LEFT, Unknown())
+        reply = self.wires.tables[OWNER].settle(self.wires.carried[0])
+        self.assertEqual(reply.word, SettleWord.HANDED_OVER)
+        self.assert_refused(self.begin(LEFT), ErrorKind.KEY_OUTCOME_LOST)
+
+    def test_successor_that_forgot_is_not_given_the_key_again(self):
+        self.run_at(LEFT, Ran(KEPT))
+        self.add(LEFT, seed=9, rules=RULES)
+        self.assert_refused(self.begin(LEFT), ErrorKind.KEY_OUTCOME_LOST)
+        self.assert_refused(self.begin(RIGHT), ErrorKind.KEY_OUTCOME_LOST)
+
+    def test_grant_that_comes_after_the_asker_forgot_is_not_used(self):
+        held = []
+        self.wires.ask = lambda ask, on_settled: held.append(on_settled)
+        seen = []
+        left = self.wires.tables[LEFT]
+        left.begin(KeyRequest(self.key, "jobtrack", "f"), seen.append)
+        self.clock.advance(16 * 60)
+        left.may_have_run(self.key)
+        held[0](SettleReply(SettleWord.HANDED_OVER))
+        self.assert_refused(seen[0], ErrorKind.KEY_OUTCOME_LOST)
+
+    @params(OWNER, LEFT)
+    def test_dead_host_leaves_the_outcome_unknown(self, dead):
+        self.run_at(LEFT)
+        del self.wires.tables[dead]
+        self.assert_refused(self.begin(RIGHT), ErrorKind.OWNER_UNREACHABLE)
+
+    @params(("g", "jobtrack"), ("f", "enrol-core"))
+    def test_other_request_with_the_same_key_is_refused(self, fingerprint, service):
+        self.run_at(OWNER, Ran(KEPT))
+        for name in (OWNER, LEFT):
+            decision = self.begin(name, None, fingerprint, service)
+            self.assert_refused(decision, ErrorKind.KEY_REUSED)
+            self.assertEqual(self.begin(name), Replay(KEPT))
+
+    @params("", "release-1", f"{OWNER}/x", f"{OWNER}.0/", f"{OWNER}.0/{'x' * 65}")
+    def test_malformed_key(self, key):
+        table = self.wires.tables[OWNER]
+        decision = self.begin(OWNER, key or " ")
+        self.assert_refused(decision, ErrorKind.KEY_MALFORMED)
+        self.assertFalse(table.may_have_run(key))
+
+    @params(OWNER, LEFT)
+    def test_key_of_a_coming_epoch_is_refused(self, name):
+        decision = self.begin(name, f"{OWNER}.1/x")
+        self.assert_refused(decision, ErrorKind.KEY_MALFORMED)
+
+    @params(
+        (10, OWNER, None),
+        (11, OWNER, ErrorKind.KEY_EXPIRED),
+        (11, LEFT, ErrorKind.KEY_EXPIRED),
+    )
+    def test_new_key_is_taken_only_while_young(self, epochs, name, kind):
+        self.clock.advance(epochs * 60)
+        decision = self.begin(name)
+        if kind is None:
+            self.assertIsInstance(decision, Run)
+        else:
+            self.assert_refused(decision, kind)
+
+    def test_forgotten_key_never_runs_again(self):
+        self.run_at(OWNER, Ran(KEPT))
+        table = self.wires.tables[OWNER]
+        for _ in range(40):
+            self.clock.advance(30)
+            self.assertNotIsInstance(self.begin(OWNER), Run)
+            self.assertNotIsInstance(self.begin(LEFT), Run)
+        self.assertEqual((table.remembered, table.answer_bytes), (0, 0))
+        self.assertTrue(table.may_have_run(self.key))
+
+    def test_full_table_refuses_new_keys_and_keeps_old_ones(self):
+        self.add(OWNER, seed=1, rules=RULES._replace(max_keys=1))
+        self.run_at(OWNER, Ran(KEPT))
+        decision = self.begin(OWNER, self.key + "-2")
+        self.assert_refused(decision, ErrorKind.OVERLOADED)
+        self.assertEqual(self.begin(OWNER), Replay(KEPT))
+
+    def test_answers_over_the_budget_are_dropped_but_not_their_keys(self):
+        self.add(OWNER, seed=1, rules=RULES._replace(max_answer_bytes=250))
+        keys = [f"{self.key}-{number}" for number in range(3)]
+        table = self.wires.tables[OWNER]
+        for key in keys:
+            table.finish(self.begin(OWNER, key).ticket, Ran(KEPT))
+        self.assertLessEqual(table.answer_bytes, 250)
+        self.assert_refused(self.begin(OWNER, keys[0]), ErrorKind.KEY_ANSWER_LOST)
+        self.assertEqual(self.begin(OWNER, keys[2]), Replay(KEPT))
+
+    def test_may_have_run(self):
+        owner, left = self.wires.tables[OWNER], self.wires.tables[LEFT]
+        self.assertFalse(owner.may_have_run(self.key))
+        self.assertTrue(left.may_have_run(self.key))
+        decision = self.run_at(LEFT)
+        left.finish(decision.ticket, NotRun())
+        self.assertFalse(left.may_have_run(self.key))
+        self.assertTrue(owner.may_have_run(self.key))
--- a/dogwoodtack/metrics.py
+++ b/dogwoodtack/metrics.py
@@ -27,6 +27,22 @@
             registry=self.registry,
         )
 
+        self.keys = Gauge(
+            "dogwoodtack_keys_remembered",
+            "Idempotency keys remembered.",
+            registry=self.registry,
+        )
+        self.key_answer_bytes = Gauge(
+            "dogwoodtack_key_answer_bytes",
+            "Bytes of answers kept for repeats.",
+            registry=self.registry,
+        )
+        self.key_words = Gauge(
+            "dogwoodtack_key_settlements",
+            "Answers about keys, told to and got from other entry hosts, by word.",
+            registry=self.registry,
+        )
+
     def render(self) -> str:
         """Return every metric in the text format."""
         content, _headers = render(self.registry, ["text/plain"])
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -18,13 +18,13 @@
 from .floor import Floor
 from .health import Health
 from .intents import Intents
-from .keys import KeyTable
+from .keys import KeyRules, KeyTable, PeerAsker, key_routes
 from .leaving import HintSender, Leaving, LeavingCourier
 from .limits import Limits
 from .logs import log_event
 from .membership import Contact, Gossip, HomeSets, Member, Membership
 from .metrics import Metrics
-from .misc import new_token
+from .misc import Address, new_token
 from .peers import Peers
 from .reactor import Reactor
 from .settings import Settings
@@ -97,7 +97,7 @@
             cfg.peers_seeds,
             self.rng,
         )
-        self.keys = KeyTable(self.incarnation, self.reactor.clock)
+        self.keys = self._build_keys()
         self.health = Health()
         self.floor = Floor()
         hints = HintSender(self.peers, self.membership, self.homes, self.catalog)
@@ -114,6 +114,20 @@
             self.rng,
         )
 
+    def _build_keys(self) -> KeyTable:
+        cfg = self.settings
+        rules = KeyRules(
+            epoch_s=cfg.keys_epoch_s,
+            max_keys=cfg.keys_max_keys,
+            max_answer_bytes=cfg.keys_max_answer_bytes,
+        )
+        asker = PeerAsker(self.peers, self._peer_address)
+        return KeyTable(self.incarnation, self.reactor.clock, rules, asker)
+
+    def _peer_address(self, incarnation: str) -> Address | None:
+        member = self.membership.by_incarnation(incarnation)
+        return None if member is None else member.peer_address
+
     def _build_door(self) -> None:
         cfg = self.settings
         discovery = Discovery(
@@ -174,13 +188,24 @@
 
     def peer_routes(self) -> list[Route]:
         """Return what the peer port answers."""
-        return [*self.courier.routes(), *self.gossip.routes()]
+        return [
+            *self.courier.routes(),
+            *self.gossip.routes(),
+            *key_routes(self.keys),
+        ]
 
     def _view_metrics(self, req: SurfaceRequest) -> str:
         self.metrics.in_flight.set({}, self.door.in_flight)
         self.metrics.store_calls.set({}, self.store.calls_made)
+        self._view_keys()
         return self.metrics.render()
 
+    def _view_keys(self) -> None:
+        self.metrics.keys.set({}, self.keys.remembered)
+        self.metrics.key_answer_bytes.set({}, self.keys.answer_bytes)
+        for word, count in self.keys.words.items():
+            self.metrics.key_words.set({"word": word}, count)
+
     def _view_status(self, req: SurfaceRequest) -> Any:
         return {
             "node": self.settings.node_name,
--- a/dogwoodtack/settings.py
+++ b/dogwoodtack/settings.py
@@ -91,6 +91,11 @@
     Setting("callers", "stall_timeout_s", _seconds(0.1, 3600), "60", "0.1 to 3600"),
     Setting("callers", "discovery_ttl_s", _seconds(0.1, 300), "5", "0.1 to 300"),
     Setting("backends", "dial_timeout_s", _seconds(0.01, 60), "1", "0.01 to 60"),
+    Setting("keys", "epoch_s", _seconds(0.1, 3600), "60", "0.1 to 3600"),
+    Setting("keys", "max_keys", _whole(1, 10_000_000), "100000", "1 to 10000000"),
+    Setting(
+        "keys", "max_answer_bytes", _whole(0, 1 << 30), "16777216", "0 to 1073741824"
+    ),
     Setting("stop", "limit_s", _seconds(0, 86400), "3600", "0 to 86400"),
     Setting("logs", "level", _level, "INFO", ", ".join(LOG_LEVELS)),
 )
--- a/dogwoodtack/stream.py
+++ b/dogwoodtack/stream.py
@@ -58,6 +58,17 @@
         """Return whether writers should wait for `on_drained`."""
         return len(self._buffer) >= HIGH_MARK_BYTES
 
+    def has_ended(self) -> bool:
+        """Return whether the other side has closed, though it is not read yet."""
+        if self.closed:
+            return True
+        try:
+            return not self._sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+
     def write(self, data: bytes) -> None:
         """Write bytes now or, where the socket takes no more, later."""
         if self.closed or self._closing or not data:
