--- /dev/null
+++ b/lab/models/__init__.py
@@ -0,0 +1,3 @@
+"""Small specifications of this project's protocols, checked exhaustively."""
+
+__all__: list[str] = []
