--- a/dogwoodtack/keys/__init__.py
+++ b/dogwoodtack/keys/__init__.py
@@ -19,10 +19,9 @@
     Unknown,
 )
 from .table import KeyRules, KeyTable
-from .wire import SETTLE_PATH, parse_ask, reply_form
+from .views import key_routes
 
 __all__ = [
-    "SETTLE_PATH",
     "Asker",
     "KeyDecision",
     "KeyRequest",
@@ -41,6 +40,5 @@
     "SettleWord",
     "StoredAnswer",
     "Unknown",
-    "parse_ask",
-    "reply_form",
+    "key_routes",
 ]
--- a/dogwoodtack/keys/tests/test_table.py
+++ b/dogwoodtack/keys/tests/test_table.py
@@ -20,10 +20,8 @@
     SettleWord,
     StoredAnswer,
     Unknown,
-    parse_ask,
-    reply_form,
 )
-from dogwoodtack.keys.wire import ask_form, parse_reply
+from dogwoodtack.keys.wire import ask_form, parse_ask, parse_reply, reply_form
 
 OWNER, LEFT, RIGHT = "a" * 32, "b" * 32, "c" * 32
 RULES = KeyRules(epoch_s=60, window_epochs=10, keep_epochs=15)
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -18,7 +18,7 @@
 from .floor import Floor
 from .health import Health
 from .intents import Intents
-from .keys import SETTLE_PATH, KeyRules, KeyTable, PeerAsker, parse_ask, reply_form
+from .keys import KeyRules, KeyTable, PeerAsker, key_routes
 from .leaving import HintSender, Leaving, LeavingCourier
 from .limits import Limits
 from .logs import log_event
@@ -193,12 +193,9 @@
             *self.courier.routes(),
             *self.gossip.routes(),
             *self.prefixes.routes(),
-            Route("POST", SETTLE_PATH, self._settle_key),
+            *key_routes(self.keys),
         ]
 
-    def _settle_key(self, req: SurfaceRequest) -> Any:
-        return reply_form(self.keys.settle(parse_ask(req.body)))
-
     def _view_metrics(self, req: SurfaceRequest) -> str:
         self.metrics.in_flight.set({}, self.door.in_flight)
         self.metrics.store_calls.set({}, self.store.calls_made)
