Test instances against their peers by sequential likelihood ratios

Cause: Health was a seam that believed every instance well. Ruled out: absolute thresholds (a slow database would eject everything). Conclusion: the decision code stands, unmeasured so far.

--- a/dogwoodtack/health/messages.py
+++ b/dogwoodtack/health/messages.py
@@ -1,9 +1,9 @@
-"""What is learned from one attempt at one instance."""
+"""What is learned from attempts at instances, and what is concluded."""
 
 import enum
 from typing import NamedTuple
 
-__all__ = ["Sample", "SampleKind", "Verdict"]
+__all__ = ["Explanation", "Sample", "SampleKind", "Signal", "Verdict"]
 
 
 class SampleKind(enum.StrEnum):
@@ -18,6 +18,18 @@
     SHED = "shed"
 
 
+class Signal(enum.StrEnum):
+    """What an instance may do more often than its peers.
+
+    FAILED is any failed attempt; SLOW is an answer slower than three in four
+    answers of the service; VERY_SLOW is one several times slower than that.
+    """
+
+    FAILED = "failed"
+    SLOW = "slow"
+    VERY_SLOW = "very-slow"
+
+
 class Sample(NamedTuple):
     """One attempt's outcome.
 
@@ -50,3 +62,31 @@
     instance: str
     is_sick: bool
     score: float
+
+
+class Explanation(NamedTuple):
+    """The strongest evidence against one instance, for operators.
+
+    Attributes:
+        score: the log-likelihood ratio in nats.
+        signal: which test is the strongest.
+        is_idempotent: the request class it was seen in.
+        window_s: seconds of evidence that it covers.
+        hits: how many attempts in the window showed the signal.
+        total: how many attempts there were, those not yet reported included.
+        peer_share: the share of its peers' attempts that the test allows.
+        sources: how many entry hosts reported failed or very slow attempts.
+        on_probation: whether the instance is back on trial.
+        strikes: how many earlier ejections still lengthen the next one.
+    """
+
+    score: float = 0.0
+    signal: Signal = Signal.FAILED
+    is_idempotent: bool = True
+    window_s: float = 0.0
+    hits: float = 0.0
+    total: float = 0.0
+    peer_share: float = 0.0
+    sources: int = 0
+    on_probation: bool = False
+    strikes: int = 0
--- /dev/null
+++ b/dogwoodtack/health/pool.py
@@ -0,0 +1,310 @@
+"""The pooled evidence on one service, and what it says of each instance."""
+
+from collections import defaultdict
+from typing import NamedTuple
+
+from .evidence import BUCKETS_PER_OCTAVE
+from .holds import Hold
+from .learned import SlowMark, Spread
+from .messages import Explanation, Signal, Verdict
+from .scores import Allowance, Share, allowed_share, likelihood_ratio, peer_shares
+from .windows import LENGTHS_S, Counts, Windows
+
+__all__ = ["Pool", "judge"]
+
+CLASSES = (True, False)
+MOST_SICK_SHARE = 0.5
+PROBATION_NATS = 3.0
+PROBATION_S = 20.0
+PROBATION_WEIGHT = 0.1
+SICK_WEIGHT = 0.05
+DOUBTFUL = 0.5
+WARM_UP_S = 30.0
+QUIET_S = 60.0
+SOURCE_MEMORY_S = 64.0
+MIN_SOURCES = 2
+RATE_LEVEL = 2
+REPORTED_LATE_LEVELS = 2
+CALM_SCORE = 4.0
+USUAL_SLOW_SHARE = 0.25
+LARGEST_USUAL_SLOW_SHARE = 0.5
+PAST_STEP = 0.03
+
+ALLOWANCES = {
+    Signal.FAILED: Allowance(1.5, 0.002, 0.003, 100.0),
+    Signal.SLOW: Allowance(2.0, 0.0, USUAL_SLOW_SHARE, 10.0),
+    Signal.VERY_SLOW: Allowance(3.0, 0.005, 0.002, 100.0),
+}
+
+
+class Track:
+    """What is known of one instance."""
+
+    def __init__(self, now: float) -> None:
+        self.windows = {is_idempotent: Windows() for is_idempotent in CLASSES}
+        self.hold = Hold()
+        self.new_since = now
+        self.seen_at = now
+        self.probation_at: float | None = None
+        self.lowered_until = 0.0
+        self.bad_sources: dict[str, float] = {}
+        self.usual_slow = dict.fromkeys(CLASSES, USUAL_SLOW_SHARE)
+        self.explanation = Explanation()
+        self.is_sick = False
+
+    def forget(self) -> None:
+        """Drop the evidence, not what is usual for the instance."""
+        self.windows = {is_idempotent: Windows() for is_idempotent in CLASSES}
+        self.bad_sources.clear()
+        self.explanation = Explanation()
+
+
+class _Cell(NamedTuple):
+    """One test: a signal in a request class over one window."""
+
+    signal: Signal
+    is_idempotent: bool
+    level: int
+
+
+def judge(explanations: dict[str, Explanation], limit: float) -> set[str]:
+    """Return the instances whose evidence reaches a threshold in nats.
+
+    Failures that a single entry host sees point to its path, not to the
+    instance.  When more than half of the instances stand out, the comparison
+    with peers has lost its ground and none is called sick.
+    """
+    sick = {
+        name
+        for name, one in explanations.items()
+        if one.score + (PROBATION_NATS if one.on_probation else 0.0) >= limit
+        and one.score > 0
+        and one.sources >= MIN_SOURCES
+    }
+    if len(sick) > MOST_SICK_SHARE * len(explanations):
+        return set()
+    return sick
+
+
+class Pool:
+    """Collect counts of one service's instances and test them."""
+
+    def __init__(self, now: float) -> None:
+        self._began_at = now
+        self._tracks: dict[str, Track] = {}
+        self._sources: dict[str, float] = {}
+        self._marks = {one: SlowMark(BUCKETS_PER_OCTAVE) for one in CLASSES}
+        self._spreads = {one: Spread() for one in CLASSES}
+        self._learned_at = [now] * len(LENGTHS_S)
+
+    def track(self, instance: str, now: float) -> Track:
+        """Return an instance's track, made anew where there is none."""
+        track = self._tracks.get(instance)
+        if track is None:
+            track = self._tracks[instance] = Track(now)
+        return track
+
+    def tracks(self) -> dict[str, Track]:
+        """Return every track by its instance's name."""
+        return self._tracks
+
+    def keep_only(self, instances: set[str]) -> None:
+        """Drop instances that the service has no more."""
+        for name in self._tracks.keys() - instances:
+            del self._tracks[name]
+
+    def add(
+        self,
+        now: float,
+        source: str,
+        instance: str,
+        is_idempotent: bool,
+        failed: int,
+        latencies: dict[int, int],
+    ) -> bool:
+        """Add what one entry host saw; return whether any of it was bad."""
+        track = self.track(instance, now)
+        if now - track.seen_at > QUIET_S:
+            track.new_since = now
+        track.seen_at = now
+        slow = very_slow = answered = 0
+        mark = self._marks[is_idempotent]
+        for bucket, count in latencies.items():
+            answered += count
+            mark.learn(bucket, count)
+            if bucket > mark.slow:
+                slow += count
+                if bucket > mark.very_slow:
+                    very_slow += count
+        counts = Counts(answered + failed, failed, slow, very_slow)
+        track.windows[is_idempotent].add(now, counts)
+        self._sources[source] = now
+        is_bad = failed + very_slow > 0
+        if is_bad:
+            track.bad_sources[source] = now
+        return is_bad
+
+    def explain(self, now: float) -> dict[str, Explanation]:
+        """Test every instance and return the strongest evidence on each."""
+        best = {name: Explanation() for name in self._tracks}
+        due = self._due(now)
+        for is_idempotent in CLASSES:
+            counts = {
+                name: track.windows[is_idempotent].counts(now)
+                for name, track in self._tracks.items()
+            }
+            for level in range(len(LENGTHS_S)):
+                for signal in Signal:
+                    cell = _Cell(signal, is_idempotent, level)
+                    shares = _shares(cell, counts)
+                    self._test(now, cell, shares, best)
+                    if due[level]:
+                        values = list(shares.values())
+                        self._spreads[is_idempotent].learn(signal, level, values)
+        several = self._recent(self._sources, now) >= MIN_SOURCES
+        for name, track in self._tracks.items():
+            track.explanation = self._finish(now, track, best[name], several)
+            if due[RATE_LEVEL]:
+                self._learn_usual(now, track)
+        return {name: track.explanation for name, track in self._tracks.items()}
+
+    def _due(self, now: float) -> list[bool]:
+        """Return for each window whether it holds wholly new counts."""
+        due = []
+        for level, length_s in enumerate(LENGTHS_S):
+            due.append(now - self._learned_at[level] >= length_s)
+            if due[level]:
+                self._learned_at[level] = now
+        return due
+
+    def _test(
+        self,
+        now: float,
+        cell: _Cell,
+        shares: dict[str, Share],
+        best: dict[str, Explanation],
+    ) -> None:
+        values = list(shares.values())
+        if not any(share.hits for share in values):
+            return
+        spread = self._spreads[cell.is_idempotent].value(cell.signal, cell.level)
+        for name, own, peers in zip(shares, values, peer_shares(values)):
+            if own.hits <= 0:
+                continue
+            track = self._tracks[name]
+            if cell.signal is not Signal.FAILED and self._is_warming(track, now):
+                continue
+            allowed = self._allowed(cell, track, peers)
+            score = likelihood_ratio(own, peers, allowed) / spread
+            if score > best[name].score:
+                best[name] = Explanation(
+                    score=score,
+                    signal=cell.signal,
+                    is_idempotent=cell.is_idempotent,
+                    window_s=LENGTHS_S[cell.level],
+                    hits=own.hits,
+                    total=own.total,
+                    peer_share=allowed,
+                )
+
+    def _is_warming(self, track: Track, now: float) -> bool:
+        """Return whether an instance that came later is still in its cold start."""
+        is_later = track.new_since - self._began_at > WARM_UP_S
+        return is_later and now - track.new_since < WARM_UP_S
+
+    def _allowed(self, cell: _Cell, track: Track, peers: Share) -> float:
+        """Return the share allowed by the peers' present and the own past."""
+        allowance = ALLOWANCES[cell.signal]
+        allowed = allowed_share(peers, allowance)
+        if cell.signal is Signal.SLOW:
+            usual = min(track.usual_slow[cell.is_idempotent], LARGEST_USUAL_SLOW_SHARE)
+            past = Share(usual * allowance.prior_total, allowance.prior_total)
+            allowed = max(allowed, allowed_share(past, allowance))
+        return allowed
+
+    def _finish(
+        self, now: float, track: Track, found: Explanation, several: bool
+    ) -> Explanation:
+        sources = self._recent(track.bad_sources, now)
+        if not several or found.signal is Signal.SLOW:
+            sources = max(sources, MIN_SOURCES)
+        if track.probation_at is not None and now - track.probation_at > PROBATION_S:
+            track.probation_at = None
+        return found._replace(
+            sources=sources,
+            on_probation=track.probation_at is not None,
+            strikes=round(track.hold.strikes(now)),
+        )
+
+    @staticmethod
+    def _recent(sources: dict[str, float], now: float) -> int:
+        """Forget entry hosts not heard of lately and count the others."""
+        stale = [one for one, at in sources.items() if now - at > SOURCE_MEMORY_S]
+        for one in stale:
+            del sources[one]
+        return len(sources)
+
+    @staticmethod
+    def _learn_usual(now: float, track: Track) -> None:
+        """Follow an instance's ordinary share of slow answers while it is calm."""
+        if track.explanation.score > CALM_SCORE or now - track.new_since < WARM_UP_S:
+            return
+        for is_idempotent in CLASSES:
+            counts = track.windows[is_idempotent].counts(now)[RATE_LEVEL]
+            answered = counts.total - counts.failed
+            if answered > 0:
+                usual = track.usual_slow[is_idempotent]
+                seen = counts.slow / answered
+                track.usual_slow[is_idempotent] += PAST_STEP * (seen - usual)
+
+    def weights(self, now: float, limit: float) -> dict[str, float]:
+        """Return the weight of each instance that should get less work."""
+        weights = defaultdict(lambda: 1.0)
+        for name, track in self._tracks.items():
+            weight = _weight(now, track, limit)
+            if weight < 1.0:
+                weights[name] = weight
+        return dict(weights)
+
+    def verdicts(self, now: float, limit: float) -> list[Verdict]:
+        """Return a verdict on each instance, worst first."""
+        explanations = self.explain(now)
+        sick = judge(explanations, limit)
+        found = [
+            Verdict(name, name in sick, one.score) for name, one in explanations.items()
+        ]
+        return sorted(found, key=lambda one: (not one.is_sick, -one.score))
+
+
+def _weight(now: float, track: Track, limit: float) -> float:
+    """Return from SICK_WEIGHT to 1, falling as the evidence grows."""
+    if now < track.lowered_until:
+        return SICK_WEIGHT
+    doubt = (track.explanation.score / limit - DOUBTFUL) / (1 - DOUBTFUL)
+    weight = 1.0 - min(1.0, max(0.0, doubt)) * (1.0 - SICK_WEIGHT)
+    if track.probation_at is not None:
+        passed = min(1.0, (now - track.probation_at) / PROBATION_S)
+        weight = min(weight, PROBATION_WEIGHT + passed * (1.0 - PROBATION_WEIGHT))
+    return weight
+
+
+def _shares(cell: _Cell, counts: dict[str, list[Counts]]) -> dict[str, Share]:
+    """Return the counts that one test looks at.
+
+    Entry hosts report bad attempts at once and good ones seconds later, so a
+    short window is filled up with the good attempts that are still to come.
+    """
+    shares = {}
+    for name, levels in counts.items():
+        one = levels[cell.level]
+        total = one.total
+        if cell.level < REPORTED_LATE_LEVELS:
+            usual = levels[RATE_LEVEL].total / LENGTHS_S[RATE_LEVEL]
+            total = max(total, usual * LENGTHS_S[cell.level])
+        if cell.signal is Signal.FAILED:
+            shares[name] = Share(one.failed, total)
+        elif cell.signal is Signal.VERY_SLOW:
+            shares[name] = Share(one.very_slow, max(0.0, total - one.failed))
+        else:
+            shares[name] = Share(one.slow, one.total - one.failed)
+    return shares
--- /dev/null
+++ b/dogwoodtack/health/report.py
@@ -0,0 +1,45 @@
+"""Tell operators when an instance becomes suspect or well again."""
+
+from aioprometheus import Counter, Gauge, Registry
+
+from ..logs import log_event
+from .messages import Explanation, Verdict
+
+__all__ = ["HealthReport"]
+
+
+class HealthReport:
+    """Write a log event and set metrics on each change of a verdict."""
+
+    def __init__(self, registry: Registry) -> None:
+        self.suspect = Gauge(
+            "dogwoodtack_instance_suspect",
+            "1 while the evidence against an instance passes the threshold.",
+            registry=registry,
+        )
+        self.changes = Counter(
+            "dogwoodtack_instance_verdict_changes_total",
+            "Changes of the verdict by service, instance and signal.",
+            registry=registry,
+        )
+
+    def on_change(self, service: str, verdict: Verdict, why: Explanation) -> None:
+        """Report that an instance became suspect or well again."""
+        labels = {"service": service, "instance": verdict.instance}
+        self.suspect.set(labels, int(verdict.is_sick))
+        self.changes.inc({**labels, "signal": str(why.signal)})
+        log_event(
+            "instance-suspect" if verdict.is_sick else "instance-well",
+            service=service,
+            instance=verdict.instance,
+            score=why.score,
+            signal=why.signal,
+            idempotent=why.is_idempotent,
+            window_s=why.window_s,
+            hits=why.hits,
+            total=why.total,
+            allowed_share=why.peer_share,
+            sources=why.sources,
+            probation=why.on_probation,
+            strikes=why.strikes,
+        )
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -16,7 +16,7 @@
 from .door import Door, Parts
 from .errors import ErrorKind
 from .floor import Floor
-from .health import Health
+from .health import Health, HealthReport
 from .keys import KeyTable
 from .leaving import Leaving
 from .limits import Limits
@@ -81,7 +81,8 @@
         self.watcher = Watcher(self.reactor, self.store, self.state)
         self.membership = Membership(me)
         self.keys = KeyTable(self.incarnation, self.reactor.clock)
-        self.health = Health()
+        report = HealthReport(self.metrics.registry)
+        self.health = Health(self.reactor.clock, self.incarnation[:8], report.on_change)
         self.floor = Floor()
         self.leaving = Leaving()
         self.limits = Limits(
@@ -168,6 +169,9 @@
     def _on_object(self, obj: StoreObject) -> None:
         if obj.kind == SERVICE_KIND:
             self.catalog.put(obj.name, obj.version, obj.value)
+            service = self.catalog.get(obj.name)
+            if service is not None:
+                self.health.set_caution(service.name, service.caution)
 
     def start_work(self) -> None:
         """Begin to work, once every part stands."""
