--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -16,7 +16,7 @@
 from .door import Door, Parts
 from .errors import ErrorKind
 from .floor import Floor
-from .health import Health
+from .health import Health, HealthReport
 from .intents import Intents
 from .keys import KeyRules, KeyTable, PeerAsker, key_routes
 from .leaving import HintSender, Leaving, LeavingCourier
@@ -98,7 +98,8 @@
             self.rng,
         )
         self.keys = self._build_keys()
-        self.health = Health()
+        report = HealthReport(self.metrics.registry)
+        self.health = Health(self.reactor.clock, self.incarnation[:8], report.on_change)
         self.floor = Floor()
         hints = HintSender(self.peers, self.membership, self.homes, self.catalog)
         self.leaving = Leaving(self.reactor.clock, hints.send)
@@ -234,6 +235,9 @@
     def _on_object(self, obj: StoreObject) -> None:
         if obj.kind == SERVICE_KIND:
             self.catalog.put(obj.name, obj.version, obj.value)
+            service = self.catalog.get(obj.name)
+            if service is not None:
+                self.health.set_caution(service.name, service.caution)
 
     def start_work(self) -> None:
         """Begin to work, once every part stands."""
