--- a/dogwoodtack/floor/holdings.py
+++ b/dogwoodtack/floor/holdings.py
@@ -108,8 +108,9 @@
     def may_grant(self, holding: Holding, service: Service, now: float) -> bool:
         """Return whether removals may be granted from here at this moment."""
         version = self._parts.catalog.version(service.name)
-        is_newest = version >= holding.newest_version
-        return is_newest and holding.ownership.may_grant(now)
+        if version < holding.newest_version or not self._turns.is_calm():
+            return False
+        return holding.ownership.may_grant(now)
 
     def _on_pause(self, now: float) -> None:
         for holding in self._holdings.values():
--- a/dogwoodtack/floor/messages.py
+++ b/dogwoodtack/floor/messages.py
@@ -5,9 +5,11 @@
 from ..misc import Address, parse_address
 
 __all__ = [
+    "CALM_S",
     "CLAIM_WAIT_S",
     "CLOCK_MARGIN_S",
     "FLOOR_KIND",
+    "GAP_S",
     "GRANT_TTL_S",
     "HolderEntry",
     "LINGER_S",
@@ -35,8 +37,14 @@
 It covers the time in which some entry host has not heard of a change yet.
 """
 
+GAP_S = 1.5
+"""Seconds without a turn of the loop that count as a gap; well above a tick."""
+
+CALM_S = 5.0
+"""Seconds without a gap before a holder grants; above the time news takes."""
+
 PAUSE_LIMIT_S = 5.0
-"""Seconds without a turn of the loop after which a process counts as paused."""
+"""Seconds of gaps close together after which a process counts as paused."""
 
 UNLISTED_HOLD_S = 30.0
 """Seconds for which a holder must be known dead and unlisted before it is replaced."""
--- /dev/null
+++ b/dogwoodtack/floor/tests/test_titles.py
@@ -0,0 +1,166 @@
+"""Titles: claims, suspensions, releases, and pauses of the process."""
+
+import unittest
+
+from nose2.tools import params
+
+from dogwoodtack.clock import VirtualClock
+from dogwoodtack.errors import StoreConflict, StoreError
+from dogwoodtack.floor.messages import (
+    CALM_S,
+    CLAIM_WAIT_S,
+    FLOOR_KIND,
+    GAP_S,
+    PAUSE_LIMIT_S,
+    HolderEntry,
+    holder_value,
+)
+from dogwoodtack.floor.ownership import Ownership
+from dogwoodtack.floor.turns import Turns
+from dogwoodtack.misc import Address
+from dogwoodtack.spread import ConfigState
+from dogwoodtack.store import StoreObject
+
+ME = HolderEntry("entry-0", "mine", Address("127.0.0.1", 1))
+OTHER = HolderEntry("entry-1", "other", Address("127.0.0.1", 2))
+
+
+class FakeStore:
+    """One object with a version; answers at once, or when `deliver` is called."""
+
+    def __init__(self):
+        self.version = 0
+        self.value = None
+        self.is_down = False
+        self.is_slow = False
+        self.waiting = []
+
+    def put(self, kind, name, value, if_version, on_done):
+        if self.is_down:
+            on_done(None, StoreError("down", maybe_applied=False))
+            return
+        if if_version != self.version:
+            on_done(None, StoreConflict("another version"))
+            return
+        self.version += 1
+        self.value = value
+        answer = (on_done, self.version)
+        self.waiting.append(answer)
+        if not self.is_slow:
+            self.deliver()
+
+    def deliver(self):
+        waiting, self.waiting = self.waiting, []
+        for on_done, version in waiting:
+            on_done(version, None)
+
+    def get(self, kind, name, on_done):
+        if self.is_down:
+            on_done(None, StoreError("down"))
+            return
+        on_done(StoreObject(kind, name, self.version, self.value), None)
+
+
+class TitleTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = VirtualClock()
+        self.store = FakeStore()
+        self.state = ConfigState()
+        self.turns = Turns(self.clock)
+        self.title = Ownership(
+            "s", ME, self.store, self.state, self.clock, self.turns.note
+        )
+        self.state.subscribe(self.title.take)
+        self.turns.subscribe(lambda now: self.title.suspend("paused", now))
+
+    def may_grant(self):
+        return self.title.may_grant(self.clock.boottime())
+
+    def put_other(self, entry):
+        self.store.version += 1
+        self.store.value = holder_value(entry)
+
+    def hear(self):
+        obj = StoreObject(FLOOR_KIND, "s", self.store.version, self.store.value)
+        self.state.apply(obj)
+
+    @params((False, 0.0), (True, CLAIM_WAIT_S))
+    def test_only_the_first_holder_grants_at_once(self, had_holder, wait_s):
+        if had_holder:
+            self.put_other(OTHER)
+            self.hear()
+        self.title.claim()
+        self.assertEqual(self.may_grant(), wait_s == 0.0)
+        self.clock.advance(wait_s)
+        self.assertTrue(self.may_grant())
+
+    def test_claim_on_an_old_version_fails(self):
+        self.put_other(OTHER)
+        self.title.claim()
+        self.assertFalse(self.title.is_mine)
+        self.assertEqual(self.title.holder, OTHER)
+
+    def test_paused_holder_confirms_by_a_write(self):
+        self.title.claim()
+        self.clock.advance(PAUSE_LIMIT_S + 0.1)
+        self.turns.note()
+        self.assertFalse(self.may_grant())
+        self.store.is_down = True
+        self.title.confirm()
+        self.assertFalse(self.may_grant())
+        self.store.is_down = False
+        self.clock.advance(2.0)
+        self.title.confirm()
+        self.assertTrue(self.may_grant())
+
+    def test_replaced_holder_is_not_confirmed(self):
+        self.title.claim()
+        self.clock.advance(PAUSE_LIMIT_S + 0.1)
+        self.put_other(OTHER)
+        self.turns.note()
+        self.title.confirm()
+        self.assertFalse(self.title.is_mine)
+
+    def test_confirmation_from_before_a_pause_says_nothing(self):
+        self.title.claim()
+        self.title.suspend("paused", self.clock.boottime())
+        self.clock.advance(2.0)
+        self.turns.note()
+        self.store.is_slow = True
+        self.title.confirm()
+        self.clock.advance(PAUSE_LIMIT_S + 0.1)
+        self.put_other(OTHER)
+        self.store.deliver()
+        self.assertFalse(self.may_grant())
+
+    def test_release_ends_it_at_once_even_in_an_outage(self):
+        self.title.claim()
+        self.store.is_down = True
+        self.title.release()
+        self.assertFalse(self.may_grant())
+
+
+class TurnsTest(unittest.TestCase):
+    @params(
+        ([GAP_S - 0.1] * 20, 0, True),
+        ([GAP_S + 0.1], 0, False),
+        ([PAUSE_LIMIT_S + 0.1], 1, False),
+        ([3.0, 0.5, 3.0], 1, False),
+        ([3.0, *[0.5] * 10, 3.0], 0, False),
+        ([3.0, *[0.5] * 10], 0, True),
+    )
+    def test_gaps(self, gaps, pauses, is_calm):
+        clock = VirtualClock()
+        turns = Turns(clock)
+        seen = []
+        turns.subscribe(seen.append)
+        for gap in gaps:
+            clock.advance(gap)
+            turns.note()
+        self.assertEqual((len(seen), turns.is_calm()), (pauses, is_calm))
+        clock.advance(1.0)
+        turns.note()
+        for _ in range(int(CALM_S)):
+            clock.advance(1.0)
+            turns.note()
+        self.assertTrue(turns.is_calm())
