Bring every change to every entry host, whoever learns of it first

Cause: each node followed the store by itself, which neither works for a host that cannot reach it nor at 6,300 hosts, and a host that started in an outage had no configuration.

Chosen: two readers a zone by rendezvous follow the store; each change goes through a tree over incarnation ranges; digests are compared with one random node a second; a reader without an answer asks two others to look; a new host copies from nodes of several zones and takes work only then. A host that reaches neither store nor peers for 3 s withdraws and answers cut-off. Ruled out: a list of addresses in each message (16 kB at the target); relaying to random peers (several copies of each change instead of one a tree).

Readers of the host list were other nodes than those of the objects; now the same.

--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -21,13 +21,13 @@
 from .leaving import Leaving
 from .limits import Limits
 from .logs import log_event
-from .membership import Contact, Gossip, Member, Membership
+from .membership import Contact, Gossip, HostReader, Member, Membership
 from .metrics import Metrics
-from .misc import new_token
+from .misc import new_token, parse_address
 from .peers import Peers
 from .reactor import Reactor
 from .settings import Settings
-from .spread import ConfigState, Watcher
+from .spread import ConfigState, Spread
 from .store import Store, StoreObject
 from .surface import Route, Surface, SurfaceRequest
 
@@ -84,7 +84,6 @@
         self.catalog = Catalog()
         self.state = ConfigState()
         self.state.subscribe(self._on_object)
-        self.watcher = Watcher(self.reactor, self.store, self.state, self._on_synced)
         self.membership = Membership(me, self.reactor.clock.wall())
         self.gossip = Gossip(
             self.reactor,
@@ -94,6 +93,18 @@
             cfg.peers_seeds,
             self.rng,
         )
+        self.host_reader = HostReader(self.reactor, self.store, self.membership)
+        self.spread = Spread(
+            self.reactor,
+            self.peers,
+            self.store,
+            self.membership,
+            self.contact,
+            self.state,
+            self.rng,
+            bool(cfg.peers_seeds),
+            self._on_synced,
+        )
         self.keys = KeyTable(self.incarnation, self.reactor.clock)
         self.health = Health()
         self.floor = Floor()
@@ -153,11 +164,24 @@
         return [
             Route("GET", "/metrics", self._view_metrics),
             Route("GET", "/status", self._view_status),
+            *self._test_routes(),
         ]
 
+    def _test_routes(self) -> list[Route]:
+        """Return what only tests use; nothing unless a setting allows it."""
+        if not self.settings.test_cuts:
+            return []
+        return [Route("PUT", "/test/cut", self._set_cut)]
+
+    def _set_cut(self, req: SurfaceRequest) -> Any:
+        """Leave calls to some addresses without an answer."""
+        addresses = frozenset(parse_address(text) for text in req.body["addresses"])
+        self.client.cut_addresses = addresses
+        return {"cut": len(addresses)}
+
     def peer_routes(self) -> list[Route]:
         """Return what the peer port answers."""
-        return self.gossip.routes()
+        return [*self.gossip.routes(), *self.spread.routes()]
 
     def _view_metrics(self, req: SurfaceRequest) -> str:
         self.metrics.in_flight.set({}, self.door.in_flight)
@@ -173,7 +197,10 @@
             "in_flight": self.door.in_flight,
             "connections": self.door.connections,
             "store_calls": self.store.calls_made,
+            "control_bytes": self.client.bytes_sent + self.client.bytes_received,
+            "control_calls": self.client.calls_made,
             "cut_off": self.membership.is_cut_off(),
+            "config": self.spread.status(),
             "members": self.gossip.status(),
             "services": {
                 service.name: self.catalog.version(service.name)
@@ -188,7 +215,8 @@
     def start_work(self) -> None:
         """Begin to work, once every part stands."""
         self.gossip.begin()
-        self.watcher.start()
+        self.host_reader.begin()
+        self.spread.begin()
         self._check_standing()
         log_event("started", caller=self.door.address, incarnation=self.incarnation)
 
@@ -199,7 +227,6 @@
 
     def _on_synced(self) -> None:
         self.gossip.note_ready()
-        log_event("ready", services=len(self.catalog.services()))
         self._set_refusal()
 
     def _set_refusal(self) -> None:
--- a/dogwoodtack/settings.py
+++ b/dogwoodtack/settings.py
@@ -73,6 +73,12 @@
     return read
 
 
+def _flag(value: str) -> bool:
+    if value.lower() not in ("yes", "no"):
+        raise ValueError("is not yes or no")
+    return value.lower() == "yes"
+
+
 SETTINGS: tuple[Setting, ...] = (
     Setting("node", "name", _text, None, "a name unique among the entry hosts"),
     Setting("node", "zone", _text, None, "the availability zone's name"),
@@ -92,6 +98,7 @@
     Setting("callers", "discovery_ttl_s", _seconds(0.1, 300), "5", "0.1 to 300"),
     Setting("backends", "dial_timeout_s", _seconds(0.01, 60), "1", "0.01 to 60"),
     Setting("stop", "limit_s", _seconds(0, 86400), "3600", "0 to 86400"),
+    Setting("test", "cuts", _flag, "no", "yes or no; yes only in tests"),
     Setting("logs", "level", _level, "INFO", ", ".join(LOG_LEVELS)),
 )
 
