--- a/dogwoodtack/leaving/courier.py
+++ b/dogwoodtack/leaving/courier.py
@@ -56,16 +56,23 @@
     """Receive hints and run the probes that end a hold."""
 
     def __init__(
-        self, reactor: Reactor, client: Client, catalog: Catalog, leaving: Leaving
+        self,
+        reactor: Reactor,
+        client: Client,
+        catalog: Catalog,
+        membership: Membership,
+        leaving: Leaving,
     ) -> None:
         self._reactor = reactor
+        self._membership = membership
         self._client = client
         self._catalog = catalog
         self._leaving = leaving
 
     def begin(self) -> None:
-        """Probe once a second what is due."""
+        """Once a second take the host list as it is known and probe what is due."""
         self._reactor.call_later(TICK_S, self.begin)
+        self._take_host_list()
         self._leaving.retain(
             {
                 Hint(service.name, instance.name)
@@ -76,6 +83,18 @@
         for hint in self._leaving.due_probes():
             self._probe(hint)
 
+    def _take_host_list(self) -> None:
+        reading = self._membership.hosts.reading
+        if reading is None:
+            return
+        fresh = self._leaving.take_host_list(reading.leaving)
+        if not fresh:
+            return
+        for service in self._catalog.services():
+            for instance in service.instances:
+                if instance.name in fresh:
+                    self._leaving.note_listed(service.name, instance.name)
+
     def routes(self) -> list[Route]:
         """Return what the peer port answers for this slice."""
         return [Route("POST", HINT_PATH, self._view_hint)]
--- a/dogwoodtack/leaving/leaving.py
+++ b/dogwoodtack/leaving/leaving.py
@@ -54,12 +54,23 @@
         """Take another entry host's word that an instance drains."""
         self._hold(hint, LeavingSource.PEER)
 
-    def take_host_list(self, leaving: Iterable[str]) -> None:
-        """Take the names that the platform's list shows as leaving."""
-        listed = frozenset(leaving)
-        for name in sorted(listed - self._listed):
-            log_event("back-end-leaving", instance=name, source=LeavingSource.HOST_LIST)
-        self._listed = listed
+    def take_host_list(self, leaving: Iterable[str]) -> frozenset[str]:
+        """Take the names that the platform's list shows as leaving.
+
+        Returns the names that the list before did not show as leaving.
+        """
+        before, self._listed = self._listed, frozenset(leaving)
+        return self._listed - before
+
+    def note_listed(self, service: str, instance: str) -> None:
+        """Take an instance of a service that the list newly shows as leaving.
+
+        The list itself reaches the other hosts by gossip within seconds; the hint
+        that is passed on here is there sooner.
+        """
+        hint = Hint(service, instance)
+        if self._hold(hint, LeavingSource.HOST_LIST):
+            self._tell(hint)
 
     def due_probes(self) -> list[Hint]:
         """Return the instances to probe now; each is due again a little later."""
--- a/dogwoodtack/leaving/tests/test_leaving.py
+++ b/dogwoodtack/leaving/tests/test_leaving.py
@@ -21,16 +21,17 @@
             "own word": lambda: self.leaving.note_draining(*ONE),
             "hint": lambda: self.leaving.take_hint(ONE),
             "host list": lambda: self.leaving.take_host_list(["jt-1"]),
+            "listed": lambda: self.leaving.note_listed(*ONE),
         }
 
-    @params("own word", "hint", "host list")
+    @params("own word", "hint", "host list", "listed")
     def test_any_source_counts_at_once(self, source):
         self.assertFalse(self.leaving.is_leaving(*ONE))
         self.sources()[source]()
         self.assertTrue(self.leaving.is_leaving(*ONE))
         self.assertFalse(self.leaving.is_leaving("jobtrack", "jt-2"))
 
-    @params(("own word", 1), ("hint", 0), ("host list", 0))
+    @params(("own word", 1), ("hint", 0), ("host list", 0), ("listed", 1))
     def test_only_first_hand_news_is_passed_on(self, source, count):
         self.sources()[source]()
         self.sources()[source]()
--- a/dogwoodtack/membership/hosts.py
+++ b/dogwoodtack/membership/hosts.py
@@ -23,11 +23,15 @@
         number: grows from reading to reading, across readers.
         names: the hosts that the list showed, live or leaving.
         leaving: those of them that it showed as leaving.
+        shows_absence: whether a missing name means anything.  It does not where
+            the list lacked its own reader: the list is then behind, or is one of
+            back ends only.
     """
 
     number: int
     names: frozenset[str]
     leaving: frozenset[str]
+    shows_absence: bool = True
 
 
 class WireReading(TypedDict):
@@ -36,6 +40,7 @@
     number: int
     names: list[str]
     leaving: list[str]
+    shows_absence: bool
 
 
 class _Absence(NamedTuple):
@@ -50,8 +55,8 @@
 
     `is_listed` is True in doubt.  A host is taken off only if several readings
     in a row, over several seconds, lacked it.  A reading that lacks its own
-    reader shows that the list is behind, and is not used: a site whose platform
-    lists no entry hosts at all therefore sees each of them as listed.
+    reader takes nobody off: a site whose platform lists no entry hosts at all
+    therefore sees each of them as listed.  What it shows as leaving counts.
     """
 
     def __init__(self, clock: Clock | None = None) -> None:
@@ -76,22 +81,25 @@
             return self._take_tie(known, reading)
         self.reading = reading
         self.read_at = self._clock.monotonic()
-        self._note_absences(known)
+        if reading.shows_absence:
+            self._note_absences(known)
         return True
 
     def _take_tie(self, known: HostReading, reading: HostReading) -> bool:
         names = known.names | reading.names
         leaving = known.leaving | reading.leaving
-        if names == known.names and leaving == known.leaving:
+        shows_absence = known.shows_absence and reading.shows_absence
+        joined = HostReading(known.number, names, leaving, shows_absence)
+        if joined == known:
             return False
-        self.reading = HostReading(known.number, names, leaving)
+        self.reading = joined
         for name in names:
             self._absences.pop(name, None)
         return True
 
     def _note_absences(self, known: HostReading | None) -> None:
         now = self._clock.monotonic()
-        if known is None:
+        if self._readings == 0:
             self._first_at = now
         self._readings += 1
         names = self.reading.names
@@ -113,7 +121,8 @@
 
     def is_listed(self, name: str) -> bool:
         """Return whether a host is on the list, True in doubt."""
-        if self.reading is None or name in self.reading.names:
+        reading = self.reading
+        if reading is None or not reading.shows_absence or name in reading.names:
             return True
         never_shown = _Absence(self._first_at, self._readings)
         absence = self._absences.get(name, never_shown)
@@ -136,10 +145,15 @@
             "number": self.reading.number,
             "names": sorted(self.reading.names),
             "leaving": sorted(self.reading.leaving),
+            "shows_absence": self.reading.shows_absence,
         }
 
     @staticmethod
     def from_wire(item: WireReading) -> HostReading:
         """Read a reading from its JSON form."""
-        names = frozenset(item["names"])
-        return HostReading(int(item["number"]), names, frozenset(item["leaving"]))
+        return HostReading(
+            number=int(item["number"]),
+            names=frozenset(item["names"]),
+            leaving=frozenset(item["leaving"]),
+            shows_absence=bool(item["shows_absence"]),
+        )
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import http.client
+import itertools
 import json
 import os
 import signal
@@ -24,6 +25,9 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
 POLL_S = 0.02
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+PORTS_PER_PROCESS = 97
 
 
 class Answered(NamedTuple):
@@ -48,16 +52,29 @@
     operator: Address
 
 
+_next_ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+for _ in range(os.getpid() * PORTS_PER_PROCESS % (LAST_PORT - FIRST_PORT)):
+    next(_next_ports)
+
+
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    socks = [socket.socket() for _ in range(count)]
-    try:
-        for sock in socks:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in socks]
-    finally:
-        for sock in socks:
-            sock.close()
+    """Return ports that nothing listens on, each one only once.
+
+    They lie below the range from which the system takes the ports of outgoing
+    connections: a port that was free a moment ago can be taken by one of those.
+    Each process starts at another place, so that test runs side by side rarely
+    try the same ports.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = next(_next_ports)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
 
 
 def http_call(
@@ -170,9 +187,14 @@
         for node in added:
             self.spawn_node(node)
         for node in added:
-            self.wait_port(node.name, node.caller)
+            self.wait_node(node)
         return added
 
+    def wait_node(self, node: NodeInfo) -> None:
+        """Wait until an entry host takes connections on each of its ports."""
+        for address in (node.caller, node.peer, node.operator):
+            self.wait_port(node.name, address)
+
     def spawn_node(self, node: NodeInfo) -> None:
         """Start the process of an entry host, again if it has ended."""
         path = self.path / f"{node.name}.ini"
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -1,5 +1,6 @@
 """A leaving back end gets no new work, though the platform's list lags."""
 
+import json
 import time
 import unittest
 
@@ -43,3 +44,15 @@
         before = self.arrived()
         self.call_round()
         self.assertEqual(self.arrived(), before)
+
+    def test_host_list_stops_new_work_everywhere(self):
+        data = json.dumps({"jt-1": "leaving", "jt-2": "live"}).encode()
+        http_call(self.fleet.platform, "PUT", "/test/hosts", data)
+        listed_at = time.monotonic()
+        self.call_round()
+        self.fleet.wait_until(
+            lambda: time.monotonic() > listed_at + QUIET_AFTER_S, "a few seconds"
+        )
+        before = self.arrived()
+        self.call_round()
+        self.assertEqual(self.arrived(), before)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -107,13 +107,18 @@
 
         def named():
             answer = http_call(other.caller, "GET", target)
-            return [item["address"] for item in answer.json().get("addresses", [])]
+            if answer.status != 200:
+                return None
+            return [item["address"] for item in answer.json()["addresses"]]
 
-        self.fleet.wait_until(lambda: str(self.node.caller) in named(), "it is named")
+        self.fleet.wait_until(
+            lambda: str(self.node.caller) in (named() or ()), "it is named"
+        )
         self.fleet.signal(self.node.name, signal.SIGTERM)
         answer = http_call(self.node.caller, "GET", "/racks", None, HOST)
         self.assertEqual(answer.status, 200)
         self.fleet.wait_until(
-            lambda: str(self.node.caller) not in named(), "it is named no more"
+            lambda: str(self.node.caller) not in (named() or (str(self.node.caller),)),
+            "it is named no more",
         )
         self.assertEqual(self.fleet.wait_exit(self.node.name), 0)
