--- /dev/null
+++ b/lab/callers.py
@@ -0,0 +1,199 @@
+"""Concurrent callers on one loop, which record what they were told."""
+
+import json
+import random
+import signal
+from collections.abc import Callable
+from typing import NamedTuple
+
+from dogwoodtack.backends import Link, OutgoingHead, ResponseHead
+from dogwoodtack.errors import WireError
+from dogwoodtack.misc import Address
+from dogwoodtack.reactor import Dial
+from dogwoodtack_standins.process import Process
+
+from .history import Told
+
+__all__ = ["Callers", "Copy", "Deed", "plan_copies"]
+
+DIAL_TIMEOUT_S = 2.0
+STATUS_OK = 200
+
+
+class Copy(NamedTuple):
+    """One copy of a request that a caller is to send.
+
+    Attributes:
+        at_s: seconds after the run's start.
+        host: the entry host's name.
+        address: where it takes callers.
+        key: the idempotency key.
+        target: the request's own target.
+        give_up_s: seconds after which the caller closes its connection.
+    """
+
+    at_s: float
+    host: str
+    address: Address
+    key: str
+    target: str
+    give_up_s: float
+
+
+class Deed(NamedTuple):
+    """Something else that is to happen during a run, such as a fault."""
+
+    at_s: float
+    do: Callable[[], None]
+
+
+class Caller:
+    """Send one copy on a connection of its own and record the answer."""
+
+    def __init__(
+        self, root: Process, copy: Copy, host: str, on_told: Callable[[Told], None]
+    ) -> None:
+        self._root = root
+        self._copy = copy
+        self._host = host
+        self._on_told: Callable[[Told], None] | None = on_told
+        self._began_at = root.clock.boottime()
+        self._link: Link | None = None
+        self._head: ResponseHead | None = None
+        self._body = bytearray()
+        root.reactor.call_later(copy.give_up_s, self._give_up)
+        Dial(root.reactor, copy.address, DIAL_TIMEOUT_S, self._on_dial)
+
+    def _on_dial(self, sock, exc) -> None:
+        if sock is None:
+            self._record()
+            return
+        self._link = Link(self._root.reactor, sock, self._copy.address)
+        body = self._copy.target.encode()
+        headers = [
+            (b"host", self._host.encode()),
+            (b"content-length", str(len(body)).encode()),
+            (b"idempotency-key", self._copy.key.encode()),
+        ]
+        head = OutgoingHead(b"POST", self._copy.target.encode(), headers)
+        self._link.start(head, self, body)
+        self._link.end_body()
+
+    def _give_up(self) -> None:
+        if self._on_told is not None:
+            self._head = None
+            self._record()
+
+    def on_head(self, head: ResponseHead) -> None:
+        """Keep the answer's head."""
+        self._head = head
+
+    def on_body(self, data: bytes) -> None:
+        """Keep a piece of the answer's body."""
+        self._body += data
+
+    def on_end(self) -> None:
+        """Record a whole answer."""
+        self._record()
+
+    def on_fail(self, exc: WireError) -> None:
+        """Record that no whole answer came."""
+        self._head = None
+        self._record()
+
+    def on_drained(self) -> None:
+        """Do nothing: the request was written in one piece."""
+
+    def _record(self) -> None:
+        on_told, self._on_told = self._on_told, None
+        if self._link is not None:
+            self._link.close()
+        if on_told is not None:
+            on_told(self._told())
+
+    def _told(self) -> Told:
+        copy = self._copy
+        told = Told(
+            copy.target,
+            copy.key,
+            copy.host,
+            self._began_at,
+            self._root.clock.boottime(),
+        )
+        if self._head is None:
+            return told
+        return told._replace(
+            status=self._head.status,
+            outcome=self._header(b"x-dogwoodtack-outcome"),
+            answer_id=self._header(b"x-request-id"),
+            echo=self._echo(),
+        )
+
+    def _header(self, name: bytes) -> str:
+        return (self._head.header(name) or b"").decode("latin-1")
+
+    def _echo(self) -> str:
+        if self._head.status != STATUS_OK:
+            return ""
+        return json.loads(self._body)["target"]
+
+
+class Callers(Process):
+    """Send every copy at its time and stop when each has its record."""
+
+    channel = "callers"
+
+    def __init__(self, host: str, copies: list[Copy], deeds: list[Deed] = ()) -> None:
+        super().__init__()
+        self.told: list[Told] = []
+        self._host = host
+        self._left = len(copies)
+        for copy in copies:
+            self.reactor.call_later(copy.at_s, self._send, copy)
+        for deed in deeds:
+            self.reactor.call_later(deed.at_s, deed.do)
+
+    def _send(self, copy: Copy) -> None:
+        Caller(self, copy, self._host, self._on_told)
+
+    def _on_told(self, told: Told) -> None:
+        self.told.append(told)
+        self._left -= 1
+        if self._left == 0:
+            self.stop()
+
+    def record(self) -> list[Told]:
+        """Send everything and return the records once all are there."""
+        try:
+            self.run()
+        finally:
+            signal.signal(signal.SIGINT, signal.default_int_handler)
+            signal.signal(signal.SIGTERM, signal.SIG_DFL)
+        return self.told
+
+
+def plan_copies(
+    rng: random.Random,
+    hosts: dict[str, Address],
+    prefixes: list[str],
+    requests: int,
+    span_s: float,
+) -> list[Copy]:
+    """Draw up to four copies of each request, to any hosts, close together.
+
+    Some callers give up early and all send their copies without waiting, so that
+    copies overtake each other.
+    """
+    copies = []
+    names = sorted(hosts)
+    for number in range(requests):
+        key = f"{rng.choice(prefixes)}{rng.getrandbits(64):016x}"
+        at_s = rng.uniform(0, span_s)
+        for _ in range(rng.randint(1, 4)):
+            name = rng.choice(names)
+            give_up_s = rng.choice((0.05, 0.3, 10.0, 10.0))
+            copies.append(
+                Copy(at_s, name, hosts[name], key, f"/release/{number}", give_up_s)
+            )
+            at_s += rng.choice((0.0, rng.uniform(0, 0.1), rng.uniform(0, 1.0)))
+    return copies
--- /dev/null
+++ b/lab/history.py
@@ -0,0 +1,195 @@
+"""Check a recorded run against what callers may conclude from their answers.
+
+A request is one piece of work, such as one batch release.  A caller sends it in
+one or more copies under one key.  The back ends' journals say what was executed,
+the entry hosts' logs what they believe they answered.
+"""
+
+import enum
+import re
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from typing import Any, NamedTuple
+
+__all__ = [
+    "Execution",
+    "Finding",
+    "FindingKind",
+    "History",
+    "Logged",
+    "Told",
+    "check",
+    "executions_of",
+    "logged_of",
+]
+
+RAN = "ran"
+NOT_RUN = "not-run"
+SERVER_ERROR = 500
+LOG_PATTERN = re.compile(r"event=request id=(\w+) .*?outcome=([\w-]+)")
+
+
+class FindingKind(enum.StrEnum):
+    """What can be wrong with a history."""
+
+    EXECUTED_TWICE = "executed-twice"
+    NOT_RUN_BUT_EXECUTED = "not-run-but-executed"
+    RAN_BUT_NEVER_EXECUTED = "ran-but-never-executed"
+    WRONG_ANSWER = "wrong-answer"
+    LOG_DISAGREES = "log-disagrees"
+
+
+class Finding(NamedTuple):
+    """One thing that must not have happened."""
+
+    kind: FindingKind
+    request: str
+    detail: str
+
+
+class Told(NamedTuple):
+    """One copy of a request and what its caller was told.
+
+    Attributes:
+        request: the request's own target, which no other request has.
+        key: its idempotency key.
+        host: the entry host the copy went to.
+        began_at: CLOCK_BOOTTIME seconds when the copy was sent.
+        ended_at: the same clock when its answer was whole or given up.
+        status: HTTP status, 0 where no whole answer came.
+        outcome: what the answer says, empty where no whole answer came.
+        answer_id: the request id the answer names.
+        echo: the target that a back end's answer repeats, empty without one.
+    """
+
+    request: str
+    key: str
+    host: str
+    began_at: float
+    ended_at: float
+    status: int = 0
+    outcome: str = ""
+    answer_id: str = ""
+    echo: str = ""
+
+
+class Execution(NamedTuple):
+    """One line of a back end's journal."""
+
+    request: str
+    key: str
+    at: float
+    backend: str
+    attempt_id: str
+
+
+class Logged(NamedTuple):
+    """What an entry host logged of one copy."""
+
+    answer_id: str
+    outcome: str
+
+
+class History(NamedTuple):
+    """Everything that was recorded of one run."""
+
+    told: list[Told]
+    executions: list[Execution]
+    logged: list[Logged]
+
+
+def executions_of(journal: Iterable[dict[str, Any]]) -> list[Execution]:
+    """Return the executions in a back end's journal that have a key."""
+    return [
+        Execution(
+            line["target"], line["key"], line["at"], line["backend"], line["request"]
+        )
+        for line in journal
+        if line["key"]
+    ]
+
+
+def logged_of(text: str) -> list[Logged]:
+    """Return the answers in an entry host's log."""
+    return [Logged(*match.groups()) for match in LOG_PATTERN.finditer(text)]
+
+
+def check(history: History) -> list[Finding]:
+    """Return everything in a history that must not have happened."""
+    told: dict[str, list[Told]] = defaultdict(list)
+    ran: dict[str, list[Execution]] = defaultdict(list)
+    for copy in history.told:
+        told[copy.request].append(copy)
+    for execution in history.executions:
+        ran[execution.request].append(execution)
+    findings = [*_twice(history), *_disagreements(history)]
+    for request, copies in told.items():
+        findings.extend(_told_not_run(copies, ran[request]))
+        findings.extend(_told_ran(copies, ran[request]))
+        findings.extend(_wrong_answers(copies))
+    return findings
+
+
+def _twice(history: History) -> Iterator[Finding]:
+    by_key: dict[str, list[Execution]] = defaultdict(list)
+    for execution in history.executions:
+        by_key[execution.key].append(execution)
+    for key, executions in by_key.items():
+        if len(executions) > 1:
+            where = ", ".join(f"{one.backend} {one.attempt_id}" for one in executions)
+            yield Finding(
+                FindingKind.EXECUTED_TWICE, executions[0].request, f"{key}: {where}"
+            )
+
+
+def _told_not_run(copies: list[Told], ran: list[Execution]) -> Iterator[Finding]:
+    for copy in copies:
+        if copy.outcome != NOT_RUN:
+            continue
+        for execution in ran:
+            fault = _not_run_fault(copy, execution, copies)
+            if fault:
+                detail = f"{copy.host} {copy.answer_id}: {fault}"
+                yield Finding(FindingKind.NOT_RUN_BUT_EXECUTED, copy.request, detail)
+
+
+def _not_run_fault(copy: Told, execution: Execution, copies: list[Told]) -> str:
+    """Return why a copy must not have been told not run, or an empty string.
+
+    A repeat that came after may have run; its caller asked for that.
+    """
+    if execution.attempt_id.startswith(copy.answer_id + "-"):
+        return "this copy was executed"
+    if execution.at < copy.began_at:
+        return "the request had been executed before"
+    others = [
+        other
+        for other in copies
+        if other.outcome != NOT_RUN and other.began_at <= execution.at
+    ]
+    return "" if others else "no copy but those told not run can have been executed"
+
+
+def _told_ran(copies: list[Told], ran: list[Execution]) -> Iterator[Finding]:
+    """Find copies told ran; an error of the back end's own proves no execution."""
+    for copy in copies:
+        is_good = copy.outcome == RAN and copy.status < SERVER_ERROR
+        if is_good and not any(one.at <= copy.ended_at for one in ran):
+            detail = f"{copy.host} {copy.answer_id}"
+            yield Finding(FindingKind.RAN_BUT_NEVER_EXECUTED, copy.request, detail)
+
+
+def _wrong_answers(copies: list[Told]) -> Iterator[Finding]:
+    for copy in copies:
+        if copy.echo and copy.echo != copy.request:
+            detail = f"{copy.host} {copy.answer_id}: got that of {copy.echo}"
+            yield Finding(FindingKind.WRONG_ANSWER, copy.request, detail)
+
+
+def _disagreements(history: History) -> Iterator[Finding]:
+    logged = {entry.answer_id: entry.outcome for entry in history.logged}
+    for copy in history.told:
+        believed = logged.get(copy.answer_id, copy.outcome)
+        if copy.outcome and believed != copy.outcome:
+            detail = f"{copy.host} told {copy.outcome} and logged {believed}"
+            yield Finding(FindingKind.LOG_DISAGREES, copy.request, detail)
--- /dev/null
+++ b/lab/keys_run.py
@@ -0,0 +1,186 @@
+"""Record concurrent runs with repeated keys under faults, and check them.
+
+python -m lab.keys_run --seeds=5 --requests=200
+"""
+
+import enum
+import random
+import signal
+from collections import Counter
+from functools import partial
+from typing import NamedTuple
+
+from absl import app, flags
+
+from .callers import Callers, Copy, Deed, plan_copies
+from .fleet import Fleet, NodeInfo, http_call
+from .history import Finding, History, check, executions_of, logged_of
+
+__all__ = ["Scenario", "Seen", "build_fleet", "record", "run_scenario"]
+
+HOST = "jobtrack.example"
+DISCOVERY = "/.well-known/dogwoodtack/services/jobtrack"
+NODES = 5
+BACKENDS = 4
+SPAN_S = 3.0
+TIMEOUT_MS = 1500
+SETTLED_AFTER_S = 2.0
+SICK = {"hang_ratio": 0.1, "cut_ratio": 0.1, "error_ratio": 0.1, "over_ratio": 0.1}
+
+FLAGS = flags.FLAGS
+
+
+class Scenario(enum.StrEnum):
+    """What fails during a run."""
+
+    CALM = "calm"
+    SICK_BACKENDS = "sick-backends"
+    PAUSED_HOST = "paused-host"
+    KILLED_HOST = "killed-host"
+    STORE_DOWN = "store-down"
+    ALL_AT_ONCE = "all-at-once"
+
+
+class Seen(NamedTuple):
+    """What one run showed.
+
+    Attributes:
+        outcomes: how many copies were told what; an empty word got no answer.
+        executions: how often back ends executed a request.
+        handed_over: how many keys went to another host than their owner.
+        findings: what must not have happened.
+    """
+
+    copies: int
+    outcomes: Counter[str]
+    executions: int
+    handed_over: int
+    findings: list[Finding]
+
+
+def build_fleet(fleet: Fleet) -> None:
+    """Start a platform, back ends that shed soon, and entry hosts."""
+    fleet.start_platform()
+    for number in range(BACKENDS):
+        fleet.start_backend(f"jt-{number}", work_ms=80, slots=2, queue=1)
+    fleet.start_nodes(NODES)
+    route = {"host": HOST, "prefix": "/", "timeout_ms": TIMEOUT_MS}
+    value = fleet.service_value(HOST, routes=[route])
+    fleet.wait_service("jobtrack", fleet.put_object("service", "jobtrack", value))
+    fleet.wait_until(partial(_all_known, fleet), "every host knows every other")
+
+
+def _all_known(fleet: Fleet) -> bool:
+    return all(len(_discover(node)["addresses"]) == NODES for node in fleet.nodes)
+
+
+def _discover(node: NodeInfo) -> dict:
+    return http_call(node.caller, "GET", DISCOVERY, None, {"Host": HOST}).json()
+
+
+def deeds_of(scenario: Scenario, fleet: Fleet) -> list[Deed]:
+    """Return what happens to a fleet during a run, and when."""
+    pause = partial(fleet.signal, "entry-1", signal.SIGSTOP)
+    wake = partial(fleet.signal, "entry-1", signal.SIGCONT)
+    kill = partial(fleet.signal, "entry-2", signal.SIGKILL)
+    sick = [
+        partial(fleet.set_backend_fault, name, **SICK)
+        for name in sorted(fleet.backends)[:2]
+    ]
+    deeds = {
+        Scenario.SICK_BACKENDS: [Deed(0, do) for do in sick],
+        Scenario.PAUSED_HOST: [Deed(0.5, pause), Deed(2.0, wake)],
+        Scenario.KILLED_HOST: [Deed(1.0, kill)],
+        Scenario.STORE_DOWN: [Deed(0, partial(fleet.set_platform_fault, down=True))],
+    }
+    if scenario is Scenario.ALL_AT_ONCE:
+        return [deed for some in deeds.values() for deed in some]
+    return deeds.get(scenario, [])
+
+
+def record(fleet: Fleet, scenario: Scenario, seed: int, requests: int) -> History:
+    """Run a scenario, then ask for every request once more, and return all."""
+    rng = random.Random(seed)
+    hosts = {node.name: node.caller for node in fleet.nodes}
+    prefixes = [_discover(node)["key_prefix"] for node in fleet.nodes]
+    copies = plan_copies(rng, hosts, prefixes, requests, SPAN_S)
+    told = Callers(HOST, copies, deeds_of(scenario, fleet)).record()
+    _heal(fleet)
+    again = _repeats(rng, fleet, copies)
+    told = [*told, *Callers(HOST, again).record()]
+    executions = [
+        execution
+        for name in fleet.backends
+        for execution in executions_of(fleet.journal(name))
+    ]
+    logged = [
+        entry for node in fleet.nodes for entry in logged_of(fleet.log_text(node.name))
+    ]
+    return History(told, executions, logged)
+
+
+def _heal(fleet: Fleet) -> None:
+    for name in fleet.backends:
+        fleet.set_backend_fault(name)
+    fleet.set_platform_fault()
+
+
+def _repeats(rng: random.Random, fleet: Fleet, copies: list[Copy]) -> list[Copy]:
+    """Return one more copy of each request, to a host that is still alive."""
+    alive = [node for node in fleet.nodes if fleet.procs[node.name].poll() is None]
+    repeats = []
+    for copy in {copy.key: copy for copy in copies}.values():
+        node = rng.choice(alive)
+        at_s = SETTLED_AFTER_S + rng.uniform(0, SPAN_S)
+        repeats.append(
+            copy._replace(
+                at_s=at_s, host=node.name, address=node.caller, give_up_s=10.0
+            )
+        )
+    return repeats
+
+
+def run_scenario(scenario: Scenario, seed: int, requests: int) -> Seen:
+    """Run a scenario with a fleet of its own and return what it showed."""
+    with Fleet() as fleet:
+        build_fleet(fleet)
+        history = record(fleet, scenario, seed, requests)
+        handed_over = sum(
+            fleet.log_text(node.name).count("event=key-handed-over")
+            for node in fleet.nodes
+        )
+    return Seen(
+        copies=len(history.told),
+        outcomes=Counter(copy.outcome for copy in history.told),
+        executions=len(history.executions),
+        handed_over=handed_over,
+        findings=check(history),
+    )
+
+
+def main(argv: list[str]) -> int:
+    """Run every scenario with several seeds and print what was seen."""
+    failed = 0
+    for seed in range(1, FLAGS.seeds + 1):
+        for scenario in Scenario:
+            seen = run_scenario(scenario, seed, FLAGS.requests)
+            counts = " ".join(
+                f"{outcome or 'no-answer'}={count}"
+                for outcome, count in sorted(seen.outcomes.items())
+            )
+            print(
+                f"seed={seed} scenario={scenario} copies={seen.copies} {counts} "
+                f"executions={seen.executions} handed_over={seen.handed_over} "
+                f"findings={len(seen.findings)}",
+                flush=True,
+            )
+            for finding in seen.findings:
+                print(f"  {finding.kind} {finding.request}: {finding.detail}")
+            failed += len(seen.findings)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    flags.DEFINE_integer("seeds", 1, "How many seeds to run.")
+    flags.DEFINE_integer("requests", 200, "How many requests a run has.")
+    app.run(main)
