--- /dev/null
+++ b/lab/slopes_keys.py
@@ -0,0 +1,148 @@
+"""Measure what one key costs, as slopes over several numbers of keys.
+
+python -m lab.slopes_keys
+"""
+
+import gc
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+from statistics import linear_regression
+from typing import NamedTuple
+
+from absl import app
+
+from dogwoodtack.clock import VirtualClock
+from dogwoodtack.keys import (
+    KeyRequest,
+    KeyRules,
+    KeyTable,
+    Ran,
+    Run,
+    SettleAsk,
+    StoredAnswer,
+)
+
+__all__ = ["Slope", "measure"]
+
+SIZES = (5_000, 10_000, 20_000, 40_000, 80_000)
+OWNER = "a" * 32
+ASKER = "b" * 32
+FINGERPRINT = "f" * 64
+ANSWER = StoredAnswer(200, [(b"content-type", b"application/json")], b"x" * 200)
+RULES = KeyRules(max_keys=max(SIZES) + 1, max_answer_bytes=1 << 30)
+
+
+class Slope(NamedTuple):
+    """A cost of each further key, and the cost of none."""
+
+    name: str
+    each: float
+    base: float
+    unit: str
+
+
+def _table() -> KeyTable:
+    return KeyTable(OWNER, VirtualClock(), RULES)
+
+
+def _requests(table: KeyTable, count: int) -> list[KeyRequest]:
+    rng = random.Random(count)
+    return [
+        KeyRequest(f"{table.prefix}{rng.getrandbits(64):016x}", "jobtrack", FINGERPRINT)
+        for _ in range(count)
+    ]
+
+
+def _run_all(table: KeyTable, reqs: list[KeyRequest], result: Ran) -> None:
+    def on_decision(decision: Run) -> None:
+        table.finish(decision.ticket, result)
+
+    for req in reqs:
+        table.begin(req, on_decision)
+
+
+def _repeat_all(table: KeyTable, reqs: list[KeyRequest]) -> None:
+    for req in reqs:
+        table.begin(req, bool)
+
+
+def _hand_over_all(table: KeyTable, reqs: list[KeyRequest]) -> None:
+    for req in reqs:
+        table.settle(SettleAsk(OWNER, ASKER, "0" * 16, req.key, "00" * 16))
+
+
+def _seconds(work: Callable[[], None]) -> float:
+    gc.collect()
+    began = time.perf_counter()
+    work()
+    return time.perf_counter() - began
+
+
+def _time_run(count: int) -> float:
+    table = _table()
+    reqs = _requests(table, count)
+    return _seconds(lambda: _run_all(table, reqs, Ran(ANSWER)))
+
+
+def _time_repeat(count: int) -> float:
+    table = _table()
+    reqs = _requests(table, count)
+    _run_all(table, reqs, Ran(ANSWER))
+    return _seconds(lambda: _repeat_all(table, reqs))
+
+
+def _time_hand_over(count: int) -> float:
+    table = _table()
+    reqs = _requests(table, count)
+    return _seconds(lambda: _hand_over_all(table, reqs))
+
+
+def _bytes(count: int, is_kept: bool) -> int:
+    """Return the bytes a table keeps, its keys' texts among them."""
+    table = _table()
+    gc.collect()
+    tracemalloc.start()
+    for number in range(count):
+        req = KeyRequest(f"{table.prefix}{number:016x}", "jobtrack", FINGERPRINT)
+        answer = StoredAnswer(200, [(b"content-type", b"text/plain")], bytes(200))
+        _run_all(table, [req], Ran(answer if is_kept else None))
+        del req, answer
+    gc.collect()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return held
+
+
+def _slope(name: str, unit: str, scale: float, cost: Callable[[int], float]) -> Slope:
+    costs = [cost(size) for size in SIZES]
+    line = linear_regression(SIZES, costs)
+    return Slope(name, line.slope * scale, line.intercept * scale, unit)
+
+
+def measure() -> list[Slope]:
+    """Return every slope."""
+    return [
+        _slope("begin and finish", "us", 1e6, _time_run),
+        _slope("repeat", "us", 1e6, _time_repeat),
+        _slope("hand over", "us", 1e6, _time_hand_over),
+        _slope("key without answer", "bytes", 1, lambda size: _bytes(size, False)),
+        _slope(
+            "key with kept answer of 200 bytes",
+            "bytes",
+            1,
+            lambda size: _bytes(size, True),
+        ),
+    ]
+
+
+def main(argv: list[str]) -> None:
+    """Print one line for each slope."""
+    print(f"sizes={','.join(str(size) for size in SIZES)}")
+    for slope in measure():
+        print(f"{slope.name}: {slope.each:.2f} {slope.unit} each")
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/tests/test_truth.py
+++ b/tests/test_truth.py
@@ -123,12 +123,17 @@
         self.assertIn(b"outcome: not-run", answer)
         self.assertNotIn(body[:100], answer)
 
-    def test_connection_closed_as_the_request_is_written(self):
+    def test_answer_cut_at_every_byte(self):
         self.serve()
-        head = "POST / HTTP/1.1\r\nhost: {host}\r\ncontent-length: 0\r\n"
-        caller = self.connect(head + "connection: close\r\n\r\n")
-        self.backend.accept()[0].close()
-        self.assertIn(b"outcome: unknown", self.read_all(caller))
+        whole = b"HTTP/1.1 200 \r\ncontent-length: 5\r\n\r\nwhole"
+        for size in range(len(whole) + 1):
+            head = "POST / HTTP/1.1\r\nhost: {host}\r\ncontent-length: 0\r\n"
+            caller = self.connect(head + "connection: close\r\n\r\n")
+            with closing(self.backend.accept()[0]) as conn:
+                self.assertTrue(conn.recv(65536))
+                conn.sendall(whole[:size])
+            outcome = b"ran" if size == len(whole) else b"unknown"
+            self.assertIn(b"outcome: " + outcome, self.read_all(caller), size)
 
 
 class StandInTest(TruthCase):
@@ -164,6 +169,16 @@
         targets = [line["target"] for line in self.fleet.journal("jt-1")]
         self.assertEqual(targets, ["/before", "/after"])
 
+    def test_request_cut_at_every_byte(self):
+        self.serve()
+        whole = "POST /cut HTTP/1.1\r\nhost: {host}\r\ncontent-length: 4\r\n\r\nbody"
+        whole = whole.format(host=HOST)
+        for size in range(len(whole)):
+            self.connect(whole[:size]).close()
+        self.assert_told(self.call("POST", "/whole", b"body"), 200, "ran")
+        targets = [line["target"] for line in self.fleet.journal("jt-1")]
+        self.assertEqual(targets, ["/whole"])
+
     def test_expired_key(self):
         self.serve()
         key = self.key()
@@ -177,6 +192,16 @@
             late = self.call("POST", "/", b"", node=node, Idempotency_Key=used)
             self.assertEqual(late.body, answer.body)
 
+    def test_streamed_bodies_that_differ_are_different_requests(self):
+        self.serve()
+        key = self.key()
+        for first, status, outcome in (("x", 200, "ran"), ("y", 422, "not-run")):
+            body = (first + "z" * 100_000).encode()
+            for _ in range(2):
+                answer = self.call("POST", "/", body, Idempotency_Key=key)
+                self.assert_told(answer, status, outcome)
+        self.assertEqual(len(self.fleet.journal("jt-1")), 1)
+
     @params(("run", 200, "ran"), ("refuse", 428, "not-run"))
     def test_keyless(self, keyless, status, outcome):
         self.serve(keyless=keyless)
