Let any host run a key that was not run, in turn

Cause: a key that was handed over and then shed stayed with its successor, so a caller that repeated it at the next address was told unknown though nothing had run.

Chosen: whoever holds the unused right hands it on; each take retires the asker's token. Ruled out: sending the caller back to the successor, which may have died meanwhile.

--- a/dogwoodtack/keys/memory.py
+++ b/dogwoodtack/keys/memory.py
@@ -12,15 +12,18 @@
 
 
 class KeyState(enum.StrEnum):
-    """What is known of a key."""
+    """What is known of a key.
 
+    FREE is the right to run it, unused; ABSENT is to be without that right, and
+    ASKING to be asking another host for it.
+    """
+
+    FREE = "free"
     IN_FLIGHT = "in-flight"
     RAN = "ran"
     UNKNOWN = "unknown"
-    FREE = "free"
-    GIVEN = "given"
+    ABSENT = "absent"
     ASKING = "asking"
-    UNANSWERED = "unanswered"
 
 
 class KeyEntry(NamedTuple):
@@ -31,8 +34,9 @@
         seal: a digest of the request it was used for.
         serial: the number of the dispatch that is or was under way.
         answer: the kept answer of a request that ran.
-        successor: the incarnation that a GIVEN key was handed to.
-        token: the asker's token, of a GIVEN key or of a question to the owner.
+        successor: the incarnation that this host handed the key to, empty if none.
+        granted: the token of the question by which it was handed over.
+        seeking: the token of this host's own questions for the key.
         epoch: the epoch with which the entry is forgotten.
     """
 
@@ -42,7 +46,8 @@
     serial: int = 0
     answer: StoredAnswer | None = None
     successor: str = ""
-    token: str = ""
+    granted: str = ""
+    seeking: str = ""
 
 
 def _size(answer: StoredAnswer) -> int:
--- a/dogwoodtack/keys/table.py
+++ b/dogwoodtack/keys/table.py
@@ -3,7 +3,7 @@
 A key names the incarnation that owns it.  Only the owner takes a new key, and
 only while the key's epoch is young; it remembers the key for longer than that.
 Another host asks the owner, which either tells what it knows or gives its own
-right up for good and hands the key to that one asker.
+right up and hands the key to that one asker, which may hand it on in turn.
 """
 
 import hashlib
@@ -46,7 +46,7 @@
     SettleWord.IN_FLIGHT: ErrorKind.KEY_IN_FLIGHT,
     SettleWord.OUTCOME_LOST: ErrorKind.KEY_OUTCOME_LOST,
     SettleWord.HANDED_OVER: ErrorKind.KEY_OUTCOME_LOST,
-    SettleWord.VOIDED: ErrorKind.KEY_OUTCOME_LOST,
+    SettleWord.VOIDED: ErrorKind.KEY_VOIDED,
     SettleWord.HELD: ErrorKind.KEY_VOIDED,
     SettleWord.REUSED: ErrorKind.KEY_REUSED,
     SettleWord.EXPIRED: ErrorKind.KEY_EXPIRED,
@@ -58,7 +58,8 @@
 WORTH_ASKING_AGAIN = frozenset(
     {SettleWord.UNREACHABLE, SettleWord.IN_FLIGHT, SettleWord.REUSED}
 )
-UNSETTLED = frozenset({KeyState.ASKING, KeyState.UNANSWERED})
+WITHOUT_RIGHT = frozenset({KeyState.ASKING, KeyState.ABSENT})
+MAX_HOPS = 3
 
 
 class KeyRules(NamedTuple):
@@ -157,7 +158,7 @@
         if entry is not None:
             self._begin_known(req.key, entry, seal, on_decision)
         elif name.owner != self.incarnation:
-            self._begin_foreign(req.key, name.owner, epoch, seal, on_decision)
+            self._begin_foreign(req.key, epoch, seal, on_decision)
         else:
             on_decision(self._begin_own(req.key, name, epoch, seal))
 
@@ -184,93 +185,92 @@
     def _run(self, key: str) -> Run:
         self._serial += 1
         entry = self._memory.get(key)
-        entry = entry._replace(state=KeyState.IN_FLIGHT, serial=self._serial)
-        self._memory.change(key, entry)
+        taken = KeyEntry(KeyState.IN_FLIGHT, entry.seal, entry.epoch, self._serial)
+        self._memory.change(key, taken)
         return Run(KeyTicket(key, self._serial))
 
     def _begin_known(
         self, key: str, entry: KeyEntry, seal: bytes, on_decision: OnDecision
     ) -> None:
-        if entry.state is KeyState.UNANSWERED:
-            self._ask_owner(key, entry._replace(seal=seal), on_decision)
+        if entry.state is KeyState.ABSENT and not entry.successor:
+            # The seal is that of an earlier copy, which the owner may not know.
+            self._seek(key, entry._replace(seal=seal), on_decision)
         elif entry.state is KeyState.ASKING:
             on_decision(Refuse(ErrorKind.KEY_IN_FLIGHT))
         elif entry.seal != seal:
             on_decision(Refuse(ErrorKind.KEY_REUSED))
         elif entry.state is KeyState.FREE:
             on_decision(self._run(key))
-        elif entry.state is KeyState.GIVEN:
-            ask = self._new_ask(entry.successor, key, entry)
-            self._ask(ask, partial(self._on_successor, on_decision))
+        elif entry.state is KeyState.ABSENT:
+            self._seek(key, entry, on_decision)
         else:
             on_decision(_decision(_tell(entry)))
 
     def _begin_foreign(
-        self, key: str, owner: str, epoch: int, seal: bytes, on_decision: OnDecision
+        self, key: str, epoch: int, seal: bytes, on_decision: OnDecision
     ) -> None:
         if self._memory.is_full:
             log_event("keys-full", level="WARNING", keys=len(self._memory))
             refusal = Refuse(ErrorKind.OVERLOADED, outcome=Outcome.UNKNOWN)
             on_decision(refusal)
             return
-        token = f"{self._rng.getrandbits(TOKEN_BITS):016x}"
-        entry = KeyEntry(KeyState.UNANSWERED, seal, epoch, token=token)
+        entry = KeyEntry(KeyState.ABSENT, seal, epoch)
         self._memory.add(key, entry)
-        self._ask_owner(key, entry, on_decision)
+        self._seek(key, entry, on_decision)
 
     # Asking other hosts.
 
-    def _new_ask(self, to: str, key: str, entry: KeyEntry) -> SettleAsk:
-        return SettleAsk(to, self.incarnation, entry.token, key, entry.seal.hex())
+    def _seek(self, key: str, entry: KeyEntry, on_decision: OnDecision) -> None:
+        """Ask whoever should hold a key: its successor if known, else its owner."""
+        token = entry.seeking or f"{self._rng.getrandbits(TOKEN_BITS):016x}"
+        asking = entry._replace(state=KeyState.ASKING, seeking=token)
+        self._memory.change(key, asking)
+        to = entry.successor or parse_key(key).owner
+        ask = SettleAsk(to, self.incarnation, token, key, entry.seal.hex())
+        self._ask(ask, MAX_HOPS, on_decision)
 
-    def _ask(self, ask: SettleAsk, on_settled: Callable[[SettleReply], None]) -> None:
+    def _ask(self, ask: SettleAsk, hops: int, on_decision: OnDecision) -> None:
+        on_settled = partial(self._on_settled, ask, hops - 1, on_decision)
         if self.asker is None:
             on_settled(SettleReply(SettleWord.UNREACHABLE))
             return
         self.asker.ask(ask, on_settled)
 
-    def _ask_owner(self, key: str, entry: KeyEntry, on_decision: OnDecision) -> None:
-        asking = entry._replace(state=KeyState.ASKING)
-        self._memory.change(key, asking)
-        ask = self._new_ask(parse_key(key).owner, key, entry)
-        self._ask(ask, partial(self._on_owner, ask, on_decision))
-
-    def _on_owner(
-        self, ask: SettleAsk, on_decision: OnDecision, reply: SettleReply
+    def _on_settled(
+        self, ask: SettleAsk, hops: int, on_decision: OnDecision, reply: SettleReply
     ) -> None:
         self.words[f"asked-{reply.word}"] += 1
-        log_event("key-settled", key=ask.key, word=reply.word, owner=ask.to)
+        log_event("key-settled", key=ask.key, word=reply.word, asked=ask.to)
         entry = self._memory.get(ask.key)
         expected = (KeyState.ASKING, ask.token)
-        if entry is None or (entry.state, entry.token) != expected:
+        if entry is None or (entry.state, entry.seeking) != expected:
             on_decision(Refuse(ErrorKind.KEY_OUTCOME_LOST))
             return
         if reply.word is SettleWord.HANDED_OVER:
             on_decision(self._run(ask.key))
             return
-        self._keep_token(ask.key, entry, reply.word)
         is_elsewhere = reply.successor not in ("", self.incarnation)
-        if reply.word is SettleWord.VOIDED and is_elsewhere:
-            further = ask._replace(to=reply.successor)
-            self._ask(further, partial(self._on_successor, on_decision))
+        if reply.word is SettleWord.VOIDED and is_elsewhere and hops > 0:
+            self._ask(ask._replace(to=reply.successor), hops, on_decision)
+            return
+        self._end_asking(ask.key, entry, reply.word)
+        is_forgotten = reply.successor == self.incarnation and not entry.successor
+        if reply.word is SettleWord.VOIDED and is_forgotten:
+            on_decision(Refuse(ErrorKind.KEY_OUTCOME_LOST))
             return
         on_decision(_decision(reply))
 
-    def _keep_token(self, key: str, entry: KeyEntry, word: SettleWord) -> None:
-        """Keep a question's token where asking again may bring more.
+    def _end_asking(self, key: str, entry: KeyEntry, word: SettleWord) -> None:
+        """Keep the token of a question where asking again may bring more.
 
-        An earlier copy of the question may still reach the owner and be granted,
+        An earlier copy of the question may still reach the holder and be granted,
         and only the same token can claim that.  Forgetting it is always safe.
         """
-        if word in WORTH_ASKING_AGAIN:
-            self._memory.change(key, entry._replace(state=KeyState.UNANSWERED))
+        if entry.successor or word in WORTH_ASKING_AGAIN:
+            self._memory.change(key, entry._replace(state=KeyState.ABSENT))
         else:
             self._memory.remove(key)
 
-    def _on_successor(self, on_decision: OnDecision, reply: SettleReply) -> None:
-        self.words[f"asked-{reply.word}"] += 1
-        on_decision(_decision(reply))
-
     # Answering other hosts.
 
     def settle(self, ask: SettleAsk) -> SettleReply:
@@ -289,18 +289,17 @@
             return SettleReply(SettleWord.MALFORMED)
         epoch = self._refresh()
         entry = self._memory.get(ask.key)
-        is_own = name.owner == self.incarnation
-        if entry is None and is_own:
+        if entry is None and name.owner == self.incarnation:
             return self._settle_new(ask, name, epoch)
         if entry is None:
             return SettleReply(SettleWord.OUTCOME_LOST)
-        if entry.state in UNSETTLED:
+        if entry.state in WITHOUT_RIGHT and not entry.successor:
             return _tell(entry)
         if entry.seal.hex() != ask.seal:
             return SettleReply(SettleWord.REUSED)
-        if entry.state is KeyState.FREE and is_own:
+        if entry.state is KeyState.FREE:
             return self._give(ask, entry)
-        if entry.state is KeyState.GIVEN:
+        if entry.state in WITHOUT_RIGHT:
             return _tell_given(ask, entry)
         return _tell(entry)
 
@@ -315,7 +314,7 @@
     def _give(self, ask: SettleAsk, entry: KeyEntry) -> SettleReply:
         """Give this host's right to a key up before anybody is told."""
         given = entry._replace(
-            state=KeyState.GIVEN, successor=ask.asker, token=ask.token
+            state=KeyState.ABSENT, successor=ask.asker, granted=ask.token
         )
         self._memory.change(ask.key, given)
         return SettleReply(SettleWord.HANDED_OVER)
@@ -350,14 +349,13 @@
     words = {
         KeyState.RAN: SettleWord.ANSWER_LOST,
         KeyState.UNKNOWN: SettleWord.OUTCOME_LOST,
-        KeyState.FREE: SettleWord.HELD,
-        KeyState.UNANSWERED: SettleWord.HELD,
+        KeyState.ABSENT: SettleWord.HELD,
     }
     return SettleReply(words.get(entry.state, SettleWord.IN_FLIGHT))
 
 
 def _tell_given(ask: SettleAsk, entry: KeyEntry) -> SettleReply:
-    if (entry.successor, entry.token) == (ask.asker, ask.token):
+    if (entry.successor, entry.granted) == (ask.asker, ask.token):
         return SettleReply(SettleWord.HANDED_OVER)
     return SettleReply(SettleWord.VOIDED, successor=entry.successor)
 
