Allow for chance among few peers and for queues in a slow service

Cause, from trials with whole-service faults: the peers' share in a one-second window rests on a few attempts (one bad-caller run, 7 of 7 writes against 7 of 62), and the chance spread of slow answers learned in the calm is too low once the whole service slows down (108 of 141 against 25 of 150). Also: two sick instances of six hid each other in the spread estimate; it now leaves out nearly half of the residuals. Ruled out: testing slow answers over 27 s and more only (detection of slow 2x would take a minute).

--- a/dogwoodtack/health/learned.py
+++ b/dogwoodtack/health/learned.py
@@ -10,6 +10,9 @@
 MARK_STEP = 0.1
 FIRST_MARK_STEP = 8.0
 OCTAVES_TO_VERY_SLOW = 2
+USUAL_STEP = 0.03
+ORDINARY_OCTAVES = 0.6
+STRAIN_PER_OCTAVE = 2.0
 PRIOR_SPREAD = {Signal.FAILED: 1.0, Signal.SLOW: 2.0, Signal.LOST: 1.0}
 PRIOR_WEIGHT = 2
 MAX_WEIGHT = 20
@@ -22,6 +25,8 @@
     def __init__(self, buckets_per_octave: int) -> None:
         self.slow = 0.0
         self._to_very_slow = OCTAVES_TO_VERY_SLOW * buckets_per_octave
+        self._per_octave = buckets_per_octave
+        self._usual: float | None = None
         self._count = 0
 
     @property
@@ -29,6 +34,20 @@
         """Return the bucket above which an answer is very slow."""
         return self.slow + self._to_very_slow
 
+    @property
+    def strain(self) -> float:
+        """Return 1, or more while the whole service is slower than usual."""
+        if self._usual is None:
+            return 1.0
+        octaves = (self.slow - self._usual) / self._per_octave
+        return 1.0 + STRAIN_PER_OCTAVE * max(0.0, octaves - ORDINARY_OCTAVES)
+
+    def follow(self) -> None:
+        """Let the usual mark follow the present one, over minutes."""
+        if self._usual is None:
+            self._usual = self.slow
+        self._usual += USUAL_STEP * (self.slow - self._usual)
+
     def learn(self, bucket: int, count: int) -> None:
         """Move towards a bucket that a number of good answers fell into."""
         if not self._count:
--- a/dogwoodtack/health/pool.py
+++ b/dogwoodtack/health/pool.py
@@ -41,14 +41,15 @@
 RATE_LEVEL = 2
 REPORTED_LATE_LEVELS = 2
 CALM_SCORE = 4.0
+SPREAD_DOUBT = 2.0
 USUAL_SLOW_SHARE = 0.25
 LARGEST_USUAL_SLOW_SHARE = 0.5
 PAST_STEP = 0.03
 
 ALLOWANCES = {
-    Signal.FAILED: Allowance(1.5, 0.002, 0.003, 100.0),
+    Signal.FAILED: Allowance(2.0, 0.002, 0.01, 10.0),
     Signal.SLOW: Allowance(2.0, 0.0, USUAL_SLOW_SHARE, 10.0),
-    Signal.LOST: Allowance(3.0, 0.005, 0.002, 100.0),
+    Signal.LOST: Allowance(3.0, 0.005, 0.01, 10.0),
 }
 
 
@@ -174,18 +175,22 @@
         due = self._due(now)
         counts = {one: self._counts(one, now) for one in RequestClass}
         for signal, requests in TESTS:
-            for level in range(len(LENGTHS_S)):
+            floors: dict[str, float] = {}
+            for level in reversed(range(len(LENGTHS_S))):
                 cell = _Cell(signal, requests, level)
                 shares = _shares(cell, counts[requests])
                 if due[level]:
                     values = list(shares.values())
                     self._spreads[requests].learn(signal, level, values)
-                self._test(now, cell, shares, best)
+                floors = self._test(cell, shares, floors, best)
         several = self._recent(self._sources, now) >= MIN_SOURCES
         for name, track in self._tracks.items():
             track.explanation = self._finish(now, track, best[name], several)
             if due[RATE_LEVEL]:
                 self._learn_usual(now, track)
+        if due[RATE_LEVEL]:
+            for mark in self._marks.values():
+                mark.follow()
         return {name: track.explanation for name, track in self._tracks.items()}
 
     def _counts(self, requests: RequestClass, now: float) -> dict[str, list[Counts]]:
@@ -211,26 +216,37 @@
 
     def _test(
         self,
-        now: float,
         cell: _Cell,
         shares: dict[str, Share],
+        floors: dict[str, float],
         best: dict[str, Explanation],
-    ) -> None:
+    ) -> dict[str, float]:
+        """Test every instance in one window and return what was allowed.
+
+        Few attempts of the peers fit into a short window: what the next longer
+        one allowed is allowed as well, lest their chance good luck counts
+        against an instance.
+        """
         values = list(shares.values())
         if not any(share.hits for share in values):
-            return
+            return floors
+        is_longest = cell.level == len(LENGTHS_S) - 1
+        allowances = {}
         scored = []
         for name, own, peers in zip(shares, values, peer_shares(values)):
             track = self._tracks[name]
             if own.hits <= 0:
                 continue
             allowed = self._allowed(cell, track, peers)
+            allowed = max(allowed, floors.get(name, 0.0))
+            if not is_longest:
+                allowances[name] = allowed
             ratio = likelihood_ratio(own, peers, allowed)
             scored.append((ratio, name, own, allowed))
         spread = self._spreads[cell.requests].value(cell.signal, cell.level)
         worst = max((ratio for ratio, *_ in scored), default=0.0)
         if worst > CALM_SCORE * spread:
-            spread = max(spread, dispersion(values) or 1.0)
+            spread = max(spread, self._present_spread(cell, values))
         for ratio, name, own, allowed in scored:
             if ratio / spread > best[name].score:
                 best[name] = Explanation(
@@ -242,6 +258,20 @@
                     total=own.total,
                     peer_share=allowed,
                 )
+        return allowances
+
+    def _present_spread(self, cell: _Cell, shares: list[Share]) -> float:
+        """Return how much instances differ by chance now, estimated cautiously.
+
+        Queues make slow answers come in long runs as soon as the whole service
+        slows down, before the learned value follows; an estimate from few
+        instances may be far too low.
+        """
+        present = dispersion(shares) or 1.0
+        if cell.signal is not Signal.SLOW:
+            return present
+        mark = self._marks[cell.requests is RequestClass.IDEMPOTENT]
+        return present * (1 + SPREAD_DOUBT / math.sqrt(len(shares))) * mark.strain
 
     def _is_warming(self, track: Track, now: float) -> bool:
         """Return whether an instance that came later is still in its cold start.
--- a/dogwoodtack/health/scores.py
+++ b/dogwoodtack/health/scores.py
@@ -25,6 +25,8 @@
 THRESHOLD_SPAN = 7.0
 TRIMMED_PEERS = 0.25
 OUTLIER_DEVIATIONS = 3.0
+TRIMMED_RESIDUALS = 0.5
+PEER_DOUBT = 0.7
 
 
 class Share(NamedTuple):
@@ -102,9 +104,14 @@
 
 
 def allowed_share(peers: Share, allowance: Allowance) -> float:
-    """Return the largest share at which an instance still counts as well."""
+    """Return the largest share at which an instance still counts as well.
+
+    The peers' share is taken somewhat above what was seen, more so when it
+    rests on few of their attempts.
+    """
     total = max(0.0, peers.total) + allowance.prior_total
-    hits = max(0.0, peers.hits) + allowance.prior_share * allowance.prior_total
+    hits = max(0.0, peers.hits)
+    hits += PEER_DOUBT * math.sqrt(hits) + allowance.prior_share * allowance.prior_total
     share = min(hits / total, 0.999)
     odds = allowance.factor * share / (1 - share)
     return min(0.999, odds / (1 + odds) + allowance.extra)
@@ -131,26 +138,23 @@
     """Return how much more instances differ than independent attempts would.
 
     Queueing makes slow answers come in runs.  One is the value for independent
-    attempts; None means too little was seen.  The largest residuals are left
-    out, so that a sick instance does not excuse itself, and the rest is divided
-    by what it would be for independent attempts.
+    attempts; None means too little was seen.  Nearly half of the residuals, the
+    largest ones, are left out, so that sick instances do not excuse themselves,
+    and the rest is divided by what it would be for independent attempts.
     """
     seen = [share for share in shares if share.total > 0]
-    dropped = int(TRIMMED_PEERS * (len(seen) - 1))
-    kept = sorted(seen, key=_rate)[: len(seen) - dropped]
-    hits = sum(share.hits for share in kept)
-    total = sum(share.total for share in kept)
-    if not 0 < hits < total or len(kept) < 2:
+    if len(seen) < 2:
+        return None
+    middle = statistics.median(_rate(share) for share in seen)
+    variance = middle * (1 - middle)
+    if variance <= 0:
         return None
-    mean = hits / total
-    variance = mean * (1 - mean)
     residuals = sorted(
-        (share.hits - mean * share.total) ** 2 / (variance * share.total)
+        (share.hits - middle * share.total) ** 2 / (variance * share.total)
         for share in seen
     )
-    smallest = residuals[: len(kept)]
-    freedom = (len(kept) - 1) / len(kept)
-    return statistics.fmean(smallest) / freedom / _trimmed_mean(len(kept) / len(seen))
+    kept = len(seen) - int(TRIMMED_RESIDUALS * (len(seen) - 1))
+    return statistics.fmean(residuals[:kept]) / _trimmed_mean(kept / len(seen))
 
 
 @functools.cache
--- a/lab/detect_rules.py
+++ b/lab/detect_rules.py
@@ -34,7 +34,7 @@
     rate_of,
 )
 
-__all__ = ["CAUTIONS", "Ejection", "Fleet", "all_rules", "ideal_s"]
+__all__ = ["CAUTIONS", "Ejection", "Fleet", "all_rules", "ideal_s", "own_ejections"]
 
 TICK_S = 0.5
 LOCK_S = 64.0
@@ -114,6 +114,19 @@
     return parse_service(site.name, value)
 
 
+def own_ejections(
+    site: Site, attempts: Attempts, fleet: Fleet, end_s: float, caution: float
+) -> list[Ejection]:
+    """Return what this project's rule would eject at one setting of caution."""
+    book = _Book()
+    _own_rule(book, site, attempts, fleet, end_s)
+    return book.ejections[_own_name(caution)]
+
+
+def _own_name(caution: float) -> str:
+    return f"dogwoodtack {caution:g}"
+
+
 class _Node:
     """An entry host that only counts; it does not weigh instances itself.
 
@@ -183,7 +196,7 @@
     }
     for caution in CAUTIONS:
         for name in judge(explanations, threshold(caution)):
-            book.note(f"dogwoodtack {caution:g}", now, int(name))
+            book.note(_own_name(caution), now, int(name))
 
 
 def _run_rule(book: _Book, attempts: Attempts, number: int) -> None:
