--- a/dogwoodtack/health/health.py
+++ b/dogwoodtack/health/health.py
@@ -16,7 +16,7 @@
 FULL_WEIGHT = 1.0
 DEFAULT_CAUTION = 0.5
 BUSY_REFRESH_S = 1.0
-CALM_REFRESH_S = 4.0
+CALM_REFRESH_S = 20.0
 
 OnChange = Callable[[str, Verdict, Explanation], None]
 
--- a/dogwoodtack/health/pool.py
+++ b/dogwoodtack/health/pool.py
@@ -173,8 +173,10 @@
         """Test every instance and return the strongest evidence on each."""
         best = {name: Explanation() for name in self._tracks}
         due = self._due(now)
-        counts = {one: self._counts(one, now) for one in RequestClass}
+        counts = self._counts(now)
         for signal, requests in TESTS:
+            if not _is_seen(signal, counts[requests]):
+                continue
             floors: dict[str, float] = {}
             for level in reversed(range(len(LENGTHS_S))):
                 cell = _Cell(signal, requests, level)
@@ -193,16 +195,17 @@
                 mark.follow()
         return {name: track.explanation for name, track in self._tracks.items()}
 
-    def _counts(self, requests: RequestClass, now: float) -> dict[str, list[Counts]]:
+    def _counts(self, now: float) -> dict[RequestClass, dict[str, list[Counts]]]:
         """Return the counts of every instance in every window."""
-        counts = {}
+        counts: dict[RequestClass, dict[str, list[Counts]]] = {
+            one: {} for one in RequestClass
+        }
         for name, track in self._tracks.items():
-            if requests is RequestClass.ALL:
-                pairs = zip(*(track.windows[one].counts(now) for one in CLASSES))
-                counts[name] = [_sum(*pair) for pair in pairs]
-            else:
-                is_idempotent = requests is RequestClass.IDEMPOTENT
-                counts[name] = track.windows[is_idempotent].counts(now)
+            idempotent, others = (track.windows[one].counts(now) for one in CLASSES)
+            counts[RequestClass.IDEMPOTENT][name] = idempotent
+            counts[RequestClass.NON_IDEMPOTENT][name] = others
+            sums = [_sum(*pair) for pair in zip(idempotent, others)]
+            counts[RequestClass.ALL][name] = sums
         return counts
 
     def _due(self, now: float) -> list[bool]:
@@ -367,6 +370,16 @@
     )
 
 
+def _is_seen(signal: Signal, counts: dict[str, list[Counts]]) -> bool:
+    """Return whether any instance showed a signal in the longest window."""
+    longest = [levels[-1] for levels in counts.values()]
+    if signal is Signal.FAILED:
+        return any(one.failed for one in longest)
+    if signal is Signal.SLOW:
+        return any(one.slow for one in longest)
+    return any(one.failed or one.very_slow for one in longest)
+
+
 def _shares(cell: _Cell, counts: dict[str, list[Counts]]) -> dict[str, Share]:
     """Return the counts that one test looks at.
 
