--- a/dogwoodtack/floor/puller.py
+++ b/dogwoodtack/floor/puller.py
@@ -69,7 +69,7 @@
         version = self._parts.catalog.version(service.name)
         if service.drains and not usage.is_admitted(version):
             return True
-        return any(one.is_sick for one in self._parts.health.verdicts(service))
+        return self._parts.health.has_bad_news(service.name)
 
     def _pull(self, address: Address, services: list[Service], sent_at: float) -> None:
         is_self = address == self._holdings.me.peer_address
--- a/dogwoodtack/floor/report.py
+++ b/dogwoodtack/floor/report.py
@@ -88,6 +88,7 @@
             "drain": self._drain_word(service, instance),
             "leaving": is_leaving,
             "verdict": seen[0] if seen else None,
+            "evidence": self._parts.health.explain(service.name, instance)._asdict(),
             "floor": self._service(service, now),
         }
 
--- a/dogwoodtack/health/__init__.py
+++ b/dogwoodtack/health/__init__.py
@@ -1,12 +1,13 @@
 """Detection of gray failures."""
 
 from .evidence import Evidence
-from .health import FULL_WEIGHT, Health, OnChange
+from .health import FULL_WEIGHT, Health
 from .messages import Explanation, Sample, SampleKind, Signal, Verdict
 from .pool import judge
 from .probes import ProbeDuty, probe_duties
 from .report import HealthReport
 from .scores import threshold
+from .watch import OnChange
 
 __all__ = [
     "Evidence",
--- a/dogwoodtack/health/evidence.py
+++ b/dogwoodtack/health/evidence.py
@@ -59,7 +59,7 @@
         self._source = source
         self._failed: dict[tuple[str, bool], int] = defaultdict(int)
         self._latencies: dict[tuple[str, bool], dict[int, int]] = {}
-        self._is_urgent = False
+        self.is_urgent = False
         self._taken_at = -math.inf
 
     def add(
@@ -72,15 +72,15 @@
             latencies[bucket] = latencies.get(bucket, 0) + 1
         else:
             self._failed[key] += 1
-            self._is_urgent = True
+            self.is_urgent = True
 
     def hurry(self) -> None:
         """Pass on what there is at the next chance."""
-        self._is_urgent = True
+        self.is_urgent = True
 
     def take(self, now: float) -> Evidence | None:
         """Return what is worth passing on at a monotonic time, or None."""
-        period_s = URGENT_PERIOD_S if self._is_urgent else CALM_PERIOD_S
+        period_s = URGENT_PERIOD_S if self.is_urgent else CALM_PERIOD_S
         if not self._latencies or now - self._taken_at < period_s:
             return None
         rows = [
@@ -94,7 +94,7 @@
         ]
         self._failed.clear()
         self._latencies.clear()
-        self._is_urgent = False
+        self.is_urgent = False
         self._taken_at = now
         return Evidence(source=self._source, rows=rows)
 
--- a/dogwoodtack/health/holds.py
+++ b/dogwoodtack/health/holds.py
@@ -32,7 +32,12 @@
         self._sick_at = now
 
     def note_return(self, now: float) -> None:
-        """Add a strike and count good time from now on."""
+        """Add a strike and count good time from now on.
+
+        A return that follows no suspicion changes nothing.
+        """
+        if self._sick_at is None:
+            return
         self._strikes = self.strikes(now) + 1
         self._returned_at = now
         self._sick_at = None
--- a/dogwoodtack/health/pool.py
+++ b/dogwoodtack/health/pool.py
@@ -36,6 +36,7 @@
 DOUBTFUL = 0.5
 WARM_UP_S = 30.0
 QUIET_S = 60.0
+OUT_OF_WORK_S = 8.0
 SOURCE_MEMORY_S = 81.0
 MIN_SOURCES = 2
 RATE_LEVEL = 2
@@ -68,11 +69,19 @@
         self.explanation = Explanation()
         self.is_sick = False
 
-    def forget(self) -> None:
+    def is_out(self, now: float) -> bool:
+        """Return whether a suspect instance gets no work any more."""
+        return self.is_sick and now - self.seen_at > OUT_OF_WORK_S
+
+    def begin_probation(self, now: float) -> None:
         """Drop the evidence, not what is usual for the instance."""
         self.windows = {is_idempotent: Windows() for is_idempotent in CLASSES}
         self.bad_sources.clear()
         self.explanation = Explanation()
+        self.probation_at = now
+        self.lowered_until = 0.0
+        self.is_sick = False
+        self.hold.note_return(now)
 
 
 class _Cell(NamedTuple):
@@ -140,6 +149,8 @@
     ) -> bool:
         """Add what one entry host saw; return whether any of it was bad."""
         track = self.track(instance, now)
+        if track.is_out(now):
+            track.begin_probation(now)
         if now - track.seen_at > QUIET_S:
             track.new_since = now
         track.seen_at = now
@@ -340,9 +351,14 @@
         return weights
 
     def verdicts(self, now: float, limit: float) -> list[Verdict]:
-        """Return a verdict on each instance, worst first."""
+        """Return a verdict on each instance, worst first.
+
+        Evidence ends with the work: an instance that was ejected some seconds
+        ago counts as well, so that it comes back on trial after its hold.
+        """
         explanations = self.explain(now)
         sick = judge(explanations, limit)
+        sick -= {name for name, track in self._tracks.items() if track.is_out(now)}
         found = [
             Verdict(name, name in sick, one.score) for name, one in explanations.items()
         ]
