--- a/dogwoodtack/health/pool.py
+++ b/dogwoodtack/health/pool.py
@@ -36,19 +36,21 @@
 DOUBTFUL = 0.5
 WARM_UP_S = 30.0
 QUIET_S = 60.0
+OUT_OF_WORK_S = 8.0
 SOURCE_MEMORY_S = 81.0
 MIN_SOURCES = 2
 RATE_LEVEL = 2
 REPORTED_LATE_LEVELS = 2
 CALM_SCORE = 4.0
+SPREAD_DOUBT = 2.0
 USUAL_SLOW_SHARE = 0.25
 LARGEST_USUAL_SLOW_SHARE = 0.5
 PAST_STEP = 0.03
 
 ALLOWANCES = {
-    Signal.FAILED: Allowance(1.5, 0.002, 0.003, 100.0),
+    Signal.FAILED: Allowance(2.0, 0.002, 0.01, 10.0),
     Signal.SLOW: Allowance(2.0, 0.0, USUAL_SLOW_SHARE, 10.0),
-    Signal.LOST: Allowance(3.0, 0.005, 0.002, 100.0),
+    Signal.LOST: Allowance(3.0, 0.005, 0.01, 10.0),
 }
 
 
@@ -67,11 +69,19 @@
         self.explanation = Explanation()
         self.is_sick = False
 
-    def forget(self) -> None:
+    def is_out(self, now: float) -> bool:
+        """Return whether a suspect instance gets no work any more."""
+        return self.is_sick and now - self.seen_at > OUT_OF_WORK_S
+
+    def begin_probation(self, now: float) -> None:
         """Drop the evidence, not what is usual for the instance."""
         self.windows = {is_idempotent: Windows() for is_idempotent in CLASSES}
         self.bad_sources.clear()
         self.explanation = Explanation()
+        self.probation_at = now
+        self.lowered_until = 0.0
+        self.is_sick = False
+        self.hold.note_return(now)
 
 
 class _Cell(NamedTuple):
@@ -139,6 +149,8 @@
     ) -> bool:
         """Add what one entry host saw; return whether any of it was bad."""
         track = self.track(instance, now)
+        if track.is_out(now):
+            track.begin_probation(now)
         if now - track.seen_at > QUIET_S:
             track.new_since = now
         track.seen_at = now
@@ -172,32 +184,39 @@
         """Test every instance and return the strongest evidence on each."""
         best = {name: Explanation() for name in self._tracks}
         due = self._due(now)
-        counts = {one: self._counts(one, now) for one in RequestClass}
+        counts = self._counts(now)
         for signal, requests in TESTS:
-            for level in range(len(LENGTHS_S)):
+            if not _is_seen(signal, counts[requests]):
+                continue
+            floors: dict[str, float] = {}
+            for level in reversed(range(len(LENGTHS_S))):
                 cell = _Cell(signal, requests, level)
                 shares = _shares(cell, counts[requests])
                 if due[level]:
                     values = list(shares.values())
                     self._spreads[requests].learn(signal, level, values)
-                self._test(now, cell, shares, best)
+                floors = self._test(cell, shares, floors, best)
         several = self._recent(self._sources, now) >= MIN_SOURCES
         for name, track in self._tracks.items():
             track.explanation = self._finish(now, track, best[name], several)
             if due[RATE_LEVEL]:
                 self._learn_usual(now, track)
+        if due[RATE_LEVEL]:
+            for mark in self._marks.values():
+                mark.follow()
         return {name: track.explanation for name, track in self._tracks.items()}
 
-    def _counts(self, requests: RequestClass, now: float) -> dict[str, list[Counts]]:
+    def _counts(self, now: float) -> dict[RequestClass, dict[str, list[Counts]]]:
         """Return the counts of every instance in every window."""
-        counts = {}
+        counts: dict[RequestClass, dict[str, list[Counts]]] = {
+            one: {} for one in RequestClass
+        }
         for name, track in self._tracks.items():
-            if requests is RequestClass.ALL:
-                pairs = zip(*(track.windows[one].counts(now) for one in CLASSES))
-                counts[name] = [_sum(*pair) for pair in pairs]
-            else:
-                is_idempotent = requests is RequestClass.IDEMPOTENT
-                counts[name] = track.windows[is_idempotent].counts(now)
+            idempotent, others = (track.windows[one].counts(now) for one in CLASSES)
+            counts[RequestClass.IDEMPOTENT][name] = idempotent
+            counts[RequestClass.NON_IDEMPOTENT][name] = others
+            sums = [_sum(*pair) for pair in zip(idempotent, others)]
+            counts[RequestClass.ALL][name] = sums
         return counts
 
     def _due(self, now: float) -> list[bool]:
@@ -211,26 +230,37 @@
 
     def _test(
         self,
-        now: float,
         cell: _Cell,
         shares: dict[str, Share],
+        floors: dict[str, float],
         best: dict[str, Explanation],
-    ) -> None:
+    ) -> dict[str, float]:
+        """Test every instance in one window and return what was allowed.
+
+        Few attempts of the peers fit into a short window: what the next longer
+        one allowed is allowed as well, lest their chance good luck counts
+        against an instance.
+        """
         values = list(shares.values())
         if not any(share.hits for share in values):
-            return
+            return floors
+        is_longest = cell.level == len(LENGTHS_S) - 1
+        allowances = {}
         scored = []
         for name, own, peers in zip(shares, values, peer_shares(values)):
             track = self._tracks[name]
             if own.hits <= 0:
                 continue
             allowed = self._allowed(cell, track, peers)
+            allowed = max(allowed, floors.get(name, 0.0))
+            if not is_longest:
+                allowances[name] = allowed
             ratio = likelihood_ratio(own, peers, allowed)
             scored.append((ratio, name, own, allowed))
         spread = self._spreads[cell.requests].value(cell.signal, cell.level)
         worst = max((ratio for ratio, *_ in scored), default=0.0)
         if worst > CALM_SCORE * spread:
-            spread = max(spread, dispersion(values) or 1.0)
+            spread = max(spread, self._present_spread(cell, values))
         for ratio, name, own, allowed in scored:
             if ratio / spread > best[name].score:
                 best[name] = Explanation(
@@ -242,6 +272,20 @@
                     total=own.total,
                     peer_share=allowed,
                 )
+        return allowances
+
+    def _present_spread(self, cell: _Cell, shares: list[Share]) -> float:
+        """Return how much instances differ by chance now, estimated cautiously.
+
+        Queues make slow answers come in long runs as soon as the whole service
+        slows down, before the learned value follows; an estimate from few
+        instances may be far too low.
+        """
+        present = dispersion(shares) or 1.0
+        if cell.signal is not Signal.SLOW:
+            return present
+        mark = self._marks[cell.requests is RequestClass.IDEMPOTENT]
+        return present * (1 + SPREAD_DOUBT / math.sqrt(len(shares))) * mark.strain
 
     def _is_warming(self, track: Track, now: float) -> bool:
         """Return whether an instance that came later is still in its cold start.
@@ -307,9 +351,14 @@
         return weights
 
     def verdicts(self, now: float, limit: float) -> list[Verdict]:
-        """Return a verdict on each instance, worst first."""
+        """Return a verdict on each instance, worst first.
+
+        Evidence ends with the work: an instance that was ejected some seconds
+        ago counts as well, so that it comes back on trial after its hold.
+        """
         explanations = self.explain(now)
         sick = judge(explanations, limit)
+        sick -= {name for name, track in self._tracks.items() if track.is_out(now)}
         found = [
             Verdict(name, name in sick, one.score) for name, one in explanations.items()
         ]
@@ -337,6 +386,16 @@
     )
 
 
+def _is_seen(signal: Signal, counts: dict[str, list[Counts]]) -> bool:
+    """Return whether any instance showed a signal in the longest window."""
+    longest = [levels[-1] for levels in counts.values()]
+    if signal is Signal.FAILED:
+        return any(one.failed for one in longest)
+    if signal is Signal.SLOW:
+        return any(one.slow for one in longest)
+    return any(one.failed or one.very_slow for one in longest)
+
+
 def _shares(cell: _Cell, counts: dict[str, list[Counts]]) -> dict[str, Share]:
     """Return the counts that one test looks at.
 
