--- a/dogwoodtack/floor/holdings.py
+++ b/dogwoodtack/floor/holdings.py
@@ -1,6 +1,9 @@
 """The services whose removals this entry host grants, or may come to grant."""
 
+from typing import Any
+
 from ..catalog import Service
+from ..errors import WireError
 from ..logs import log_event
 from ..membership import home_set
 from ..spread import ConfigState
@@ -35,6 +38,7 @@
         self.holder: Holder | None = None
         self.vacant_since: float | None = None
         self.newest_version = 0
+        self.reviewed_version = 0
 
 
 class Holdings:
@@ -171,6 +175,7 @@
         if holder is None:
             holder = holding.holder = Holder()
         holder.budget.note(service, self._leaving(service), now)
+        holding.reviewed_version = self._parts.catalog.version(service.name)
         if self.may_grant(holding, service, now):
             before = set(holder.ejections)
             holder.review(self._parts.health.verdicts(service), now)
@@ -191,7 +196,13 @@
             ownership.suspend("newer-title", now)
         holding.newest_version = max(holding.newest_version, item["service_version"])
         if item["evidence"] is not None and ownership.is_mine:
-            self._parts.health.absorb(ownership.service, item["evidence"])
+            self._absorb(ownership.service, item["evidence"])
+
+    def _absorb(self, service: str, evidence: Any) -> None:
+        try:
+            self._parts.health.absorb(service, evidence)
+        except WireError as exc:
+            log_event("evidence-refused", "WARNING", service=service, detail=exc.detail)
 
     def _answer_item(
         self, holding: Holding, service: Service, now: float
@@ -202,11 +213,14 @@
             ttl_s=GRANT_TTL_S,
             admits=None,
         )
-        holder = self._review(holding, service, now)
+        holder = holding.holder
+        version = self._parts.catalog.version(service.name)
+        if holder is None or version != holding.reviewed_version:
+            holder = self._review(holding, service, now)
         if self.may_grant(holding, service, now):
             answer["grants"] = holder.grant(now)
             if holder.is_settled(now):
-                answer["admits"] = self._parts.catalog.version(service.name)
+                answer["admits"] = version
         return answer
 
 
--- a/dogwoodtack/floor/puller.py
+++ b/dogwoodtack/floor/puller.py
@@ -1,10 +1,12 @@
 """Pull what holders grant, and carry this node's evidence to them."""
 
 from collections import defaultdict
+from typing import NamedTuple
 
 from ..calls import Reply
 from ..catalog import Service
 from ..errors import WireError
+from ..health import FULL_WEIGHT
 from ..misc import Address
 from .floor import Floor, log_changes
 from .holdings import Holdings
@@ -22,12 +24,11 @@
 JITTER_S = 0.25
 
 
-class _Due:
-    """The services of one holder, and whether something is under way there."""
+class _Round(NamedTuple):
+    """The services that one holder is asked about."""
 
-    def __init__(self) -> None:
-        self.services: list[Service] = []
-        self.is_busy = False
+    services: list[Service]
+    is_busy: bool
 
 
 class Puller:
@@ -41,24 +42,37 @@
         self._pulling: set[Address] = set()
 
     def pull_due(self, now: float) -> None:
-        """Pull from each holder that is due."""
-        due: dict[Address, _Due] = defaultdict(_Due)
-        for name in self._floor.served(now):
-            service = self._parts.catalog.get(name)
-            holder = self._holdings.get(name).ownership.holder
-            if service is None or holder is None:
+        """Pull from each holder that is due.
+
+        A holder is due at once where there is evidence for it or something is
+        under way, and every IDLE_PULL_S otherwise.
+        """
+        rounds = self._rounds(now)
+        for address, this in rounds.items():
+            last = self._pulled_at.get(address, now - IDLE_PULL_S)
+            if address in self._pulling or now - last < BUSY_PULL_S:
                 continue
-            entry = due[holder.peer_address]
-            entry.services.append(service)
-            entry.is_busy = entry.is_busy or self._wants_news(service, now)
-        for address, entry in due.items():
-            period_s = BUSY_PULL_S if entry.is_busy else IDLE_PULL_S
-            last = self._pulled_at.get(address, now - period_s)
-            if address not in self._pulling and now - last >= period_s:
+            form = self._form(this.services, address)
+            has_evidence = any(item["evidence"] for item in form["services"].values())
+            if has_evidence or this.is_busy or now - last >= IDLE_PULL_S:
                 self._pulled_at[address] = now - self._parts.rng.uniform(0, JITTER_S)
-                self._pull(address, entry.services, now)
+                self._pull(address, form, now)
         self._pulled_at = {
-            address: at for address, at in self._pulled_at.items() if address in due
+            address: at for address, at in self._pulled_at.items() if address in rounds
+        }
+
+    def _rounds(self, now: float) -> dict[Address, _Round]:
+        by_holder: dict[Address, list[Service]] = defaultdict(list)
+        for name in self._floor.served(now):
+            service = self._parts.catalog.get(name)
+            holder = self._holdings.get(name).ownership.holder
+            if service is not None and holder is not None:
+                by_holder[holder.peer_address].append(service)
+        return {
+            address: _Round(
+                services, any(self._wants_news(one, now) for one in services)
+            )
+            for address, services in by_holder.items()
         }
 
     def _wants_news(self, service: Service, now: float) -> bool:
@@ -69,14 +83,28 @@
         version = self._parts.catalog.version(service.name)
         if service.drains and not usage.is_admitted(version):
             return True
-        return any(one.is_sick for one in self._parts.health.verdicts(service))
+        weight = self._parts.health.weight
+        return any(
+            weight(service.name, one.name) < FULL_WEIGHT for one in service.instances
+        )
 
-    def _pull(self, address: Address, services: list[Service], sent_at: float) -> None:
+    def _form(self, services: list[Service], address: Address) -> PullForm:
+        """Return a pull; a holder needs no evidence from itself."""
         is_self = address == self._holdings.me.peer_address
-        form = PullForm(
+        return PullForm(
             services={one.name: self._item(one.name, is_self) for one in services}
         )
-        if is_self:
+
+    def _item(self, service: str, is_self: bool) -> PullItem:
+        evidence = None if is_self else self._parts.health.take_evidence(service)
+        return PullItem(
+            floor_version=self._holdings.get(service).ownership.version,
+            service_version=self._parts.catalog.version(service),
+            evidence=evidence,
+        )
+
+    def _pull(self, address: Address, form: PullForm, sent_at: float) -> None:
+        if address == self._holdings.me.peer_address:
             self._take_answer(self._holdings.answer_pull(form), sent_at)
             return
         self._pulling.add(address)
@@ -88,15 +116,6 @@
 
         self._parts.peers.call(address, PULL_PATH, form, on_reply, PULL_TIMEOUT_S)
 
-    def _item(self, service: str, is_self: bool) -> PullItem:
-        """Return one service's part of a pull; evidence is pooled with its holder."""
-        evidence = None if is_self else self._parts.health.take_evidence(service)
-        return PullItem(
-            floor_version=self._holdings.get(service).ownership.version,
-            service_version=self._parts.catalog.version(service),
-            evidence=evidence,
-        )
-
     def _take_answer(self, answer: PullAnswer, sent_at: float) -> None:
         now = self._floor.turns.note()
         for name, item in answer["services"].items():
