Bring every change to every entry host, whoever learns of it first

Cause: each node followed the store by itself, which neither works for a host that cannot reach it nor at 6,300 hosts, and a host that started in an outage had no configuration.

Chosen: two readers a zone by rendezvous follow the store; each change goes through a tree over incarnation ranges; digests are compared with one random node a second; a reader without an answer asks two others to look; a new host copies from nodes of several zones and takes work only then. A host that reaches neither store nor peers for 3 s withdraws and answers cut-off. Ruled out: a list of addresses in each message (16 kB at the target); relaying to random peers (several copies of each change instead of one a tree).

--- a/dogwoodtack/calls.py
+++ b/dogwoodtack/calls.py
@@ -13,6 +13,8 @@
 
 MAX_REPLY_BYTES = 64 * 1024 * 1024
 DEFAULT_TIMEOUT_S = 2.0
+HEADER_EXTRA_BYTES = 4
+FIRST_LINE_BYTES = 40
 
 
 class Call(NamedTuple):
@@ -44,6 +46,7 @@
 
 
 OnReply = Callable[[Reply | None, WireError | None], None]
+OnLink = Callable[[Link | None, WireError | None], None]
 
 
 class Client:
@@ -53,11 +56,27 @@
         self._reactor = reactor
         self._pool = LinkPool(reactor, dial_timeout_s)
         self.calls_made = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.cut_addresses: frozenset[Address] = frozenset()
 
     def call(self, call: Call, on_reply: OnReply) -> "PendingCall":
-        """Make a call; `on_reply(reply, exc)` is called exactly once."""
+        """Make a call; `on_reply(reply, exc)` is called exactly once.
+
+        A call to one of `cut_addresses`, which only tests set, stays without an
+        answer until its timeout, as over a partitioned network.
+        """
         self.calls_made += 1
-        return PendingCall(self._reactor, self._pool, call, on_reply)
+        return PendingCall(self._reactor, self, call, on_reply)
+
+    def acquire(self, address: Address, on_link: OnLink) -> None:
+        """Give a connection to an address to `on_link(link, exc)`."""
+        if address not in self.cut_addresses:
+            self._pool.acquire(address, on_link, fresh=True)
+
+    def release(self, link: Link) -> None:
+        """Take a connection back once its answer is whole."""
+        self._pool.release(link)
 
     def close(self) -> None:
         """Close idle connections."""
@@ -68,16 +87,16 @@
     """A call under way; it owns the link that carries it."""
 
     def __init__(
-        self, reactor: Reactor, pool: LinkPool, call: Call, on_reply: OnReply
+        self, reactor: Reactor, client: Client, call: Call, on_reply: OnReply
     ) -> None:
-        self._pool = pool
+        self._client = client
         self._call = call
         self._on_reply: OnReply | None = on_reply
         self._link: Link | None = None
         self._head: ResponseHead | None = None
         self._body = bytearray()
         self._timer: Timer = reactor.call_later(call.timeout_s, self._on_timeout)
-        pool.acquire(call.address, self._on_link, fresh=True)
+        client.acquire(call.address, self._on_link)
 
     def cancel(self) -> None:
         """Give the call up; its callback is not called any more."""
@@ -89,7 +108,7 @@
     def _on_link(self, link: Link | None, exc: WireError | None) -> None:
         if self._on_reply is None:
             if link is not None:
-                self._pool.release(link)
+                self._client.release(link)
             return
         if exc is not None:
             self._finish(None, exc)
@@ -103,6 +122,7 @@
         ]
         if body:
             headers.append((b"content-type", b"application/json"))
+        self._client.bytes_sent += len(body) + _head_bytes(headers)
         method = self._call.method.encode()
         link.start(
             OutgoingHead(method, self._call.target.encode(), headers), self, body
@@ -112,16 +132,18 @@
     def on_head(self, head: ResponseHead) -> None:
         """Keep the answer's head."""
         self._head = head
+        self._client.bytes_received += _head_bytes(head.headers)
 
     def on_body(self, data: bytes) -> None:
         """Collect the answer's body, up to its limit."""
+        self._client.bytes_received += len(data)
         self._body += data
         if len(self._body) > MAX_REPLY_BYTES:
             self._give_up(ErrorKind.BACKEND_MALFORMED, "the reply is too large")
 
     def on_end(self) -> None:
         """Decode the whole answer and hand it on."""
-        self._pool.release(self._link)
+        self._client.release(self._link)
         try:
             body = json.loads(self._body) if self._body else None
         except ValueError as exc:
@@ -150,3 +172,9 @@
         on_reply, self._on_reply = self._on_reply, None
         if on_reply is not None:
             on_reply(reply, exc)
+
+
+def _head_bytes(headers: list[Header]) -> int:
+    """Return about how many bytes a head takes on the wire."""
+    named = sum(len(name) + len(value) + HEADER_EXTRA_BYTES for name, value in headers)
+    return FIRST_LINE_BYTES + named
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -22,13 +22,13 @@
 from .leaving import HintSender, Leaving, LeavingCourier
 from .limits import Limits
 from .logs import log_event
-from .membership import Contact, Gossip, HomeSets, Member, Membership
+from .membership import Contact, Gossip, HomeSets, HostReader, Member, Membership
 from .metrics import Metrics
-from .misc import Address, new_token
+from .misc import Address, new_token, parse_address
 from .peers import Peers
 from .reactor import Reactor
 from .settings import Settings
-from .spread import ConfigState, Watcher
+from .spread import ConfigState, Spread
 from .store import Store, StoreObject
 from .surface import Route, Surface, SurfaceRequest
 
@@ -86,7 +86,6 @@
         self.burn = Burn(self.reactor.clock, self._objective_of)
         self.state = ConfigState()
         self.state.subscribe(self._on_object)
-        self.watcher = Watcher(self.reactor, self.store, self.state, self._on_synced)
         self.membership = Membership(me, self.reactor.clock.wall())
         self.homes = HomeSets(self.membership)
         self.gossip = Gossip(
@@ -97,6 +96,18 @@
             cfg.peers_seeds,
             self.rng,
         )
+        self.host_reader = HostReader(self.reactor, self.store, self.membership)
+        self.spread = Spread(
+            self.reactor,
+            self.peers,
+            self.store,
+            self.membership,
+            self.contact,
+            self.state,
+            self.rng,
+            bool(cfg.peers_seeds),
+            self._on_synced,
+        )
         self.keys = self._build_keys()
         report = HealthReport(self.metrics.registry)
         self.health = Health(self.reactor.clock, self.incarnation[:8], report.on_change)
@@ -199,13 +210,27 @@
             Route("GET", "/burn", lambda req: self.burn.report()),
             *self.intents.operator_routes(),
             *self.floor_control.operator_routes(),
+            *self._test_routes(),
         ]
 
+    def _test_routes(self) -> list[Route]:
+        """Return what only tests use; nothing unless a setting allows it."""
+        if not self.settings.test_cuts:
+            return []
+        return [Route("PUT", "/test/cut", self._set_cut)]
+
+    def _set_cut(self, req: SurfaceRequest) -> Any:
+        """Leave calls to some addresses without an answer."""
+        addresses = frozenset(parse_address(text) for text in req.body["addresses"])
+        self.client.cut_addresses = addresses
+        return {"cut": len(addresses)}
+
     def peer_routes(self) -> list[Route]:
         """Return what the peer port answers."""
         return [
             *self.courier.routes(),
             *self.gossip.routes(),
+            *self.spread.routes(),
             *self.floor_control.routes(),
             *self.prefixes.routes(),
             *key_routes(self.keys),
@@ -232,7 +257,10 @@
             "in_flight": self.door.in_flight,
             "connections": self.door.connections,
             "store_calls": self.store.calls_made,
+            "control_bytes": self.client.bytes_sent + self.client.bytes_received,
+            "control_calls": self.client.calls_made,
             "cut_off": self.membership.is_cut_off(),
+            "config": self.spread.status(),
             "members": self.gossip.status(),
             "services": {
                 service.name: self.catalog.version(service.name)
@@ -256,7 +284,8 @@
     def start_work(self) -> None:
         """Begin to work, once every part stands."""
         self.gossip.begin()
-        self.watcher.start()
+        self.host_reader.begin()
+        self.spread.begin()
         self.courier.begin()
         self._check_standing()
         self.floor_control.begin()
@@ -269,7 +298,6 @@
 
     def _on_synced(self) -> None:
         self.gossip.note_ready()
-        log_event("ready", services=len(self.catalog.services()))
         self._set_refusal()
 
     def _set_refusal(self) -> None:
--- a/dogwoodtack/reactor.py
+++ b/dogwoodtack/reactor.py
@@ -110,6 +110,10 @@
     @handler("generate_events")
     def _on_generate_events(self, event: Any) -> None:
         self._run_due()
+        if len(self.root):
+            # circuits does not shorten its wait for events fired in this phase.
+            event.reduce_time_left(0)
+            return
         if not self._heap:
             return
         wait = self._heap[0][0] - self.clock.monotonic()
--- a/dogwoodtack/settings.py
+++ b/dogwoodtack/settings.py
@@ -73,6 +73,12 @@
     return read
 
 
+def _flag(value: str) -> bool:
+    if value.lower() not in ("yes", "no"):
+        raise ValueError("is not yes or no")
+    return value.lower() == "yes"
+
+
 SETTINGS: tuple[Setting, ...] = (
     Setting("node", "name", _text, None, "a name unique among the entry hosts"),
     Setting("node", "zone", _text, None, "the availability zone's name"),
@@ -97,6 +103,7 @@
         "keys", "max_answer_bytes", _whole(0, 1 << 30), "16777216", "0 to 1073741824"
     ),
     Setting("stop", "limit_s", _seconds(0, 86400), "3600", "0 to 86400"),
+    Setting("test", "cuts", _flag, "no", "yes or no; yes only in tests"),
     Setting("logs", "level", _level, "INFO", ", ".join(LOG_LEVELS)),
 )
 
--- a/dogwoodtack/spread/__init__.py
+++ b/dogwoodtack/spread/__init__.py
@@ -1,6 +1,6 @@
 """Configuration, spread to every entry host and never reverting."""
 
+from .spread import Spread
 from .state import ConfigState
-from .watcher import Watcher
 
-__all__ = ["ConfigState", "Watcher"]
+__all__ = ["ConfigState", "Spread"]
--- a/dogwoodtack/spread/state.py
+++ b/dogwoodtack/spread/state.py
@@ -1,21 +1,47 @@
-"""The configuration a node holds; versions only go up."""
+"""The configuration a node holds; versions only go up.
 
+Values are kept as compressed JSON, because most nodes use few of them, and are
+decoded when somebody asks.
+"""
+
+import json
+import zlib
+from collections import OrderedDict
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
+from ..digest import BucketDigest, bucket_of, entry_hash
 from ..store import StoreObject
 
 __all__ = ["ConfigState"]
 
+COMPRESSION_LEVEL = 1
+DECODED_KEPT = 256
+
 OnChange = Callable[[StoreObject], None]
 
 
+class _Kept(NamedTuple):
+    """An object's version and its compressed JSON, None once it was deleted."""
+
+    version: int
+    data: bytes | None
+
+
 class ConfigState:
-    """Objects by kind and name, deleted ones kept as tombstones."""
+    """Objects by kind and name, deleted ones kept as tombstones.
+
+    An object is only ever replaced by a higher version of itself.  That an
+    object is missing from a read means nothing: the read may be stale.  Only a
+    tombstone, which has a version too, deletes.
+    """
 
     def __init__(self) -> None:
-        self._objects: dict[tuple[str, str], StoreObject] = {}
+        self._objects: dict[tuple[str, str], _Kept] = {}
+        self._decoded: OrderedDict[tuple[str, str], Any] = OrderedDict()
         self._listeners: list[OnChange] = []
+        self._buckets: dict[int, set[tuple[str, str]]] = {}
+        self.digest = BucketDigest()
 
     def subscribe(self, on_change: OnChange) -> None:
         """Call a function with every object that is taken from now on."""
@@ -27,20 +53,76 @@
         known = self._objects.get(key)
         if known is not None and known.version >= obj.version:
             return False
-        self._objects[key] = obj
+        self._objects[key] = _Kept(obj.version, _encode(obj.value))
+        self._decoded.pop(key, None)
+        self._index(key, known, obj.version)
         for listener in self._listeners:
             listener(obj)
         return True
 
+    def _index(self, key: tuple[str, str], known: _Kept | None, version: int) -> None:
+        bucket = bucket_of("\0".join(key))
+        self._buckets.setdefault(bucket, set()).add(key)
+        if known is not None:
+            self.digest.toggle(bucket, entry_hash(*key, known.version))
+        self.digest.toggle(bucket, entry_hash(*key, version))
+
+    def __len__(self) -> int:
+        return len(self._objects)
+
+    def size(self, kind: str, name: str) -> int:
+        """Return the bytes an object's value takes here, 0 for a tombstone."""
+        return len(self._objects[kind, name].data or b"")
+
+    def version(self, kind: str, name: str) -> int:
+        """Return an object's version, 0 where it was never seen."""
+        kept = self._objects.get((kind, name))
+        return 0 if kept is None else kept.version
+
     def get(self, kind: str, name: str) -> StoreObject | None:
         """Return an object, or None where it was never seen."""
-        return self._objects.get((kind, name))
+        kept = self._objects.get((kind, name))
+        if kept is None:
+            return None
+        return StoreObject(kind, name, kept.version, self.value(kind, name))
 
     def value(self, kind: str, name: str) -> Any:
-        """Return an object's value, None where it is unknown or deleted."""
-        obj = self._objects.get((kind, name))
-        return None if obj is None else obj.value
+        """Return an object's value, None where it is unknown or deleted.
+
+        The value is shared with other callers and must not be changed.
+        """
+        key = (kind, name)
+        if key in self._decoded:
+            self._decoded.move_to_end(key)
+            return self._decoded[key]
+        kept = self._objects.get(key)
+        if kept is None:
+            return None
+        value = _decode(kept.data)
+        self._decoded[key] = value
+        if len(self._decoded) > DECODED_KEPT:
+            self._decoded.popitem(last=False)
+        return value
 
     def objects(self) -> list[StoreObject]:
         """Return every object, tombstones among them."""
-        return list(self._objects.values())
+        return [self._object(key) for key in self._objects]
+
+    def in_bucket(self, bucket: int) -> list[StoreObject]:
+        """Return the objects in one bucket of the digest."""
+        return [self._object(key) for key in self._buckets.get(bucket, ())]
+
+    def _object(self, key: tuple[str, str]) -> StoreObject:
+        kept = self._objects[key]
+        return StoreObject(*key, kept.version, _decode(kept.data))
+
+
+def _encode(value: Any) -> bytes | None:
+    if value is None:
+        return None
+    text = json.dumps(value, separators=(",", ":"))
+    return zlib.compress(text.encode(), COMPRESSION_LEVEL)
+
+
+def _decode(data: bytes | None) -> Any:
+    return None if data is None else json.loads(zlib.decompress(data))
--- /dev/null
+++ b/tests/test_spread.py
@@ -0,0 +1,271 @@
+"""Configuration reaches every entry host in time and never reverts."""
+
+import json
+import signal
+import time
+import unittest
+
+from nose2.tools import params
+
+from lab.fleet import Fleet, http_call
+
+IN_FORCE_S = 3.0
+CUT_OFF_S = 3.0
+POLL_S = 0.05
+HOST = {"Host": "jobtrack.example"}
+SERVICE = "jobtrack"
+DISCOVERY = f"/.well-known/dogwoodtack/services/{SERVICE}"
+
+
+class SpreadCase(unittest.TestCase):
+    """A fleet, and a record of the versions that each process has shown."""
+
+    count = 8
+    zones = 2
+
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = Fleet({"test": {"cuts": "yes"}})
+        cls.addClassCleanup(cls.fleet.close)
+        cls.fleet.start_platform()
+        cls.fleet.start_backend("jt-1", work_ms=5)
+        cls.fleet.start_nodes(cls.count, cls.zones)
+        cls.shown = {}
+        cls.version = 0
+        cls.settled = 0
+        cls.write()
+        cls.fleet.wait_service(SERVICE, cls.version)
+        cls.settled = cls.version
+        cls.fleet.wait_until(cls.is_joined, "every node sees every node")
+
+    def setUp(self):
+        self.addCleanup(self.heal)
+
+    @classmethod
+    def heal(cls):
+        cls.fleet.set_platform_fault()
+        for node in cls.running():
+            cls.cut(node, [])
+        cls.fleet.wait_until(cls.is_joined, "every node sees every node")
+        cls.fleet.wait_service(SERVICE, cls.version)
+
+    @classmethod
+    def running(cls):
+        return [
+            one for one in cls.fleet.nodes if cls.fleet.procs[one.name].poll() is None
+        ]
+
+    @classmethod
+    def is_joined(cls):
+        nodes = cls.running()
+        return all(cls.alive(one) == {node.name for node in nodes} for one in nodes)
+
+    @classmethod
+    def alive(cls, node):
+        members = cls.status(node)["members"]
+        return {one["name"] for one in members if one["state"] == "alive"}
+
+    @classmethod
+    def status(cls, node):
+        return cls.fleet.operator(node, "GET", "/status").json()
+
+    @classmethod
+    def cut(cls, node, addresses):
+        body = {"addresses": [str(address) for address in addresses]}
+        cls.fleet.operator(node, "PUT", "/test/cut", body)
+
+    @classmethod
+    def write(cls):
+        """Write the service's next version straight to the platform."""
+        value = cls.fleet.service_value("jobtrack.example", floor=cls.version % 2)
+        cls.version = cls.fleet.put_object("service", SERVICE, value, cls.version)
+
+    def look(self, nodes):
+        """Read the version each node holds, and check that none went back."""
+        versions = []
+        for node in nodes:
+            status = self.status(node)
+            version = status["services"].get(SERVICE, 0)
+            least = self.shown.get(status["incarnation"], 0)
+            if status["config"]["is_synced"]:
+                least = max(least, self.settled)
+            self.assertGreaterEqual(version, least, f"{node.name} reverted")
+            self.shown[status["incarnation"]] = version
+            versions.append(version)
+        return versions
+
+    def assert_in_force(self, nodes=None, within_s=IN_FORCE_S):
+        """Check that the last version is in force on nodes in time."""
+        end = time.monotonic() + within_s
+        nodes = nodes or self.running()
+        while True:
+            versions = self.look(nodes)
+            if min(versions) >= self.version:
+                type(self).settled = self.version
+                return
+            self.assertLess(time.monotonic(), end, f"{versions} at {self.version}")
+            time.sleep(POLL_S)
+
+    def watchers(self):
+        return [
+            one for one in self.running() if self.status(one)["config"]["is_watcher"]
+        ]
+
+    def isolate(self, node, store=True):
+        """Cut a node from its peers in both directions, and from the store."""
+        others = [one for one in self.running() if one != node]
+        own = [one.peer for one in others]
+        self.cut(node, [*own, self.fleet.platform] if store else own)
+        for one in others:
+            self.cut(one, [node.peer])
+
+
+class FaultTest(SpreadCase):
+    @params({}, {"stale_reads": True}, {"delay_s": 0.5}, {"list_lag_s": 60})
+    def test_change_with_a_poor_store(self, fault):
+        self.fleet.set_platform_fault(**fault)
+        for _ in range(3):
+            self.write()
+            self.assert_in_force()
+
+    def test_lost_answer(self):
+        self.fleet.set_platform_fault(lose_answers=1)
+        value = self.fleet.service_value("jobtrack.example", caution=0.7)
+        body = json.dumps({"value": value, "if_version": self.version}).encode()
+        target = f"/objects/service/{SERVICE}"
+        with self.assertRaises(TimeoutError):
+            http_call(self.fleet.platform, "PUT", target, body, timeout_s=0.2)
+        known = http_call(self.fleet.platform, "GET", target).json()["version"]
+        self.assertGreater(known, self.version)
+        type(self).version = known
+        self.assert_in_force()
+
+    @params("watchers", "half")
+    def test_hosts_that_reach_peers_but_not_the_store(self, which):
+        chosen = self.watchers() if which == "watchers" else self.running()[:4]
+        for node in chosen:
+            self.cut(node, [self.fleet.platform])
+        for _ in range(3):
+            self.write()
+            self.assert_in_force()
+            time.sleep(0.3)
+
+    def test_host_that_reaches_the_store_but_no_peer(self):
+        node = self.running()[-1]
+        self.isolate(node, store=False)
+        for _ in range(3):
+            self.write()
+            self.assert_in_force()
+            time.sleep(1.0)
+        self.assertFalse(self.status(node)["cut_off"])
+
+    @params("out", "in")
+    def test_one_way_cut(self, way):
+        node = self.running()[-1]
+        others = [one for one in self.running() if one != node]
+        if way == "out":
+            self.cut(node, [self.fleet.platform, *(one.peer for one in others)])
+        else:
+            for one in others:
+                self.cut(one, [node.peer])
+        for _ in range(3):
+            self.write()
+            self.assert_in_force()
+            time.sleep(0.5)
+
+    def test_cut_off_host_takes_no_work_and_comes_back(self):
+        node = self.running()[-1]
+        other = self.running()[0]
+        self.isolate(node)
+        time.sleep(CUT_OFF_S + 1.0)
+        self.assertTrue(self.status(node)["cut_off"])
+        for method, target in (("GET", "/"), ("POST", "/"), ("GET", DISCOVERY)):
+            answer = http_call(node.caller, method, target, b"", HOST)
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(answer.headers["x-dogwoodtack-outcome"], "not-run")
+            self.assertIn("retry-after", answer.headers)
+        found = http_call(other.caller, "GET", DISCOVERY, None, HOST).json()
+        listed = {one["address"] for one in found["addresses"]}
+        self.assertNotIn(str(node.caller), listed)
+        self.write()
+        self.assert_in_force([one for one in self.running() if one != node])
+        self.heal()
+        self.assertFalse(self.status(node)["cut_off"])
+        self.assertEqual(http_call(node.caller, "GET", "/", None, HOST).status, 200)
+        self.assertIn("event=cut-off-ended", self.fleet.log_text(node.name))
+
+    def test_only_watchers_call_the_store(self):
+        most = 2 * self.zones
+        self.fleet.wait_until(lambda: len(self.watchers()) == most, "calm")
+        before = {one.name: self.status(one) for one in self.running()}
+        time.sleep(3.0)
+        for node in self.running():
+            status = self.status(node)
+            made = status["store_calls"] - before[node.name]["store_calls"]
+            if not status["config"]["is_watcher"]:
+                self.assertEqual(made, 0, node.name)
+        self.assertEqual(len(self.watchers()), most)
+
+
+class RestartTest(SpreadCase):
+    count = 6
+    zones = 3
+
+    def kill(self, node):
+        self.fleet.signal(node.name, signal.SIGKILL)
+        self.fleet.wait_exit(node.name)
+
+    def restart(self, node):
+        self.kill(node)
+        self.fleet.spawn_node(node)
+        self.fleet.wait_port(node.name, node.caller)
+
+    @params({"down": True}, {"hang": True}, {"stale_reads": True})
+    def test_host_that_starts_with_a_poor_store(self, fault):
+        self.write()
+        self.assert_in_force()
+        self.fleet.set_platform_fault(**fault)
+        node = self.running()[2]
+        self.restart(node)
+        self.assert_in_force([node])
+        answer = http_call(node.caller, "GET", "/", None, HOST)
+        self.assertEqual(answer.status, 200)
+
+    def test_kills_and_restarts_under_changes(self):
+        for round_number in range(6):
+            node = self.running()[round_number]
+            self.write()
+            self.kill(node)
+            self.write()
+            self.assert_in_force()
+            self.fleet.spawn_node(node)
+            self.write()
+            self.fleet.wait_port(node.name, node.caller)
+            self.assert_in_force()
+
+    def test_every_watcher_killed_at_once(self):
+        chosen = self.watchers()[:3]
+        for node in chosen:
+            self.kill(node)
+        self.write()
+        self.assert_in_force()
+        for node in chosen:
+            self.fleet.spawn_node(node)
+            self.fleet.wait_port(node.name, node.caller)
+        self.assert_in_force()
+
+
+class StoreDownFromTheStartTest(unittest.TestCase):
+    def test_fleet_waits_for_its_configuration(self):
+        with Fleet() as fleet:
+            fleet.start_platform()
+            fleet.start_backend("jt-1", work_ms=5)
+            value = fleet.service_value("jobtrack.example")
+            version = fleet.put_object("service", SERVICE, value)
+            fleet.set_platform_fault(down=True)
+            node = fleet.start_nodes(3)[0]
+            answer = http_call(node.caller, "POST", "/", b"", HOST)
+            self.assertEqual(answer.headers["x-dogwoodtack-error"], "cut-off")
+            fleet.set_platform_fault()
+            fleet.wait_service(SERVICE, version)
+            self.assertEqual(http_call(node.caller, "GET", "/", None, HOST).status, 200)
