--- a/dogwoodtack/floor/puller.py
+++ b/dogwoodtack/floor/puller.py
@@ -6,7 +6,6 @@
 from ..calls import Reply
 from ..catalog import Service
 from ..errors import WireError
-from ..health import FULL_WEIGHT
 from ..misc import Address
 from .floor import Floor, log_changes
 from .holdings import Holdings
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -22,14 +22,7 @@
 from .leaving import HintSender, Leaving, LeavingCourier
 from .limits import Limits
 from .logs import log_event
-from .membership import (
-    Contact,
-    Gossip,
-    HomeSets,
-    HostReader,
-    Member,
-    Membership,
-)
+from .membership import Contact, Gossip, HomeSets, HostReader, Member, Membership
 from .metrics import Metrics
 from .misc import Address, new_token, parse_address
 from .peers import Peers
