Explain why a request got its answer

Cause: operators could ask about an instance but not about a request. Before: the log line was all. Ruled out: keeping notes anywhere but in memory (hosts keep nothing).

--- a/dogwoodtack/api.py
+++ b/dogwoodtack/api.py
@@ -98,6 +98,25 @@
         target = f"/explain/instance/{quote(service)}/{quote(instance)}"
         return self.call("GET", target)
 
+    def explain_request(self, request_id: str) -> Any:
+        """Return what became of a request, from whichever host remembers it.
+
+        Raises:
+            ApiError: NOT_FOUND where no host that answered remembers it.
+            Unreachable: none answered.
+        """
+        refusal: ApiError | None = None
+        failures = []
+        for address in self._addresses:
+            target = f"/explain/request/{quote(request_id, safe='')}"
+            attempt = self._attempt(address, "GET", target, None)
+            if attempt.status == HTTP_OK:
+                return attempt.body
+            if attempt.status:
+                refusal = _error(attempt)
+            failures.append(f"{address}: {attempt.failure or attempt.status}")
+        raise refusal or Unreachable("; ".join(failures), False)
+
     def burn(self) -> "FleetBurn":
         """Return the joined burn report of every entry host that answers.
 
--- a/dogwoodtack/cmdline.py
+++ b/dogwoodtack/cmdline.py
@@ -110,13 +110,13 @@
     Attributes:
         usage: its name and arguments.
         text: one line of help.
-        arg_count: how many arguments it takes.
+        arg_counts: how many arguments it takes.
         act: does the work, prints and returns the exit code.
     """
 
     usage: str
     text: str
-    arg_count: int
+    arg_counts: tuple[int, ...]
     act: Callable[[Context], ExitCode]
 
 
@@ -162,11 +162,14 @@
 
 
 def explain(ctx: Context) -> ExitCode:
-    """Print why an instance gets the work it gets."""
-    what, service, instance = ctx.args
-    if what != "instance":
-        raise UsageError("explain knows: instance SERVICE INSTANCE")
-    seen = ctx.api.explain_instance(service, instance)
+    """Print why an instance gets the work it gets, or a request its answer."""
+    what, *names = ctx.args
+    if (what, len(names)) == ("instance", 2):
+        seen = ctx.api.explain_instance(*names)
+    elif (what, len(names)) == ("request", 1):
+        seen = ctx.api.explain_request(names[0])
+    else:
+        raise UsageError("explain knows: instance SERVICE INSTANCE, request ID")
     _print(ctx, seen, fields_text(seen))
     return ExitCode.OK
 
@@ -189,21 +192,21 @@
 
 COMMANDS: dict[str, Command] = {
     "submit": Command(
-        "submit FILE|-", "Send an intent (JSON) and keep its plan.", 1, submit
+        "submit FILE|-", "Send an intent (JSON) and keep its plan.", (1,), submit
     ),
-    "show": Command("show PLAN", "Print a kept plan.", 1, show),
+    "show": Command("show PLAN", "Print a kept plan.", (1,), show),
     "confirm": Command(
-        "confirm PLAN [--yes]", "Bring a kept plan into force.", 1, confirm
+        "confirm PLAN [--yes]", "Bring a kept plan into force.", (1,), confirm
     ),
-    "status": Command("status", "Print one entry host's status.", 0, status),
+    "status": Command("status", "Print one entry host's status.", (0,), status),
     "explain": Command(
-        "explain instance SERVICE INSTANCE",
-        "Say why an instance gets the work it gets.",
-        3,
+        "explain instance SERVICE INSTANCE | request ID",
+        "Say why an instance gets its work, or a request got its answer.",
+        (2, 3),
         explain,
     ),
     "burn": Command(
-        "burn [--plot FILE]", "Print service-level burn, all hosts joined.", 0, burn
+        "burn [--plot FILE]", "Print service-level burn, all hosts joined.", (0,), burn
     ),
 }
 
@@ -342,7 +345,7 @@
         command = COMMANDS.get(args[0]) if args else None
         if command is None:
             raise UsageError(f"commands: {', '.join(COMMANDS)}; see --help")
-        if len(args) - 1 != command.arg_count:
+        if len(args) - 1 not in command.arg_counts:
             raise UsageError(f"usage: dogwoodtack {command.usage}")
         return command.act(_context(args[1:]))
     except (UsageError, flags.Error) as exc:
--- a/dogwoodtack/door/__init__.py
+++ b/dogwoodtack/door/__init__.py
@@ -3,6 +3,7 @@
 from .conn import RequestHead, ServerConn, ServerOwner
 from .door import DISCOVERY_PREFIX, Door
 from .exchange import Exchange, Parts
+from .trail import Trail
 
 __all__ = [
     "DISCOVERY_PREFIX",
@@ -12,4 +13,5 @@
     "RequestHead",
     "ServerConn",
     "ServerOwner",
+    "Trail",
 ]
--- a/dogwoodtack/door/exchange.py
+++ b/dogwoodtack/door/exchange.py
@@ -42,6 +42,7 @@
     customer_of,
     deadline_of,
 )
+from .trail import AttemptNote, RequestNote, Trail
 
 __all__ = ["Exchange", "Parts"]
 
@@ -78,6 +79,7 @@
     health: Health
     pool: LinkPool
     burn: Burn
+    trail: Trail
     max_body_bytes: int
     stall_timeout_s: float
 
@@ -114,6 +116,7 @@
         self._attempt: Attempt | None = None
         self._tried: set[str] = set()
         self._attempts = 0
+        self._notes: list[AttemptNote] = []
         self._answer: ResponseHead | None = None
         self._held = bytearray()
         self._is_passing = False
@@ -422,6 +425,8 @@
             at=self._parts.reactor.clock.monotonic(),
         )
         self._parts.health.record(sample)
+        note = AttemptNote(sample.instance, kind, sample.latency_s * 1000)
+        self._notes.append(note)
 
     # Relaying the answer.
 
@@ -630,17 +635,18 @@
             is_caller_gone=self._caller_gone,
         )
         self._parts.burn.record(served)
-        log_event(
-            "request",
+        note = RequestNote(
             id=self.request_id,
             service=service,
             method=self._head.method,
             reason=reason,
             status=status,
             outcome=outcome,
-            attempts=self._attempts,
             ms=latency_s * 1000,
+            attempts=tuple(self._notes),
         )
+        self._parts.trail.add(note)
+        log_event("request", **{**note._asdict(), "attempts": self._attempts})
 
 
 def is_long(head: ResponseHead) -> bool:
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -13,7 +13,7 @@
 from .catalog import Catalog
 from .clock import SystemClock
 from .discovery import Discovery, PrefixBook
-from .door import Door, Parts
+from .door import Door, Parts, Trail
 from .errors import ErrorKind
 from .floor import Floor, FloorControl, FloorParts
 from .health import Health, HealthReport
@@ -154,6 +154,7 @@
 
     def _build_door(self) -> None:
         cfg = self.settings
+        self.trail = Trail()
         self.prefixes = PrefixBook(self.reactor, self.peers, lambda: self.keys.prefix)
         discovery = Discovery(
             self.catalog,
@@ -172,6 +173,7 @@
             health=self.health,
             pool=LinkPool(self.reactor, cfg.backends_dial_timeout_s),
             burn=self.burn,
+            trail=self.trail,
             max_body_bytes=cfg.callers_max_body_bytes,
             stall_timeout_s=cfg.callers_stall_timeout_s,
         )
@@ -208,6 +210,7 @@
             Route("GET", "/metrics", self._view_metrics),
             Route("GET", "/status", self._view_status),
             Route("GET", "/burn", lambda req: self.burn.report()),
+            *self.trail.operator_routes(),
             *self.intents.operator_routes(),
             *self.floor_control.operator_routes(),
             *self._test_routes(),
--- a/lab/demo.py
+++ b/lab/demo.py
@@ -3,6 +3,7 @@
 import json
 import subprocess
 import sys
+import time
 from typing import Any
 
 from absl import app, flags
@@ -20,6 +21,7 @@
 SITE = "jobtrack.example"
 DISCOVERY = "/.well-known/dogwoodtack/services/jobtrack"
 LOOKUPS = 60
+PATIENCE_S = 20.0
 
 
 class Demo:
@@ -114,10 +116,19 @@
     def _meet_gray_back_end(self) -> None:
         self._say("jt-1 cuts every answer while its health endpoint says all is well")
         self._fleet.set_backend_fault("jt-1", cut_ratio=1.0)
-        self._lookups()
+        began_at = time.monotonic()
+        while not self._is_ejected() and time.monotonic() < began_at + PATIENCE_S:
+            self._lookups()
+        print(f"{time.monotonic() - began_at:.1f} s after the fault began:")
         self._tool("explain", "instance", "jobtrack", "jt-1")
         self._fleet.set_backend_fault("jt-1")
 
+    def _is_ejected(self) -> bool:
+        node = self._fleet.nodes[0]
+        target = "/explain/instance/jobtrack/jt-1"
+        seen = self._fleet.operator(node, "GET", target).json()
+        return seen["ejected_for_s"] is not None
+
     def _drain(self) -> None:
         self._say("jt-2 says that it drains")
         self._fleet.drain_backend("jt-2")
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -42,6 +42,15 @@
         self.assertEqual((row["service"], row["total"]), ("jobtrack", 2 * CALLS))
         self.assertTrue(plot.read_bytes().startswith(b"\x89PNG"))
 
+    def test_a_request_is_explained_by_the_host_that_served_it(self):
+        answer = http_call(self.fleet.nodes[1].caller, "GET", "/racks", None, HOST)
+        done = self.tool("explain", "request", answer.headers["x-request-id"], "--json")
+        self.assertEqual(done.returncode, 0, done.stderr)
+        found = json.loads(done.stdout)
+        self.assertEqual((found["reason"], found["outcome"]), ("served", "ran"))
+        self.assertEqual(found["attempts"][0]["instance"], "jt-1")
+        self.assertEqual(self.tool("explain", "request", "nobody").returncode, 1)
+
 
 class DemoTest(unittest.TestCase):
     def test_demo_runs(self):
