--- a/dogwoodtack/door/__init__.py
+++ b/dogwoodtack/door/__init__.py
@@ -3,7 +3,7 @@
 from .conn import RequestHead, ServerConn, ServerOwner
 from .door import DISCOVERY_PREFIX, Door
 from .exchange import Exchange, Parts
-from .trail import Trail
+from .trail import RequestNote, Trail
 
 __all__ = [
     "DISCOVERY_PREFIX",
@@ -11,6 +11,7 @@
     "Exchange",
     "Parts",
     "RequestHead",
+    "RequestNote",
     "ServerConn",
     "ServerOwner",
     "Trail",
--- a/dogwoodtack/door/trail.py
+++ b/dogwoodtack/door/trail.py
@@ -1,6 +1,7 @@
 """The latest requests of this host, so that an operator can ask about one."""
 
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ..errors import ErrorKind, Outcome, RequestError
@@ -51,14 +52,23 @@
 
 
 class Trail:
-    """Keep the notes of the latest requests."""
+    """Keep the notes of the latest requests.
 
-    def __init__(self, max_notes: int = MAX_NOTES) -> None:
+    Args:
+        on_note: is told of each note, for counting.
+        max_notes: how many are kept.
+    """
+
+    def __init__(
+        self, on_note: Callable[[RequestNote], None], max_notes: int = MAX_NOTES
+    ) -> None:
+        self._on_note = on_note
         self._max_notes = max_notes
         self._notes: OrderedDict[str, RequestNote] = OrderedDict()
 
     def add(self, note: RequestNote) -> None:
         """Keep a note, and forget the oldest where there are too many."""
+        self._on_note(note)
         self._notes[note.id] = note
         if len(self._notes) > self._max_notes:
             self._notes.popitem(last=False)
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -13,7 +13,7 @@
 from .catalog import Catalog
 from .clock import SystemClock
 from .discovery import Discovery, PrefixBook
-from .door import Door, Parts, Trail
+from .door import Door, Parts, RequestNote, Trail
 from .errors import ErrorKind
 from .floor import Floor, FloorControl, FloorParts
 from .health import Health, HealthReport
@@ -154,7 +154,7 @@
 
     def _build_door(self) -> None:
         cfg = self.settings
-        self.trail = Trail()
+        self.trail = Trail(self._count_request)
         self.prefixes = PrefixBook(self.reactor, self.peers, lambda: self.keys.prefix)
         discovery = Discovery(
             self.catalog,
@@ -245,6 +245,14 @@
         self._view_keys()
         return self.metrics.render()
 
+    def _count_request(self, note: RequestNote) -> None:
+        labels = {
+            "service": note.service,
+            "outcome": str(note.outcome),
+            "status": str(note.status),
+        }
+        self.metrics.requests.inc(labels)
+
     def _view_keys(self) -> None:
         self.metrics.keys.set({}, self.keys.remembered)
         self.metrics.key_answer_bytes.set({}, self.keys.answer_bytes)
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -50,6 +50,9 @@
         self.assertEqual((found["reason"], found["outcome"]), ("served", "ran"))
         self.assertEqual(found["attempts"][0]["instance"], "jt-1")
         self.assertEqual(self.tool("explain", "request", "nobody").returncode, 1)
+        text = self.fleet.operator(self.fleet.nodes[1], "GET", "/metrics").body
+        counted = b'outcome="ran",service="jobtrack",status="200"} 1'
+        self.assertIn(counted, text)
 
 
 class DemoTest(unittest.TestCase):
