Put ejected instances on trial once they are back everywhere, and name the refused

Cause 1: when a hold ended while the evidence against the instance still stood, the holder ejected it again in the same review, so it was never tried. It now waits until no entry host uses the ejection any more, forgets the evidence then, and only then judges anew; the length of a hold comes from the health slice. Cause 2: a sick instance that the floor keeps in work got full weight on hosts with little evidence of their own. The answer to a pull names it, and its weight is lowered there. Cause 3: the history of a host that was stopped for more than 60 s showed 4 instances out of work where 2 may be. Ruled out: grants in use after their end (every use checks it). The host dropped a service that had no requests for 60 s without logging that its grants had ended.

--- a/dogwoodtack/floor/floor.py
+++ b/dogwoodtack/floor/floor.py
@@ -52,7 +52,7 @@
         self._used_at.pop(service, None)
         usage = self._usages.pop(service, None)
         if usage is not None:
-            log_changes(service, usage.doubt_drains(self.turns.note()))
+            log_changes(service, usage.clear(self.turns.note()))
 
     def _on_pause(self, now: float) -> None:
         for name, usage in self._usages.items():
--- a/dogwoodtack/floor/holder.py
+++ b/dogwoodtack/floor/holder.py
@@ -3,7 +3,7 @@
 Everything here is a pure function of what is passed in, the time among it.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from ..health import Verdict
@@ -12,10 +12,7 @@
 
 __all__ = ["Ejection", "Holder"]
 
-FIRST_HOLD_S = 10.0
-MAX_HOLD_S = 320.0
-CALM_S = 120.0
-"""Seconds in work after which an instance's earlier ejections are forgotten."""
+HoldFor = Callable[[str], float]
 
 
 class Ejection(NamedTuple):
@@ -24,12 +21,10 @@
     Attributes:
         since: boottime in seconds when it began.
         hold_until: boottime in seconds when the instance comes back on trial.
-        hold_s: how long it is held.
     """
 
     since: float
     hold_until: float
-    hold_s: float
 
 
 class Holder:
@@ -38,8 +33,9 @@
     def __init__(self) -> None:
         self.budget = Budget()
         self.ejections: dict[str, Ejection] = {}
+        self.refused: list[str] = []
         self._live: dict[str, float] = {}
-        self._past: dict[str, Ejection] = {}
+        self._ending: set[str] = set()
 
     def live(self, now: float) -> set[str]:
         """Return the instances that some entry host may still treat as ejected."""
@@ -54,23 +50,35 @@
         """Return whether the drains fit beside every grant still in use."""
         return len(self.removed(now)) <= self.budget.limit
 
-    def review(self, verdicts: Sequence[Verdict], now: float) -> None:
+    def review(
+        self, verdicts: Sequence[Verdict], now: float, hold_for: HoldFor
+    ) -> list[str]:
         """End, drop and begin ejections.
 
         Args:
             verdicts: what the pooled evidence says, worst first.
             now: boottime in seconds.
+            hold_for: tells how many seconds an instance is to be held.
+
+        Returns:
+            The instances that are back in work everywhere after their hold.
         """
-        self._end_due(now)
+        back = self._end_due(now)
         self._shrink()
+        self.refused = []
         for verdict in verdicts:
-            if verdict.is_sick:
-                self._eject(verdict.instance, now)
+            if verdict.is_sick and verdict.instance not in back:
+                self._eject(verdict.instance, now, hold_for)
+        return back
 
-    def _end_due(self, now: float) -> None:
+    def _end_due(self, now: float) -> list[str]:
         for name, ejection in list(self.ejections.items()):
             if ejection.hold_until <= now:
-                self._past[name] = self.ejections.pop(name)
+                del self.ejections[name]
+                self._ending.add(name)
+        back = sorted(self._ending - self.live(now))
+        self._ending.difference_update(back)
+        return back
 
     def _shrink(self) -> None:
         """Renew no more ejections than fit, the oldest first."""
@@ -81,21 +89,14 @@
         for name in outside[max(0, room) :]:
             del self.ejections[name]
 
-    def _eject(self, name: str, now: float) -> None:
-        removed = self.removed(now)
-        if name in self.ejections or name in self.budget.occupied:
+    def _eject(self, name: str, now: float, hold_for: HoldFor) -> None:
+        is_out = name in self.ejections or name in self.budget.occupied
+        if is_out or name in self._ending:
             return
-        if len(removed | {name}) > self.budget.limit:
+        if len(self.removed(now) | {name}) > self.budget.limit:
+            self.refused.append(name)
             return
-        hold_s = self._hold_s(name, now)
-        self.ejections[name] = Ejection(now, now + hold_s, hold_s)
-
-    def _hold_s(self, name: str, now: float) -> float:
-        """Return the hold, doubled for an instance that fell sick again soon."""
-        past = self._past.get(name)
-        if past is None or now - past.hold_until > CALM_S:
-            return FIRST_HOLD_S
-        return min(MAX_HOLD_S, 2 * past.hold_s)
+        self.ejections[name] = Ejection(now, now + hold_for(name))
 
     def grant(self, now: float) -> list[str]:
         """Return what a puller may treat as ejected for GRANT_TTL_S.
--- a/dogwoodtack/floor/holdings.py
+++ b/dogwoodtack/floor/holdings.py
@@ -1,5 +1,6 @@
 """The services whose removals this entry host grants, or may come to grant."""
 
+from functools import partial
 from typing import Any
 
 from ..catalog import Service
@@ -177,11 +178,18 @@
         holder.budget.note(service, self._leaving(service), now)
         holding.reviewed_version = self._parts.catalog.version(service.name)
         if self.may_grant(holding, service, now):
-            before = set(holder.ejections)
-            holder.review(self._parts.health.verdicts(service), now)
-            _log_decisions(service.name, before, holder)
+            self._decide(holder, service, now)
         return holder
 
+    def _decide(self, holder: Holder, service: Service, now: float) -> None:
+        health = self._parts.health
+        before = set(holder.ejections)
+        verdicts = health.verdicts(service)
+        back = holder.review(verdicts, now, partial(health.hold_s, service.name))
+        for name in back:
+            health.begin_probation(service.name, name)
+        _log_decisions(service.name, before, holder, now)
+
     def _leaving(self, service: Service) -> set[str]:
         leaving = self._parts.leaving
         return {
@@ -210,6 +218,7 @@
         answer = PullItemAnswer(
             floor_version=holding.ownership.version,
             grants=[],
+            refused=[],
             ttl_s=GRANT_TTL_S,
             admits=None,
         )
@@ -219,6 +228,7 @@
             holder = self._review(holding, service, now)
         if self.may_grant(holding, service, now):
             answer["grants"] = holder.grant(now)
+            answer["refused"] = holder.refused
             if holder.is_settled(now):
                 answer["admits"] = version
         return answer
@@ -236,14 +246,14 @@
         on_object(obj)
 
 
-def _log_decisions(service: str, before: set[str], holder: Holder) -> None:
+def _log_decisions(service: str, before: set[str], holder: Holder, now: float) -> None:
     """Log what a holder's review began and ended."""
     for name in sorted(holder.ejections.keys() - before):
         log_event(
             "ejection-begun",
             service=service,
             instance=name,
-            hold_s=holder.ejections[name].hold_s,
+            hold_s=holder.ejections[name].hold_until - now,
             limit=holder.budget.limit,
         )
     for name in sorted(before - holder.ejections.keys()):
--- a/dogwoodtack/floor/messages.py
+++ b/dogwoodtack/floor/messages.py
@@ -89,12 +89,14 @@
     """One service in the answer to a pull.
 
     `grants` may be treated as ejected for `ttl_s` seconds from when the pull was
-    sent.  `admits` is the service's version whose drains may take effect, None
+    sent.  `refused` are sick instances that the floor keeps in work; they should get
+    little of it.  `admits` is the service's version whose drains may take effect, None
     while they may not.
     """
 
     floor_version: int
     grants: list[str]
+    refused: list[str]
     ttl_s: float
     admits: int | None
 
--- a/dogwoodtack/floor/puller.py
+++ b/dogwoodtack/floor/puller.py
@@ -122,10 +122,16 @@
             usage = self._floor.usage(name)
             version = self._parts.catalog.version(name)
             self.note(name, usage.take_answer(item, service, version, sent_at, now))
+            for instance in item["refused"]:
+                self._parts.health.lower_weight(name, instance, item["ttl_s"])
 
     def note(self, service: str, changes: list[Change]) -> None:
-        """Log changes and put instances that came back on trial."""
+        """Log changes and put instances that came back on trial.
+
+        A holder does the latter once they are back in work everywhere.
+        """
         log_changes(service, changes)
+        is_held_here = self._holdings.get(service).ownership.is_mine
         for change in changes:
-            if change.event == "returned":
+            if change.event == "returned" and not is_held_here:
                 self._parts.health.begin_probation(service, change.instance)
--- a/dogwoodtack/floor/report.py
+++ b/dogwoodtack/floor/report.py
@@ -60,6 +60,7 @@
                 "limit": holding.holder.budget.limit,
                 "out_of_work": sorted(holding.holder.removed(now)),
                 "ejections": sorted(holding.holder.ejections),
+                "refused": sorted(holding.holder.refused),
             }
         return report
 
--- a/dogwoodtack/floor/usage.py
+++ b/dogwoodtack/floor/usage.py
@@ -90,6 +90,13 @@
         self._admitted_version = 0
         return self._admit(frozenset(), now)
 
+    def clear(self, now: float) -> list[Change]:
+        """Give every instance work again, because nothing is pulled any more."""
+        changes = self.expire(now)
+        changes += [Change("returned", name, now, now) for name in self._grants]
+        self._grants.clear()
+        return changes + self.doubt_drains(now)
+
     def expire(self, now: float) -> list[Change]:
         """Forget the grants that have run out."""
         ended = [(name, end) for name, end in self._grants.items() if end <= now]
