--- a/dogwoodtack/membership/gossip.py
+++ b/dogwoodtack/membership/gossip.py
@@ -142,7 +142,7 @@
         self._touch(self._view.me.incarnation)
 
     def _on_cut_off_check(self) -> None:
-        self._view.cut_off = self._cut_off.check()
+        self._view.set_cut_off(self._cut_off.check())
         self._reactor.call_later(CUT_OFF_CHECK_S, self._on_cut_off_check)
 
     def _on_round(self) -> None:
--- a/dogwoodtack/membership/members.py
+++ b/dogwoodtack/membership/members.py
@@ -23,9 +23,10 @@
         self._buckets: dict[int, set[str]] = {}
         self.digest = BucketDigest()
         self.hosts = hosts or HostView()
-        self.cut_off = False
+        self._is_cut_off = False
         self.revision = 0
         self._members: list[Member] | None = None
+        self._usable: list[Member] | None = None
         self._mine = MemberRecord(me, 0, MemberState.ALIVE, started_at)
         self._put(self._mine)
 
@@ -62,13 +63,15 @@
         """Return the members to send callers to.
 
         They are alive, ready, not leaving and not suspect.  This node is missing
-        while it is cut off.
+        while it is cut off.  The list must not be changed.
         """
-        return [
-            record.member
-            for record in self._records.values()
-            if self._is_usable(record)
-        ]
+        if self._usable is None:
+            self._usable = [
+                record.member
+                for record in self._records.values()
+                if self._is_usable(record)
+            ]
+        return self._usable
 
     def _is_mine(self, record: MemberRecord) -> bool:
         return record.member.incarnation == self.me.incarnation
@@ -82,7 +85,7 @@
         if member.is_leaving or not member.is_ready:
             return False
         if self._is_mine(record):
-            return not self.cut_off
+            return not self._is_cut_off
         return record.state is MemberState.ALIVE
 
     def by_incarnation(self, incarnation: str) -> Member | None:
@@ -112,10 +115,15 @@
 
     def is_cut_off(self) -> bool:
         """Return whether neither the store nor any peer was reached lately."""
-        return self.cut_off
+        return self._is_cut_off
 
     # What gossip tells and asks.
 
+    def set_cut_off(self, is_cut_off: bool) -> None:
+        """Note whether this node is cut off."""
+        self._is_cut_off = is_cut_off
+        self._usable = None
+
     def record(self, incarnation: str) -> MemberRecord | None:
         """Return what is known of an incarnation, dead ones included."""
         return self._records.get(incarnation)
@@ -198,6 +206,7 @@
         """
         self.revision += 1
         self._members = None
+        self._usable = None
         if record.state is MemberState.DEAD:
             return
         incarnation = record.member.incarnation
--- a/dogwoodtack/membership/tests/test_members.py
+++ b/dogwoodtack/membership/tests/test_members.py
@@ -120,7 +120,7 @@
         self.assertEqual(self.view.mine.counter, 5)
 
     def test_cut_off_node_is_not_usable(self):
-        self.view.cut_off = True
+        self.view.set_cut_off(True)
         self.assertEqual(self.view.usable(), [])
         self.assertEqual(self.view.members(), [self.view.me])
 
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -315,7 +315,8 @@
                 if self.procs[node.name].poll() is not None:
                     continue
                 status = self.operator(node, "GET", "/status").json()
-                if status["services"].get(name, 0) < version:
+                is_synced = status["config"]["is_synced"]
+                if not is_synced or status["services"].get(name, 0) < version:
                     return False
             return True
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -103,6 +103,7 @@
 
     def test_discovery_names_it_no_more_while_it_still_serves(self):
         other = self.fleet.start_nodes(1)[0]
+        self.fleet.wait_service("jobtrack", 1)
         target = "/.well-known/dogwoodtack/services/jobtrack"
 
         def named():
