Prove the membership clockwork on a virtual clock

Cause: failure detection, refutation, healing and one-way cuts were only seen in runs of processes.

The list of usable hosts is kept between changes of the view.

--- a/dogwoodtack/membership/members.py
+++ b/dogwoodtack/membership/members.py
@@ -121,8 +121,9 @@
 
     def set_cut_off(self, is_cut_off: bool) -> None:
         """Note whether this node is cut off."""
-        self._is_cut_off = is_cut_off
-        self._usable = None
+        if is_cut_off != self._is_cut_off:
+            self._is_cut_off = is_cut_off
+            self._usable = None
 
     def record(self, incarnation: str) -> MemberRecord | None:
         """Return what is known of an incarnation, dead ones included."""
--- /dev/null
+++ b/dogwoodtack/membership/tests/fakes.py
@@ -0,0 +1,148 @@
+"""A loop on a virtual clock, and peers that call each other's views directly."""
+
+import heapq
+import itertools
+import json
+import random
+from collections.abc import Callable
+from typing import Any
+
+from dogwoodtack.calls import Reply
+from dogwoodtack.clock import VirtualClock
+from dogwoodtack.errors import ErrorKind, WireError
+from dogwoodtack.membership import Contact, Gossip, Member, Membership
+from dogwoodtack.membership.hosts import HostView
+from dogwoodtack.misc import Address
+from dogwoodtack.reactor import Timer
+from dogwoodtack.surface import Later, Route, SurfaceRequest
+
+__all__ = ["FakeNetwork", "FakeNode", "FakePeers", "FakeReactor"]
+
+DELAY_S = 0.001
+
+
+class FakeReactor:
+    """Run timers in order of their time."""
+
+    def __init__(self) -> None:
+        self.clock = VirtualClock()
+        self._heap: list[tuple[float, int, Timer]] = []
+        self._order = itertools.count()
+
+    def call_later(self, delay_s: float, fn: Callable[..., None], *args: Any) -> Timer:
+        timer = Timer(fn, args)
+        due = self.clock.now + max(0.0, delay_s)
+        heapq.heappush(self._heap, (due, next(self._order), timer))
+        return timer
+
+    def call_soon(self, fn: Callable[..., None], *args: Any) -> Timer:
+        return self.call_later(0.0, fn, *args)
+
+    def run_for(self, seconds: float) -> None:
+        end = self.clock.now + seconds
+        while self._heap and self._heap[0][0] <= end:
+            due, _, timer = heapq.heappop(self._heap)
+            self.clock.now = max(self.clock.now, due)
+            timer.run()
+        self.clock.now = end
+
+
+class FakeNetwork:
+    """Carry calls between nodes, but for cut directions and silent nodes."""
+
+    def __init__(self) -> None:
+        self.reactor = FakeReactor()
+        self.views: dict[Address, list[Route]] = {}
+        self.cut: set[tuple[Address, Address]] = set()
+        self.silent: set[Address] = set()
+        self.bytes_sent = 0
+
+    def deliver(
+        self, source: Address, to: Address, target: str, body: Any, on_reply: Any
+    ) -> bool:
+        """Answer a call; return False where no answer will come."""
+        lost = (source, to) in self.cut or {source, to} & self.silent
+        if lost or to not in self.views:
+            return False
+        text = json.dumps(body)
+        self.bytes_sent += len(text)
+        route = next(one for one in self.views[to] if one.pattern == target)
+        req = SurfaceRequest("POST", target, {}, {}, json.loads(text))
+        result = route.view(req)
+        responder = FakeResponder(self, on_reply)
+        if isinstance(result, Later):
+            result.start(responder)
+        else:
+            responder.send(result)
+        return True
+
+
+class FakeResponder:
+    """Hand an answer back after a moment."""
+
+    def __init__(self, network: FakeNetwork, on_reply: Any) -> None:
+        self._network = network
+        self._on_reply = on_reply
+
+    def send(self, body: Any) -> None:
+        text = json.dumps(body)
+        self._network.bytes_sent += len(text)
+        reply = Reply(200, [], json.loads(text))
+        self._network.reactor.call_later(DELAY_S, self._on_reply, reply, None)
+
+
+class FakePeers:
+    """The calls of one node; one that is not answered times out."""
+
+    def __init__(self, network: FakeNetwork, address: Address) -> None:
+        self._network = network
+        self._address = address
+        self.is_ended = False
+
+    def call(self, address, target, body, on_reply, timeout_s=1.0) -> None:
+        is_done = []
+
+        def answer(reply: Reply | None, exc: WireError | None) -> None:
+            if not is_done:
+                is_done.append(True)
+                on_reply(reply, exc)
+
+        def send() -> None:
+            if self.is_ended:
+                return
+            self._network.deliver(self._address, address, target, body, answer)
+
+        lost = WireError(ErrorKind.BACKEND_TIMEOUT, "no reply in time")
+        self._network.reactor.call_later(DELAY_S, send)
+        self._network.reactor.call_later(timeout_s, answer, None, lost)
+
+
+class FakeNode:
+    """One node's membership on a fake network."""
+
+    def __init__(
+        self, network: FakeNetwork, number: int, seeds: list[int], life: int = 0
+    ) -> None:
+        self.address = address_of(number)
+        incarnation = f"{number:04d}-{life}"
+        zone = f"zone-{'abc'[number % 3]}"
+        me = Member(f"e{number}", incarnation, zone, self.address, self.address)
+        clock = network.reactor.clock
+        self.view = Membership(me, clock.wall(), HostView(clock))
+        self.contact = Contact(clock, bool(seeds))
+        self.peers = FakePeers(network, self.address)
+        self.gossip = Gossip(
+            network.reactor,
+            self.peers,
+            self.view,
+            self.contact,
+            tuple(address_of(seed) for seed in seeds),
+            random.Random(number * 1000 + life),
+        )
+        network.views[self.address] = self.gossip.routes()
+        self.gossip.begin()
+
+
+def address_of(number: int) -> Address:
+    """Return a node's address."""
+    return Address("10.0.0.1", 1000 + number)
