--- a/dogwoodtack/backends/link.py
+++ b/dogwoodtack/backends/link.py
@@ -95,6 +95,15 @@
         """Return whether the connection can take a request."""
         return not self._stream.closed
 
+    @property
+    def is_quiet(self) -> bool:
+        """Return whether nothing came in since the last answer.
+
+        What waits unread on an idle connection is either its end or an answer
+        that no request asked for, and must not become the next one's answer.
+        """
+        return self._stream.is_quiet()
+
     @property
     def bytes_sent(self) -> bool:
         """Return whether any byte of the current request left this process."""
@@ -116,12 +125,16 @@
         self._method = head.method
         self._mark_bytes = self._stream.written_bytes
         self.used = True
-        request = h11.Request(
-            method=head.method, target=head.target, headers=head.headers
-        )
-        data = self._h11.send(request)
-        if body:
-            data += self._h11.send(h11.Data(data=body))
+        try:
+            request = h11.Request(
+                method=head.method, target=head.target, headers=head.headers
+            )
+            data = self._h11.send(request)
+            if body:
+                data += self._h11.send(h11.Data(data=body))
+        except h11.LocalProtocolError as exc:
+            self.close()
+            raise WireError(ErrorKind.BAD_REQUEST, str(exc), bytes_sent=False) from exc
         self._stream.write(data)
 
     def send_body(self, data: bytes) -> None:
--- a/dogwoodtack/backends/pool.py
+++ b/dogwoodtack/backends/pool.py
@@ -45,7 +45,7 @@
         now = self._reactor.clock.monotonic()
         while idle:
             link = idle.pop()
-            if link.is_open and now - link.idle_since <= max_idle_s:
+            if now - link.idle_since <= max_idle_s and link.is_quiet:
                 return link
             link.close()
         return None
--- /dev/null
+++ b/dogwoodtack/backends/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of connections to back ends."""
--- /dev/null
+++ b/dogwoodtack/backends/tests/test_pool.py
@@ -0,0 +1,85 @@
+"""An idle connection is used again only while nothing came in on it."""
+
+import socket
+import unittest
+
+from nose2.tools import params
+
+from dogwoodtack.backends import LinkPool, OutgoingHead
+from dogwoodtack.backends.link import Link
+from dogwoodtack.errors import ErrorKind, WireError
+from dogwoodtack.misc import Address
+from dogwoodtack.reactor import Reactor
+
+ADDRESS = Address("127.0.0.1", 9)
+STRAY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+class FakeReactor(Reactor):
+    """Watch nothing and keep what is called later."""
+
+    def __init__(self):
+        self.clock = self
+        self.now = 0.0
+        self.later = []
+
+    def monotonic(self):
+        return self.now
+
+    def watch(self, fd, owner, read=False, write=False):
+        pass
+
+    def forget(self, fd):
+        pass
+
+    def call_later(self, delay_s, fn, *args):
+        self.later.append(fn)
+
+
+class PoolTest(unittest.TestCase):
+    def setUp(self):
+        self.reactor = FakeReactor()
+        self.pool = LinkPool(self.reactor, 1.0)
+        near, self.far = socket.socketpair(socket.AF_UNIX)
+        near.setblocking(False)
+        near = _WithoutOptions(near)
+        self.link = Link(self.reactor, near, ADDRESS)
+        self.addCleanup(self.far.close)
+        self.addCleanup(self.link.close)
+
+    @params(("quiet", b"", False), ("stray", STRAY, True), ("ended", None, True))
+    def test_what_came_in_is_not_taken_as_an_answer(self, _name, data, is_closed):
+        self.pool.release(self.link)
+        if data is None:
+            self.far.close()
+        elif data:
+            self.far.send(data)
+        taken = self.pool._take_idle(ADDRESS, 30.0)
+        self.assertEqual(taken is None, is_closed)
+        self.assertEqual(self.link.is_open, not is_closed)
+
+    def test_too_old(self):
+        self.pool.release(self.link)
+        self.reactor.now = 2.0
+        self.assertIsNone(self.pool._take_idle(ADDRESS, 1.0))
+
+    def test_head_that_is_not_http_is_not_sent(self):
+        bad = OutgoingHead(b"GET", b"/a b", [(b"host", b"x")])
+        with self.assertRaises(WireError) as caught:
+            self.link.start(bad, None)
+        self.assertEqual(caught.exception.kind, ErrorKind.BAD_REQUEST)
+        self.assertFalse(caught.exception.bytes_sent)
+        self.assertFalse(self.link.is_open)
+
+
+class _WithoutOptions:
+    """A socket pair's end that takes TCP options without effect."""
+
+    def __init__(self, sock):
+        self._sock = sock
+
+    def setsockopt(self, *args):
+        pass
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
--- a/dogwoodtack/door/attempt.py
+++ b/dogwoodtack/door/attempt.py
@@ -87,16 +87,20 @@
         self._body = body
         self._pool.acquire(self.slot.instance.address, self._on_link, fresh=fresh)
 
-    def _on_link(self, link: Link | None, exc: WireError | None) -> None:
+    def _on_link(self, link: Link | None, error: WireError | None) -> None:
         if self._owner is None:
             if link is not None:
                 self._pool.release(link)
             return
-        if exc is not None:
-            self._fail(exc)
+        if error is not None:
+            self._fail(error)
             return
         self._link = link
-        link.start(self._out, self, self._body or b"")
+        try:
+            link.start(self._out, self, self._body or b"")
+        except WireError as exc:
+            self._fail(exc)
+            return
         if self._body is not None:
             link.end_body()
         if self._owner is not None:
--- a/dogwoodtack/door/conn.py
+++ b/dogwoodtack/door/conn.py
@@ -1,5 +1,6 @@
 """One server connection, strict about where each message ends."""
 
+import re
 import socket
 from typing import NamedTuple, Protocol
 
@@ -15,6 +16,9 @@
 
 MAX_REQUEST_HEAD_BYTES = 32768
 PIPELINE_PAUSE_BYTES = 65536
+BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
+FOLDED_LINE = re.compile(rb"\n[ \t]")
+HEAD_END = re.compile(rb"\n\r?\n")
 
 
 class RequestHead(NamedTuple):
@@ -126,7 +130,9 @@
         """Send an answer's head."""
         if not self.is_open:
             return
-        if self._last or self._h11.their_state is h11.ERROR:
+        if self._h11.their_state is not h11.DONE:
+            self._last = True
+        if self._last:
             headers = [*headers, (b"connection", b"close")]
         self.answer_started = True
         response = h11.Response(status_code=status, headers=headers)
@@ -152,7 +158,7 @@
             return
         self._h11.start_next_cycle()
         self._arm_head_timer()
-        self.resume()
+        self._stream.resume()
         self._reactor.call_soon(self._take_events)
 
     def write_raw(self, data: bytes) -> None:
@@ -210,6 +216,7 @@
 
     def _take_events(self) -> None:
         while self.is_open and not self._broken:
+            raw = self._raw_head()
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as exc:
@@ -218,7 +225,7 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             if isinstance(event, h11.Request):
-                self._take_head(event)
+                self._take_head(event, raw)
             elif isinstance(event, h11.Data):
                 self._owner.on_request_body(self, bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -226,22 +233,38 @@
             else:
                 return
 
-    def _take_head(self, event: h11.Request) -> None:
+    def _raw_head(self) -> bytes:
+        """Return the bytes of a head that h11 has not yet parsed."""
+        if self._h11.their_state is not h11.IDLE:
+            return b""
+        waiting = bytes(self._h11.trailing_data[0]).lstrip(b"\r\n")
+        return HEAD_END.split(waiting, 1)[0]
+
+    def _take_head(self, event: h11.Request, raw: bytes) -> None:
         self._stop_head_timer()
         self.in_request = True
         self.answer_started = False
         headers = [(bytes(name), bytes(value)) for name, value in event.headers]
         head = RequestHead(event.method.decode(), event.target.decode(), headers)
-        kind, detail = head_fault(head, bytes(event.http_version))
+        kind, detail = raw_fault(raw)
+        if kind is None:
+            kind, detail = head_fault(head, bytes(event.http_version))
         if kind is not None:
             self._broken = True
             self._last = True
             self._owner.on_request_fault(self, kind, detail)
             return
+        if is_bodiless(head):
+            self._h11.next_event()
+            self._owner.on_request(self, head)
+            self._owner.on_request_end(self)
+            return
+        self._owner.on_request(self, head)
+        if not self.in_request or self.answer_started or not self.is_open:
+            return
         if self._h11.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self._stream.write(self._h11.send(go_on))
-        self._owner.on_request(self, head)
 
     def _fault(self, exc: h11.RemoteProtocolError) -> None:
         self._stop_head_timer()
@@ -250,6 +273,8 @@
         kind = ErrorKind.BAD_REQUEST
         if exc.error_status_hint == 431:
             kind = ErrorKind.HEADERS_TOO_LARGE
+        elif exc.error_status_hint == 501:
+            kind = ErrorKind.CODING_UNSUPPORTED
         self._owner.on_request_fault(self, kind, str(exc))
 
     def _arm_head_timer(self) -> None:
@@ -275,6 +300,28 @@
         )
 
 
+def is_bodiless(head: RequestHead) -> bool:
+    """Return whether a request ends with its head."""
+    if head.header(b"transfer-encoding") is not None:
+        return False
+    return int(head.header(b"content-length") or 0) == 0
+
+
+def raw_fault(raw: bytes) -> tuple[ErrorKind | None, str]:
+    """Return what h11 would mend in a head's bytes instead of refusing it.
+
+    A folded header or a bare line feed is read differently by different
+    servers, so a head that holds one is refused.
+    """
+    if len(raw) > MAX_REQUEST_HEAD_BYTES:
+        return ErrorKind.HEADERS_TOO_LARGE, f"over {MAX_REQUEST_HEAD_BYTES} bytes"
+    if BARE_LINE_FEED.search(raw):
+        return ErrorKind.BAD_REQUEST, "a line ends with a bare line feed"
+    if FOLDED_LINE.search(raw):
+        return ErrorKind.BAD_REQUEST, "a header is folded over several lines"
+    return None, ""
+
+
 def head_fault(head: RequestHead, version: bytes) -> tuple[ErrorKind | None, str]:
     """Return what is wrong with a request's framing, or None.
 
--- a/dogwoodtack/door/exchange.py
+++ b/dogwoodtack/door/exchange.py
@@ -29,7 +29,7 @@
 from ..misc import new_token
 from ..reactor import Reactor
 from .attempt import Attempt
-from .conn import RequestHead, ServerConn
+from .conn import RequestHead, ServerConn, is_bodiless
 from .headers import (
     DRAINING,
     ERROR_KIND,
@@ -47,6 +47,7 @@
 
 BUFFER_BYTES = 65536
 HOLD_BYTES = 65536
+HOLD_S = 1.0
 MAX_ATTEMPTS = 3
 FIRST_ATTEMPT_SHARE = 0.6
 KEPT_ANSWER_BYTES = 16384
@@ -105,6 +106,8 @@
         self._body_bytes = 0
         self._body_whole = False
         self._streams_body = False
+        self._body_at = self.started_at
+        self._is_caller_paused = False
         self._is_settling = False
         self._ticket: KeyTicket | None = None
         self._waiter: Waiter | None = None
@@ -114,6 +117,8 @@
         self._answer: ResponseHead | None = None
         self._held = bytearray()
         self._is_passing = False
+        self._is_hold_over = False
+        self._is_watching = False
         self._caller_gone = False
         self._answered_at: float | None = None
         self._last_fault = ErrorKind.NO_INSTANCE
@@ -127,6 +132,38 @@
             self._check_head()
         except RequestError as exc:
             self.refuse(exc.kind, exc.detail)
+            return
+        if not is_bodiless(self._head):
+            self._watch_body(self._parts.stall_timeout_s)
+
+    def _watch_body(self, delay_s: float) -> None:
+        self._parts.reactor.call_later(delay_s, self._check_body)
+
+    def _check_body(self) -> None:
+        """Give up a caller whose body stops coming while it may be sent.
+
+        This ends the request before the attempt's own limit does, so that the
+        back end is not blamed for a caller's silence.
+        """
+        if self.is_done or self._body_whole:
+            return
+        now = self._parts.reactor.clock.monotonic()
+        if self._is_caller_paused:
+            self._body_at = now
+        left_s = self._body_at + self._parts.stall_timeout_s - now
+        if left_s > 0:
+            self._watch_body(left_s)
+            return
+        self.on_fault(ErrorKind.CALLER_TIMEOUT, "the body stopped coming")
+
+    def _pause_caller(self) -> None:
+        self._is_caller_paused = True
+        self._conn.pause()
+
+    def _resume_caller(self) -> None:
+        self._is_caller_paused = False
+        self._body_at = self._parts.reactor.clock.monotonic()
+        self._conn.resume()
 
     def _check_head(self) -> None:
         head = self._head
@@ -150,20 +187,23 @@
         if self.is_done:
             return
         self._body_bytes += len(data)
+        self._body_at = self._parts.reactor.clock.monotonic()
         if self._body_bytes > self._parts.max_body_bytes:
             self.on_fault(ErrorKind.BODY_TOO_LARGE, f"over {self._body_bytes} bytes")
             return
         attempt = self._attempt
         if self._streams_body and attempt is not None and attempt.is_linked:
             attempt.send_body(data)
-            attempt.rearm(self._parts.stall_timeout_s)
             if attempt.is_full:
-                self._conn.pause()
+                attempt.rearm(self._parts.stall_timeout_s)
+                self._pause_caller()
+            else:
+                attempt.rearm(self._parts.stall_timeout_s * 2)
             return
         self._body += data
         if len(self._body) > BUFFER_BYTES and not self._streams_body:
             self._streams_body = True
-            self._conn.pause()
+            self._pause_caller()
             self._settle()
 
     def on_body_end(self) -> None:
@@ -175,6 +215,7 @@
             self._settle()
         elif self._attempt is not None and self._attempt.is_linked:
             self._attempt.end_body()
+            self._attempt.rearm(self._parts.stall_timeout_s)
 
     def on_fault(self, kind: ErrorKind, detail: str) -> None:
         """Note that the rest of the request is malformed."""
@@ -299,7 +340,7 @@
         self._attempts += 1
         self._tried.add(slot.instance.name)
         timeout_s = left_s
-        if self._is_idempotent and self._attempts == 1 and not self._streams_body:
+        if self._attempts == 1 and self._may_go_elsewhere():
             timeout_s = left_s * FIRST_ATTEMPT_SHARE
         request_id = f"{self.request_id}-{self._attempts}"
         body = None if self._streams_body else bytes(self._body)
@@ -322,20 +363,24 @@
         if self._body_whole:
             attempt.end_body()
         elif not attempt.is_full:
-            self._conn.resume()
+            attempt.rearm(self._parts.stall_timeout_s * 2)
+            self._resume_caller()
 
     def on_attempt_drained(self, attempt: Attempt) -> None:
         """Read on from the caller."""
         if attempt is self._attempt and not self._body_whole:
-            self._conn.resume()
+            attempt.rearm(self._parts.stall_timeout_s * 2)
+            self._resume_caller()
 
     def on_attempt_fail(self, attempt: Attempt, exc: WireError) -> None:
         """Try another instance if that is safe, else give the request up."""
         if attempt is not self._attempt or self.is_done:
             return
         self._attempt = None
-        kind = SAMPLE_KINDS.get(exc.kind, SampleKind.ERROR)
-        self._record(attempt, kind)
+        if exc.kind not in SAMPLE_KINDS:
+            self._finish_unserved(exc.kind, exc.detail)
+            return
+        self._record(attempt, SAMPLE_KINDS[exc.kind])
         self._last_fault = exc.kind
         if exc.bytes_sent:
             self._may_have_run = True
@@ -356,6 +401,12 @@
             return
         self._finish_unserved(ErrorKind.BACKEND_REFUSED, exc.detail)
 
+    def _may_go_elsewhere(self) -> bool:
+        """Return whether time is worth keeping for another instance."""
+        if self._streams_body or not self._is_idempotent:
+            return False
+        return len(self._match.service.instances) > 1
+
     def _can_try_again(self) -> bool:
         if self._streams_body and not self._body:
             return False
@@ -375,21 +426,35 @@
     # Relaying the answer.
 
     def on_attempt_head(self, attempt: Attempt, head: ResponseHead) -> None:
-        """Hold the answer until it is whole or too large to hold."""
-        if attempt is self._attempt:
-            self._answer = head
+        """Hold the answer until it is whole, too large or too slow to hold.
+
+        A short answer has to be whole by the request's deadline.
+        """
+        if attempt is not self._attempt:
+            return
+        self._answer = head
+        if is_long(head):
             attempt.rearm(self._parts.stall_timeout_s)
+            self._parts.reactor.call_later(HOLD_S, self._end_hold, attempt)
+
+    def _end_hold(self, attempt: Attempt) -> None:
+        if attempt is not self._attempt:
+            return
+        self._is_hold_over = True
+        if self._held and not self._is_passing:
+            self._begin_passing()
 
     def on_attempt_body(self, attempt: Attempt, data: bytes) -> None:
         """Hold a piece of the answer, or pass it on."""
         if attempt is not self._attempt:
             return
-        attempt.rearm(self._parts.stall_timeout_s)
         if self._answer.header(NOT_EXECUTED) is not None:
             return
+        if is_long(self._answer):
+            attempt.rearm(self._parts.stall_timeout_s)
         if not self._is_passing:
             self._held += data
-            if len(self._held) <= HOLD_BYTES:
+            if len(self._held) <= HOLD_BYTES and not self._is_hold_over:
                 return
             self._begin_passing()
         else:
@@ -425,9 +490,13 @@
         mark = self._conn.written_bytes
         timeout_s = self._parts.stall_timeout_s
         self._attempt.rearm(timeout_s * 2)
+        if self._is_watching:
+            return
+        self._is_watching = True
         self._parts.reactor.call_later(timeout_s, self._check_progress, mark)
 
     def _check_progress(self, mark: int) -> None:
+        self._is_watching = False
         if self.is_done or self._attempt is None or not self._conn.is_full:
             return
         if self._conn.written_bytes > mark:
@@ -574,6 +643,12 @@
         )
 
 
+def is_long(head: ResponseHead) -> bool:
+    """Return whether an answer may be too long to be held until it is whole."""
+    length = head.header(b"content-length")
+    return length is None or int(length) > HOLD_BYTES
+
+
 def send_error(
     conn: ServerConn,
     kind: ErrorKind,
--- /dev/null
+++ b/dogwoodtack/door/tests/rig.py
@@ -0,0 +1,231 @@
+"""A door with scripted back ends and raw callers, all on one loop."""
+
+import random
+import socket
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+from unittest.mock import Mock
+
+from circuits import BaseComponent
+from circuits.core.pollers import EPoll
+from loguru import logger
+
+from dogwoodtack.backends import LinkPool
+from dogwoodtack.catalog import Catalog
+from dogwoodtack.clock import Clock, SystemClock
+from dogwoodtack.door import Door, Parts
+from dogwoodtack.floor import Floor
+from dogwoodtack.health import Health, Sample
+from dogwoodtack.keys import KeyTable
+from dogwoodtack.leaving import Leaving
+from dogwoodtack.limits import Limits
+from dogwoodtack.misc import Address
+from dogwoodtack.reactor import Listener, Reactor
+from dogwoodtack.stream import Stream
+
+__all__ = ["Peer", "Reply", "Rig", "ScriptedBackend"]
+
+ANY_PORT = Address("127.0.0.1", 0)
+POLL_S = 0.002
+WAIT_S = 2.0
+STALL_S = 0.3
+TIMEOUT_MS = 400
+MAX_BODY_BYTES = 300_000
+HOST = "jobtrack.example"
+
+
+class Reply(NamedTuple):
+    """What a scripted back end does with one request.
+
+    Attributes:
+        data: raw bytes to write.
+        then: `keep`, `close` or `reset` the connection afterwards.
+        early: whether to reply as soon as the request's head is there.
+    """
+
+    data: bytes
+    then: str = "keep"
+    early: bool = False
+
+
+class Peer:
+    """One end of a raw connection, which collects what it reads."""
+
+    def __init__(self, reactor: Reactor, sock: socket.socket, on_data=None) -> None:
+        self.data = b""
+        self.ended = False
+        self.reset = False
+        self.on_data = on_data
+        sock.setblocking(False)
+        self.stream = Stream(reactor, sock, self)
+
+    def on_bytes(self, data: bytes) -> None:
+        self.data += data
+        if self.on_data is not None:
+            self.on_data(self)
+
+    def on_eof(self) -> None:
+        self.ended = True
+        self.stream.close()
+
+    def on_closed(self) -> None:
+        self.ended = True
+        self.reset = True
+
+    def on_drained(self) -> None:
+        pass
+
+
+class ScriptedBackend:
+    """Answer requests in turn with the bytes of a script; the last one repeats."""
+
+    def __init__(self, reactor: Reactor) -> None:
+        self.replies: list[Reply] = []
+        self.requests: list[bytes] = []
+        self.peers: list[Peer] = []
+        self._reactor = reactor
+        self._listener = Listener(reactor, ANY_PORT, self._on_accept)
+        self.address = self._listener.address
+
+    def _on_accept(self, sock: socket.socket, peer: Address) -> None:
+        self.peers.append(Peer(self._reactor, sock, self._on_data))
+
+    def _on_data(self, peer: Peer) -> None:
+        head, sep, body = peer.data.partition(b"\r\n\r\n")
+        if not sep or not self.replies:
+            return
+        reply = self.replies[0]
+        if not reply.early and not _is_whole(head, body):
+            return
+        self.requests.append(peer.data)
+        peer.data = b""
+        if len(self.replies) > 1:
+            self.replies.pop(0)
+        peer.stream.write(reply.data)
+        if reply.then == "close":
+            peer.stream.finish()
+        elif reply.then == "reset":
+            peer.stream.abort()
+
+
+def _is_whole(head: bytes, body: bytes) -> bool:
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return len(body) >= int(line.partition(b":")[2])
+    return b"chunked" not in head.lower() or body.endswith(b"0\r\n\r\n")
+
+
+class Recorder(Health):
+    """Keep every sample."""
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock, "here")
+        self.samples: list[Sample] = []
+
+    def record(self, sample: Sample) -> None:
+        self.samples.append(sample)
+
+
+def discover(name: str, on_answer: Callable[[object], None]) -> None:
+    on_answer({"name": name})
+
+
+class Rig:
+    """One door on a loop that turns only while a condition is awaited."""
+
+    def __init__(self, backends: int = 1, **service: object) -> None:
+        logger.remove()
+        self.root = BaseComponent()
+        self.poller = EPoll().register(self.root)
+        self.reactor = Reactor(SystemClock(), self.poller).register(self.root)
+        self.backends = [ScriptedBackend(self.reactor) for _ in range(backends)]
+        self.health = Recorder(self.reactor.clock)
+        self.keys = KeyTable("here", self.reactor.clock)
+        self.pool = LinkPool(self.reactor, 1.0)
+        catalog = Catalog()
+        catalog.put("jobtrack", 1, self._service_value(service))
+        leaving = Leaving(self.reactor.clock, lambda hint: None)
+        limits = Limits(
+            self.reactor, catalog, self.health, Floor(), leaving, random.Random(1)
+        )
+        parts = Parts(
+            reactor=self.reactor,
+            catalog=catalog,
+            keys=self.keys,
+            limits=limits,
+            leaving=leaving,
+            health=self.health,
+            pool=self.pool,
+            burn=Mock(),
+            max_body_bytes=MAX_BODY_BYTES,
+            stall_timeout_s=STALL_S,
+        )
+        self.limits = limits
+        self.door = Door(parts, ANY_PORT, discover, 100, STALL_S)
+
+    def _service_value(self, fields: dict[str, object]) -> dict[str, object]:
+        instances = [
+            {"name": f"jt-{number}", "address": str(one.address), "slots": 2}
+            for number, one in enumerate(self.backends)
+        ]
+        route = {"host": HOST, "prefix": "/", "timeout_ms": TIMEOUT_MS}
+        value = {"routes": [route], "instances": instances}
+        value.update(fields)
+        return value
+
+    def script(self, *replies: Reply) -> None:
+        """Give every back end the same script."""
+        for backend in self.backends:
+            backend.replies = list(replies)
+
+    @property
+    def requests(self) -> list[bytes]:
+        """Return every request that a back end took."""
+        return [one for backend in self.backends for one in backend.requests]
+
+    def caller(self, data: bytes = b"") -> Peer:
+        """Connect a caller that sends some bytes."""
+        peer = Peer(self.reactor, socket.create_connection(self.door.address))
+        peer.stream.write(data)
+        return peer
+
+    def run_until(self, check: Callable[[], bool], timeout_s: float = WAIT_S) -> bool:
+        """Turn the loop until a check holds; return whether it came to hold."""
+        end = time.monotonic() + timeout_s
+
+        def poll() -> None:
+            if check() or time.monotonic() > end:
+                self.root.stop()
+                self.reactor.call_soon(poll_timer.cancel)
+            else:
+                self.reactor.call_later(POLL_S, poll)
+
+        poll_timer = self.reactor.call_soon(poll)
+        self.root.run()
+        poll_timer.cancel()
+        return check()
+
+    def run_for(self, seconds: float) -> None:
+        """Turn the loop for some time."""
+        self.run_until(lambda: False, seconds)
+
+    def ask(self, data: bytes, timeout_s: float = WAIT_S) -> Peer:
+        """Send raw bytes and wait for a whole answer or the connection's end."""
+        peer = self.caller(data)
+        self.run_until(lambda: peer.ended or is_answered(peer.data), timeout_s)
+        return peer
+
+    def close(self) -> None:
+        """Close what the loop holds."""
+        self.door.stop_accepting()
+        self.door.close()
+        self.pool.close()
+
+
+def is_answered(data: bytes) -> bool:
+    """Return whether some bytes hold a whole answer."""
+    head, sep, body = data.partition(b"\r\n\r\n")
+    if b" 100 " in head.split(b"\r\n")[0]:
+        return is_answered(body)
+    return bool(sep) and _is_whole(head, body)
--- /dev/null
+++ b/dogwoodtack/door/tests/test_answers.py
@@ -0,0 +1,184 @@
+"""A caller gets the whole answer to its own request, or an honest error."""
+
+import unittest
+
+from nose2.tools import params
+
+from .rig import Reply, Rig
+
+GET = b"GET /racks/7 HTTP/1.1\r\nHost: jobtrack.example\r\n\r\n"
+POST = (
+    b"POST /release HTTP/1.1\r\nHost: jobtrack.example\r\nContent-Length: 4\r\n\r\nabcd"
+)
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\nrack 7 done"
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"5\r\nrack \r\n6\r\n7 done\r\n0\r\n\r\n"
+)
+SHED = b"HTTP/1.1 503 No\r\nX-Not-Executed: shed\r\nContent-Length: "
+BIG = 100_000
+
+
+class AnswersTest(unittest.TestCase):
+    def start(self, backends=1, **fields):
+        rig = Rig(backends, **fields)
+        self.addCleanup(rig.close)
+        return rig
+
+    def outcome(self, peer):
+        head = peer.data.partition(b"\r\n\r\n")[0].lower()
+        status = int(head.split(b" ")[1]) if head else 0
+        for line in head.split(b"\r\n"):
+            if line.startswith(b"x-dogwoodtack-outcome: "):
+                return status, line.partition(b": ")[2].decode()
+        return status, ""
+
+    @params(OK, CHUNKED)
+    def test_cut_at_every_byte_is_retried(self, whole):
+        rig = self.start(backends=2)
+        for cut in range(len(whole)):
+            for then in ("close", "reset"):
+                with self.subTest(cut=cut, then=then):
+                    for backend in rig.backends:
+                        backend.replies = [Reply(OK)]
+                    first = Reply(whole[:cut], then)
+                    rig.backends[cut % 2].replies.insert(0, first)
+                    peer = rig.ask(GET)
+                    self.assertEqual(self.outcome(peer), (200, "ran"))
+                    self.assertTrue(peer.data.endswith(b"rack 7 done"))
+                    peer.stream.close()
+
+    @params(OK, CHUNKED)
+    def test_cut_at_every_byte_of_a_release(self, whole):
+        rig = self.start(backends=2)
+        for cut in range(len(whole)):
+            with self.subTest(cut=cut):
+                rig.script(Reply(whole[:cut], "close"))
+                before = len(rig.requests)
+                peer = rig.ask(POST)
+                self.assertEqual(self.outcome(peer), (502, "unknown"))
+                self.assertEqual(len(rig.requests) - before, 1)
+                peer.stream.close()
+
+    @params(
+        ("stray bytes", OK + b"more"),
+        ("second answer", OK + OK),
+        ("two lengths", OK.replace(b"\r\n\r\n", b"\r\nContent-Length: 3\r\n\r\n")),
+        (
+            "both framings",
+            CHUNKED.replace(b"\r\n\r\n", b"\r\nContent-Length: 9\r\n\r\n", 1),
+        ),
+        ("no framing", b"HTTP/1.1 200 OK\r\n\r\nrack 7 done"),
+        ("bad chunk", CHUNKED.replace(b"5\r\n", b"zz\r\n")),
+        ("not HTTP", b"SSH-2.0-OpenSSH\r\n\r\n"),
+        ("switch", b"HTTP/1.1 101 Switch\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"),
+        ("crossed", OK.replace(b"\r\n\r\n", b"\r\nX-Request-Id: other\r\n\r\n")),
+        ("long head", b"HTTP/1.1 200 OK\r\nX: " + b"y" * 200_000 + b"\r\n\r\n"),
+    )
+    def test_malformed_is_never_passed_on(self, _name, data):
+        rig = self.start()
+        rig.script(Reply(data))
+        for request in (GET, POST):
+            peer = rig.ask(request)
+            self.assertEqual(self.outcome(peer), (502, "unknown"))
+            self.assertNotIn(b"rack 7", peer.data)
+
+    @params(
+        (GET, b"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 103 Hints\r\n\r\n" + OK, 200, b"done"),
+        (GET.replace(b"GET", b"HEAD"), OK[:-11], 200, b"\r\n\r\n"),
+        (GET, b"HTTP/1.1 204 None\r\n\r\n", 204, b"\r\n\r\n"),
+        (GET, b"HTTP/1.1 304 Same\r\nContent-Length: 9\r\n\r\n", 304, b"\r\n\r\n"),
+        (GET, CHUNKED[:-2] + b"X-Sum: 1\r\n\r\n", 200, b"0\r\n\r\n"),
+    )
+    def test_framing_without_plain_length(self, request, data, status, end):
+        rig = self.start()
+        rig.script(Reply(data))
+        peer = rig.ask(request)
+        self.assertEqual(self.outcome(peer), (status, "ran"))
+        self.assertTrue(peer.data.endswith(end), peer.data)
+        self.assertEqual(len(rig.requests), 1)
+
+    @params(10, BIG)
+    def test_shed_answer_of_any_size_goes_elsewhere(self, size):
+        rig = self.start(backends=2)
+        shed = SHED + b"%d\r\n\r\n" % size + b"s" * size
+        rig.backends[0].replies = [Reply(shed)]
+        rig.backends[1].replies = [Reply(OK)]
+        for _ in range(6):
+            peer = rig.ask(POST)
+            self.assertEqual(self.outcome(peer), (200, "ran"))
+            self.assertNotIn(b"sss", peer.data)
+
+    def test_large_answer_that_is_cut_is_aborted(self):
+        rig = self.start()
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BIG
+        rig.script(Reply(head + b"x" * (BIG - 1), "close"))
+        peer = rig.ask(GET)
+        self.assertTrue(peer.reset)
+        self.assertFalse(peer.data.endswith(b"x" * BIG))
+
+    def test_deadline_holds_until_a_short_answer_is_whole(self):
+        rig = self.start()
+        rig.script(Reply(OK[:-1]))
+        request = GET.replace(b"\r\n\r\n", b"\r\nX-Deadline-Ms: 100\r\n\r\n")
+        began = rig.reactor.clock.monotonic()
+        peer = rig.ask(request)
+        self.assertEqual(self.outcome(peer), (504, "unknown"))
+        self.assertLess(rig.reactor.clock.monotonic() - began, 0.2)
+
+    def test_unknown_is_not_hidden_by_a_later_attempt(self):
+        rig = self.start(backends=2)
+        rig.script(Reply(b"", "close"), Reply(SHED + b"0\r\n\r\n"))
+        rig.backends[1].replies = [Reply(SHED + b"0\r\n\r\n")]
+        outcomes = set()
+        for _ in range(8):
+            rig.backends[0].replies = [Reply(b"", "close")]
+            outcomes.add(self.outcome(rig.ask(GET))[1])
+        self.assertEqual(outcomes, {"unknown"})
+
+    def test_stray_answer_on_an_idle_connection_is_not_taken(self):
+        rig = self.start()
+        rig.script(Reply(OK))
+        rig.ask(POST)
+        stray = OK.replace(b"rack 7", b"rack 9")
+        rig.backends[0].peers[0].stream._sock.send(stray)
+        peer = rig.ask(POST)
+        self.assertNotIn(b"rack 9", peer.data)
+        self.assertEqual(self.outcome(peer), (200, "ran"))
+
+    def test_late_answer_reaches_nobody(self):
+        rig = self.start()
+        rig.script(Reply(b""))
+        peer = rig.ask(POST)
+        self.assertEqual(self.outcome(peer), (504, "unknown"))
+        rig.backends[0].peers[0].stream.write(OK)
+        rig.script(Reply(OK.replace(b"rack 7", b"rack 8")))
+        peer = rig.ask(POST)
+        self.assertIn(b"rack 8 done", peer.data)
+
+    def test_answer_before_the_end_of_the_request(self):
+        rig = self.start()
+        rig.script(Reply(OK, early=True))
+        request = POST.replace(b"Content-Length: 4", b"Content-Length: 200000")
+        peer = rig.ask(request + b"x" * 90_000)
+        self.assertEqual(self.outcome(peer)[0], 200)
+        self.assertIn(b"connection: close", peer.data.lower())
+        self.assertTrue(rig.run_until(lambda: peer.ended))
+
+    def test_pipelined_requests_are_answered_in_order(self):
+        rig = self.start()
+        answers = [OK.replace(b"rack 7", b"rack %d" % number) for number in range(5)]
+        rig.script(*[Reply(answer) for answer in answers])
+        peer = rig.caller(GET * 5)
+        rig.run_until(lambda: peer.data.count(b"done") == 5)
+        places = [peer.data.find(b"rack %d done" % number) for number in range(5)]
+        self.assertEqual(places, sorted(places))
+        self.assertNotIn(-1, places)
+
+    def test_keep_alive_after_own_answers(self):
+        rig = self.start()
+        unknown = GET.replace(b"jobtrack", b"nobody")
+        found = GET.replace(b"/racks/7", b"/.well-known/dogwoodtack/x")
+        peer = rig.caller(unknown + found + unknown)
+        self.assertTrue(rig.run_until(lambda: peer.data.count(b"HTTP/1.1") == 3))
+        self.assertFalse(peer.ended)
--- /dev/null
+++ b/dogwoodtack/door/tests/test_requests.py
@@ -0,0 +1,176 @@
+"""A malformed, slow or vanished caller gets a clear end and harms nobody."""
+
+import unittest
+
+from nose2.tools import params
+
+from dogwoodtack.health import SampleKind
+
+from .rig import MAX_BODY_BYTES, STALL_S, Reply, Rig
+
+HOST = b"Host: jobtrack.example\r\n"
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\nrack 7 done"
+CHUNKED = b"POST /r HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n"
+UPLOAD = b"POST /r HTTP/1.1\r\n" + HOST + b"Content-Length: 200000\r\n\r\n"
+
+
+def get(extra=b"", target=b"/racks/7", host=HOST):
+    return b"GET " + target + b" HTTP/1.1\r\n" + host + extra + b"\r\n"
+
+
+MALFORMED = (
+    ("two lengths", 400, get(b"Content-Length: 3\r\nContent-Length: 4\r\n") + b"abcd"),
+    ("length and coding", 400, CHUNKED.replace(b"T", b"Content-Length: 4\r\nT", 1)),
+    ("negative length", 400, get(b"Content-Length: -1\r\n")),
+    ("huge length", 400, get(b"Content-Length: " + b"9" * 40 + b"\r\n")),
+    ("body over the limit", 413, get(b"Content-Length: 999999\r\n")),
+    ("unknown coding", 501, get(b"Transfer-Encoding: gzip\r\n")),
+    ("bad chunk size", 400, CHUNKED + b"zz\r\nabc\r\n0\r\n\r\n"),
+    ("bad chunk end", 400, CHUNKED + b"3\r\nabcX\r\n0\r\n\r\n"),
+    ("no host", 400, get(host=b"")),
+    ("two hosts", 400, get(HOST)),
+    ("folded header", 400, get(b"X-A: one\r\n two\r\n")),
+    ("bare line feed", 400, get(b"X-A: one\nX-B: two\r\n")),
+    ("NUL in a header", 400, get(b"X-A: o\x00ne\r\n")),
+    ("space before colon", 400, get(b"X-A : one\r\n")),
+    ("absolute target", 400, get(target=b"http://other.example/")),
+    ("star target", 400, get(target=b"*")),
+    ("tunnel", 400, get().replace(b"GET", b"CONNECT")),
+    ("upgrade", 400, get(b"Upgrade: websocket\r\nConnection: upgrade\r\n")),
+    ("HTTP/1.0", 505, get().replace(b"1.1", b"1.0")),
+    ("not HTTP", 400, b"\x16\x03\x01\x02\x00\r\n\r\n"),
+    ("long head in one write", 431, get(b"X-A: " + b"y" * 50_000 + b"\r\n")),
+    ("long head without an end", 431, get(b"X-A: " + b"y" * 200_000)),
+    ("bad deadline", 400, get(b"X-Deadline-Ms: soon\r\n")),
+)
+
+
+class RequestsTest(unittest.TestCase):
+    def start(self, backends=1, **fields):
+        rig = Rig(backends, **fields)
+        rig.script(Reply(OK))
+        self.addCleanup(rig.close)
+        return rig
+
+    @params(*MALFORMED)
+    def test_malformed_is_refused(self, _name, status, data):
+        rig = self.start()
+        peer = rig.ask(data)
+        self.assertEqual(peer.data[:12], b"HTTP/1.1 %d" % status)
+        self.assertIn(b"x-dogwoodtack-outcome: not-run", peer.data.lower())
+        self.assertEqual(rig.requests, [])
+
+    @params(*MALFORMED)
+    def test_malformed_after_a_good_one(self, _name, status, data):
+        rig = self.start()
+        peer = rig.caller(get() + data)
+        self.assertTrue(rig.run_until(lambda: b"HTTP/1.1 %d" % status in peer.data))
+        self.assertTrue(peer.data.startswith(b"HTTP/1.1 200"))
+        self.assertEqual(len(rig.requests), 1)
+
+    def test_head_byte_by_byte_is_taken_or_timed_out(self):
+        rig = self.start()
+        peer = rig.caller()
+        for place in range(len(get())):
+            peer.stream.write(get()[place : place + 1])
+            rig.run_for(0.001)
+        self.assertTrue(rig.run_until(lambda: peer.data.endswith(b"done")))
+        slow = rig.ask(get()[:20], STALL_S * 3)
+        self.assertTrue(slow.data.startswith(b"HTTP/1.1 408"))
+
+    @params(
+        ("nothing sent on", UPLOAD + b"x" * 10),
+        ("sent on in pieces", UPLOAD + b"x" * 100_000),
+        ("chunks", CHUNKED + b"3\r\nabc\r\n"),
+    )
+    def test_body_that_stops_ends_at_the_stall_limit(self, _name, data):
+        rig = self.start()
+        peer = rig.ask(data, STALL_S * 4)
+        self.assertTrue(peer.ended or peer.data.startswith(b"HTTP/1.1 408"))
+        self.assertEqual(rig.door.in_flight, 0)
+        bad = [one for one in rig.health.samples if one.kind is not SampleKind.OK]
+        self.assertEqual(bad, [])
+
+    def test_chunked_body_over_the_limit_is_never_called_not_run(self):
+        rig = self.start()
+        chunk = b"ffff\r\n" + b"x" * 0xFFFF + b"\r\n"
+        peer = rig.ask(CHUNKED + chunk * (MAX_BODY_BYTES // 0xFFFF + 2))
+        self.assertTrue(peer.ended)
+        self.assertNotIn(b"not-run", peer.data)
+
+    @params(*range(0, 90, 7))
+    def test_caller_that_leaves_while_it_sends(self, cut):
+        rig = self.start()
+        peer = rig.caller((UPLOAD + b"x" * 200_000)[:cut])
+        rig.run_for(0.01)
+        peer.stream.abort()
+        self.assertTrue(rig.run_until(lambda: rig.door.connections == 0))
+        self.assertEqual(rig.door.in_flight, 0)
+        self.assertEqual(rig.requests, [])
+
+    @params(b"", OK[:20], OK[:-3])
+    def test_caller_that_leaves_while_it_waits_cancels_a_look_up(self, answer):
+        rig = self.start()
+        rig.script(Reply(answer))
+        peer = rig.caller(get())
+        rig.run_until(lambda: bool(rig.requests))
+        rig.run_for(0.02)
+        peer.stream.close()
+        backend = rig.backends[0]
+        self.assertTrue(rig.run_until(lambda: backend.peers[0].ended, STALL_S / 2))
+        self.assertEqual(rig.door.in_flight, 0)
+
+    def test_caller_that_leaves_while_it_queues_reaches_no_back_end(self):
+        rig = self.start()
+        rig.script(Reply(b""))
+        holders = [rig.caller(get()) for _ in range(2)]
+        rig.run_until(lambda: len(rig.requests) == 2)
+        queued = rig.caller(get(target=b"/queued"))
+        rig.run_for(0.02)
+        queued.stream.close()
+        rig.run_for(0.02)
+        self.assertEqual(rig.door.in_flight, 2)
+        for holder in holders:
+            holder.stream.close()
+        rig.run_for(0.05)
+        self.assertFalse(any(b"/queued" in one for one in rig.requests))
+
+    def test_caller_that_reads_nothing_ends_at_the_stall_limit(self):
+        rig = self.start()
+        size = 60_000_000
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
+        rig.script(Reply(head + bytes(size)))
+        peer = rig.caller(get())
+        peer.stream.pause()
+        rig.run_until(lambda: rig.door.in_flight == 1)
+        held = []
+
+        def is_over():
+            for conn in rig.door._conns:
+                held.append(conn._stream.buffered_bytes)
+            return rig.door.in_flight == 0
+
+        self.assertTrue(rig.run_until(is_over, STALL_S * 4))
+        self.assertLess(max(held), 1_000_000)
+
+    def test_slow_caller_that_reads_on_is_kept(self):
+        rig = self.start()
+        size = 12_000_000
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
+        rig.script(Reply(head + bytes(size)))
+        peer = rig.caller(get())
+        while len(peer.data) < size and not peer.ended:
+            peer.stream.pause()
+            rig.run_for(STALL_S / 2)
+            peer.stream.resume()
+            rig.run_for(0.01)
+        self.assertTrue(rig.run_until(lambda: rig.door.in_flight == 0))
+        self.assertGreaterEqual(len(peer.data), size)
+
+    def test_expect_continue_is_not_given_to_a_refused_request(self):
+        rig = self.start()
+        request = UPLOAD.replace(b"200000", b"999999")
+        peer = rig.ask(
+            request.replace(b"\r\n\r\n", b"\r\nExpect: 100-continue\r\n\r\n")
+        )
+        self.assertTrue(peer.data.startswith(b"HTTP/1.1 413"), peer.data[:50])
--- a/dogwoodtack/errors.py
+++ b/dogwoodtack/errors.py
@@ -33,6 +33,7 @@
     BODY_TOO_LARGE = "body-too-large"
     CALLER_TIMEOUT = "caller-timeout"
     VERSION_UNSUPPORTED = "version-unsupported"
+    CODING_UNSUPPORTED = "coding-unsupported"
     NO_ROUTE = "no-route"
     KEY_MALFORMED = "key-malformed"
     KEY_MISSING = "key-missing"
@@ -88,6 +89,9 @@
     ErrorKind.BODY_TOO_LARGE: Answer(413, _NOT, None, "The body is too large."),
     ErrorKind.CALLER_TIMEOUT: Answer(408, _NOT, 1, "The request came too slowly."),
     ErrorKind.VERSION_UNSUPPORTED: Answer(505, _NOT, None, "HTTP/1.1 is required."),
+    ErrorKind.CODING_UNSUPPORTED: Answer(
+        501, _NOT, None, "The only transfer coding that is taken is chunked."
+    ),
     ErrorKind.NO_ROUTE: Answer(404, _NOT, None, "No service has this route."),
     ErrorKind.KEY_MALFORMED: Answer(
         400, _NOT, None, "The idempotency key was not made from a discovery answer."
--- a/dogwoodtack/reactor.py
+++ b/dogwoodtack/reactor.py
@@ -139,6 +139,10 @@
 
     @handler("_disconnect")
     def _on_disconnect(self, fd: int) -> None:
+        if self._poller.isReading(fd) or self._poller.isWriting(fd):
+            # The hang-up was of a descriptor that was closed in the same turn,
+            # and its number belongs to a new connection by now.
+            return
         owner = self._owners.pop(fd, None)
         if owner is not None:
             self._guard(owner.on_hangup)
--- a/dogwoodtack/stream.py
+++ b/dogwoodtack/stream.py
@@ -74,22 +74,24 @@
         if self.closed or self._closing or not data:
             return
         if not self._buffer:
-            data = data[self._send(data) :]
-            if self.closed:
+            sent = self._send(data)
+            if sent is None:
+                self._fail()
                 return
+            data = data[sent:] if sent else data
         if data:
             self._buffer += data
             self._was_full = self._was_full or self.is_full
             self._update()
 
-    def _send(self, data: bytes) -> int:
+    def _send(self, data: bytes | memoryview) -> int | None:
+        """Return how many bytes the socket took, None where it is broken."""
         try:
             sent = self._sock.send(data)
         except (BlockingIOError, InterruptedError):
             return 0
         except OSError:
-            self._fail()
-            return 0
+            return None
         self.written_bytes += sent
         return sent
 
@@ -103,6 +105,18 @@
         self._reading = True
         self._update()
 
+    def is_quiet(self) -> bool:
+        """Return whether nothing waits to be read, not even the other side's end."""
+        if self.closed:
+            return False
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return False
+        return False
+
     def finish(self) -> None:
         """Close once everything that waits has been written.
 
@@ -169,10 +183,9 @@
         if self.closed:
             return
         if self._buffer:
-            sent = self._send(bytes(self._buffer[:HIGH_MARK_BYTES]))
+            self._write_buffered()
             if self.closed:
                 return
-            del self._buffer[:sent]
         if self._closing and not self._buffer:
             self._shut()
         self._update()
@@ -182,6 +195,14 @@
             self._was_full = False
             self.owner.on_drained()
 
+    def _write_buffered(self) -> None:
+        with memoryview(self._buffer) as view:
+            sent = self._send(view[:HIGH_MARK_BYTES])
+        if sent is None:
+            self._fail()
+            return
+        del self._buffer[:sent]
+
     def on_hangup(self) -> None:
         """Treat a hang-up seen by the poller as a failed connection."""
         self._fail()
