--- a/dogwoodtack/door/exchange.py
+++ b/dogwoodtack/door/exchange.py
@@ -422,6 +422,7 @@
             at=self._parts.reactor.clock.monotonic(),
         )
         self._parts.health.record(sample)
+        self._parts.limits.record(sample)
 
     # Relaying the answer.
 
