Meet closed and stray idle connections with separate processes

Cause: a process that was paused wrote a request on a connection whose close or stray bytes were not read yet.

--- a/tests/test_truth.py
+++ b/tests/test_truth.py
@@ -108,6 +108,28 @@
                 self.assertTrue(conn.recv(1))
             self.assertIn(b"outcome: unknown", self.read_all(caller))
 
+    @params(b"", b"HTTP/1.1 200 \r\ncontent-length: 5\r\n\r\nstray")
+    def test_connection_that_was_closed_or_sent_stray_bytes_is_not_used(self, stray):
+        self.serve()
+        whole = b"HTTP/1.1 200 \r\ncontent-length: 0\r\n\r\n"
+        caller = self.connect("GET / HTTP/1.1\r\nhost: {host}\r\n\r\n")
+        idle = self.backend.accept()[0]
+        idle.recv(65536)
+        idle.sendall(whole)
+        self.assertIn(b"outcome: ran", caller.recv(65536))
+        self.fleet.signal(self.node.name, signal.SIGSTOP)
+        head = f"POST / HTTP/1.1\r\nhost: {HOST}\r\ncontent-length: 0\r\n"
+        caller.sendall(f"{head}connection: close\r\n\r\n".encode())
+        idle.sendall(stray)
+        idle.close()
+        self.fleet.signal(self.node.name, signal.SIGCONT)
+        with closing(self.backend.accept()[0]) as conn:
+            conn.recv(65536)
+            conn.sendall(whole)
+            answer = self.read_all(caller)
+        self.assertIn(b"outcome: ran", answer)
+        self.assertNotIn(b"stray", answer)
+
     def test_large_shed_answer_is_not_passed_on(self):
         self.serve()
         head = "POST / HTTP/1.1\r\nhost: {host}\r\ncontent-length: 0\r\n"
