--- a/dogwoodtack/health/messages.py
+++ b/dogwoodtack/health/messages.py
@@ -86,6 +86,7 @@
         peer_share: the share of its peers' attempts that the test allows.
         sources: how many entry hosts reported failed or very slow attempts.
         on_probation: whether the instance is back on trial.
+        in_work: whether it still gets attempts, or got some moments ago.
         strikes: how many earlier ejections still lengthen the next one.
     """
 
@@ -98,4 +99,5 @@
     peer_share: float = 0.0
     sources: int = 0
     on_probation: bool = False
+    in_work: bool = True
     strikes: int = 0
--- a/dogwoodtack/health/pool.py
+++ b/dogwoodtack/health/pool.py
@@ -68,10 +68,11 @@
         self.usual_slow = dict.fromkeys(CLASSES, USUAL_SLOW_SHARE)
         self.explanation = Explanation()
         self.is_sick = False
+        self.was_sick = False
 
     def is_out(self, now: float) -> bool:
-        """Return whether a suspect instance gets no work any more."""
-        return self.is_sick and now - self.seen_at > OUT_OF_WORK_S
+        """Return whether an instance was suspect and gets no work any more."""
+        return self.was_sick and now - self.seen_at > OUT_OF_WORK_S
 
     def begin_probation(self, now: float) -> None:
         """Drop the evidence, not what is usual for the instance."""
@@ -81,6 +82,7 @@
         self.probation_at = now
         self.lowered_until = 0.0
         self.is_sick = False
+        self.was_sick = False
         self.hold.note_return(now)
 
 
@@ -317,6 +319,7 @@
         return found._replace(
             sources=sources,
             on_probation=track.probation_at is not None,
+            in_work=not track.is_out(now),
             strikes=round(track.hold.strikes(now)),
         )
 
--- a/dogwoodtack/health/report.py
+++ b/dogwoodtack/health/report.py
@@ -29,7 +29,7 @@
         self.suspect.set(labels, int(verdict.is_sick))
         self.changes.inc({**labels, "signal": str(why.signal)})
         log_event(
-            "instance-suspect" if verdict.is_sick else "instance-well",
+            _event(verdict, why),
             service=service,
             instance=verdict.instance,
             score=why.score,
@@ -43,3 +43,10 @@
             probation=why.on_probation,
             strikes=why.strikes,
         )
+
+
+def _event(verdict: Verdict, why: Explanation) -> str:
+    """Return the name of the event that reports a change."""
+    if verdict.is_sick:
+        return "instance-suspect"
+    return "instance-well" if why.in_work else "instance-out-of-work"
--- a/dogwoodtack/health/tests/test_health.py
+++ b/dogwoodtack/health/tests/test_health.py
@@ -182,6 +182,20 @@
         self.assertEqual(rig.holder.weight("jobtrack", "i2"), 1.0)
         self.assertFalse(rig.holder.on_probation("jobtrack", "i2"))
 
+    def test_evidence_ends_with_the_work(self):
+        rig = Rig()
+        rig.run(10)
+        rig.run(3, only("i2", SampleKind.ERROR))
+        rig.run(9, only("i2", None))
+        for _ in range(20):
+            rig.run(1, only("i2", None))
+            self.assertEqual(rig.sick(), [])
+        rig.run(5)
+        self.assertTrue(rig.holder.on_probation("jobtrack", "i2"))
+        rig.run(5)
+        self.assertEqual(rig.sick(), [])
+        self.assertEqual(len(rig.changes), 2)
+
     def test_probation_is_lost_sooner(self):
         rig = Rig()
         rig.run(10)
--- a/dogwoodtack/health/watch.py
+++ b/dogwoodtack/health/watch.py
@@ -70,6 +70,8 @@
 
     def _note_change(self, verdict: Verdict, now: float) -> None:
         track = self.pool.track(verdict.instance, now)
+        if not track.is_out(now):
+            track.was_sick = verdict.is_sick
         if verdict.is_sick == track.is_sick:
             return
         track.is_sick = verdict.is_sick
