Judge very slow answers more slowly while the whole service slows down

Before: divided by the spread between instances only. After: divided as well by how far the service's own latency stands above its usual, as slow answers were. Ruled out: a faster mark, which would follow one sick instance of six.

--- a/dogwoodtack/health/pool.py
+++ b/dogwoodtack/health/pool.py
@@ -284,10 +284,12 @@
         instances may be far too low.
         """
         present = dispersion(shares) or 1.0
-        if cell.signal is not Signal.SLOW:
+        if cell.signal is Signal.FAILED:
+            return present
+        present *= max(mark.strain for mark in self._marks.values())
+        if cell.signal is Signal.LOST:
             return present
-        mark = self._marks[cell.requests is RequestClass.IDEMPOTENT]
-        return present * (1 + SPREAD_DOUBT / math.sqrt(len(shares))) * mark.strain
+        return present * (1 + SPREAD_DOUBT / math.sqrt(len(shares)))
 
     def _is_warming(self, track: Track, now: float) -> bool:
         """Return whether an instance that came later is still in its cold start.
