Learn limits from shedding, and queue by fair shares within the deadline

Before: a fixed count of slots per instance and host (36 hosts x 40 slots), a queue to the deadline, retries without a budget.

--- a/dogwoodtack/door/exchange.py
+++ b/dogwoodtack/door/exchange.py
@@ -425,6 +425,7 @@
             at=self._parts.reactor.clock.monotonic(),
         )
         self._parts.health.record(sample)
+        self._parts.limits.record(sample)
         note = AttemptNote(sample.instance, kind, sample.latency_s * 1000)
         self._notes.append(note)
 
--- /dev/null
+++ b/dogwoodtack/limits/service.py
@@ -0,0 +1,87 @@
+"""What this entry host knows of one service's load."""
+
+from ..catalog import Service
+from ..health import Sample, SampleKind
+from .budget import RetryBudget
+from .instance import InstanceLoad
+from .share import FairQueue
+from .window import Window
+
+__all__ = ["ServiceLoad"]
+
+EWMA_SHARE = 0.05
+START_LATENCY_S = 0.05
+SETTLE_S = 1.0
+OVERLOAD_KINDS = frozenset({SampleKind.SHED, SampleKind.TIMEOUT})
+
+
+class ServiceLoad:
+    """The window, queue, retry budget and instances of one service."""
+
+    def __init__(self, now: float, slots: int) -> None:
+        self.window = Window(slots)
+        self.budget = RetryBudget()
+        self.queue = FairQueue()
+        self.in_use = 0
+        self.latency_s = START_LATENCY_S
+        self._turn_s: float | None = None
+        self._turn_at: float | None = None
+        self._began_at = now
+        self._instances: dict[str, InstanceLoad] = {}
+
+    @property
+    def has_room(self) -> bool:
+        """Return whether one more request may be sent on."""
+        return self.in_use < self.window.limit
+
+    def instance(self, name: str, now: float) -> InstanceLoad:
+        """Return the load of an instance; one that is new begins slowly."""
+        known = self._instances.get(name)
+        if known is None:
+            is_new = now - self._began_at > SETTLE_S
+            known = self._instances[name] = InstanceLoad(now if is_new else None)
+        return known
+
+    def forget_others(self, service: Service) -> None:
+        """Forget idle instances that a service no longer has."""
+        if len(self._instances) <= len(service.instances):
+            return
+        names = {instance.name for instance in service.instances}
+        self._instances = {
+            name: load
+            for name, load in self._instances.items()
+            if name in names or load.in_use
+        }
+
+    def expected_wait_s(self, customer: str, weight: float) -> float:
+        """Return the seconds a new waiter would wait, roughly."""
+        turn_s = self._turn_s
+        if turn_s is None:
+            turn_s = self.latency_s / self.window.limit
+        return (self.queue.ahead_of(customer, weight) + 1) * turn_s
+
+    def note_turn(self, now: float) -> None:
+        """Note that the next waiter got its turn, to learn how long a turn is."""
+        if self._turn_at is not None:
+            known = now - self._turn_at if self._turn_s is None else self._turn_s
+            self._turn_s = known + EWMA_SHARE * (now - self._turn_at - known)
+        self._turn_at = now if self.queue else None
+
+    def record(self, sample: Sample, most: float) -> None:
+        """Learn from one attempt.
+
+        Args:
+            sample: how the attempt ended.
+            most: the largest window that makes sense.
+        """
+        load = self.instance(sample.instance, sample.at)
+        if sample.kind is SampleKind.REFUSED:
+            load.note_away()
+        elif sample.kind in OVERLOAD_KINDS:
+            load.on_shed(sample.at)
+            self.window.on_shed(sample.at, self.latency_s)
+        elif sample.kind is SampleKind.OK:
+            load.on_answer(sample.at, sample.latency_s)
+            self.latency_s += EWMA_SHARE * (sample.latency_s - self.latency_s)
+            is_limited = bool(self.queue) or self.in_use + 1 >= self.window.limit
+            self.window.on_answer(sample.at, is_limited, most)
