--- a/dogwoodtack/limits/budget.py
+++ b/dogwoodtack/limits/budget.py
@@ -3,25 +3,28 @@
 __all__ = ["RetryBudget"]
 
 BURST = 3.0
+ROUNDING = 1e-9
 
 
 class RetryBudget:
     """A token bucket that first attempts fill and further attempts drain.
 
-    Over any number of requests, attempts stay under `1 + ratio` for each request
-    that was sent on, and a burst of three.
+    Further attempts never come to more than `ratio` for each request that was
+    sent on since the start.  The first three are lent, so that a host that has
+    just started can retry; later requests pay for them.
     """
 
     def __init__(self) -> None:
-        self._tokens = BURST
+        self._earned = 0.0
+        self._spent = 0.0
 
     def note_first(self, ratio: float) -> None:
         """Note that a request was sent on for the first time."""
-        self._tokens = min(max(BURST, self._tokens), self._tokens + ratio)
+        self._earned = min(self._earned + ratio, self._spent + BURST)
 
     def take(self) -> bool:
         """Return whether one further attempt may be made, and count it."""
-        if self._tokens < 1.0:
+        if self._spent + 1.0 > max(BURST, self._earned + ROUNDING):
             return False
-        self._tokens -= 1.0
+        self._spent += 1.0
         return True
--- /dev/null
+++ b/dogwoodtack/limits/tests/test_overload.py
@@ -0,0 +1,36 @@
+"""The limits' targets hold under overload, in virtual time."""
+
+import unittest
+
+from absl import flags
+from nose2.tools import params
+
+from lab.overload import SCENARIOS, SITES, measure
+
+MAX_AMPLIFICATION = 1.1
+MIN_GOODPUT = 0.85
+DEADLINE_SHARE = 0.5
+MODEST_SERVED = 0.9
+VIRTUAL_S = 3.0
+
+
+class OverloadTest(unittest.TestCase):
+    def setUp(self):
+        if not flags.FLAGS.is_parsed():
+            flags.FLAGS.mark_as_parsed()
+        flags.FLAGS.virtual_s = VIRTUAL_S
+
+    @params(*[(scenario,) for scenario in SCENARIOS])
+    def test_targets(self, scenario):
+        site = SITES[0]
+        seen = measure(site, scenario, False, range(1))
+        self.assertLessEqual(seen.amplification, MAX_AMPLIFICATION)
+        if scenario.restarted or scenario.load <= 1.0:
+            return
+        self.assertGreaterEqual(seen.goodput, MIN_GOODPUT)
+        self.assertLessEqual(seen.p99_ms, DEADLINE_SHARE * site.deadline_s * 1000)
+        self.assertLessEqual(
+            seen.refusal_p99_ms, DEADLINE_SHARE * site.deadline_s * 1000
+        )
+        if scenario.greedy:
+            self.assertGreaterEqual(seen.modest, MODEST_SERVED)
--- /dev/null
+++ b/dogwoodtack/limits/tests/test_parts.py
@@ -0,0 +1,131 @@
+"""Window, retry budget, fair queue and slow start, each by itself."""
+
+import random
+import unittest
+
+from hypothesis import given, settings, strategies as st
+from nose2.tools import params
+
+from dogwoodtack.limits import SlotRequest
+from dogwoodtack.limits.budget import BURST, RetryBudget
+from dogwoodtack.limits.instance import SLOW_START_S, InstanceLoad
+from dogwoodtack.limits.share import FairQueue
+from dogwoodtack.limits.waiter import Waiter
+from dogwoodtack.limits.window import MIN_LIMIT, Window
+
+RATIO = 0.1
+MAX_AMPLIFICATION = 1.1
+
+
+def waiter(customer):
+    req = SlotRequest(None, customer, 0.0, frozenset(), False)
+    return Waiter(req, lambda slot, kind: None)
+
+
+class BudgetTest(unittest.TestCase):
+    @settings(derandomize=True, database=None, max_examples=200)
+    @given(st.lists(st.booleans(), max_size=400))
+    def test_never_over_ratio_and_burst(self, wishes):
+        budget = RetryBudget()
+        retries = 0
+        for firsts, wants in enumerate(wishes, start=1):
+            budget.note_first(RATIO)
+            retries += wants and budget.take()
+            allowed = max(BURST, (MAX_AMPLIFICATION - 1) * firsts)
+            self.assertLessEqual(retries, allowed + 1e-6)
+
+
+class WindowTest(unittest.TestCase):
+    def test_one_fall_for_each_latency(self):
+        window = Window(40)
+        for _ in range(10):
+            window.on_shed(1.0, 0.05)
+        self.assertEqual(window.limit, 32.0)
+
+    @settings(derandomize=True, database=None, max_examples=100)
+    @given(st.lists(st.sampled_from(["shed", "answer", "idle"]), max_size=300))
+    def test_stays_between_one_and_the_slots(self, events):
+        window = Window(12)
+        for step, event in enumerate(events):
+            if event == "shed":
+                window.on_shed(step * 0.1, 0.05)
+            else:
+                window.on_answer(step * 0.1, event == "answer", 12)
+            self.assertTrue(MIN_LIMIT <= window.limit <= 12)
+
+    def test_comes_back_once_shedding_ends(self):
+        window = Window(40)
+        for step in range(50):
+            window.on_shed(step * 0.1, 0.05)
+        self.assertEqual(window.limit, MIN_LIMIT)
+        for step in range(2000):
+            window.on_answer(5.0 + step * 0.02, True, 40)
+        self.assertEqual(window.limit, 40)
+
+
+class FairQueueTest(unittest.TestCase):
+    @params(((1, 1), (50, 50)), ((1, 3), (25, 75)), ((4, 1), (80, 20)))
+    def test_turns_follow_the_weights(self, weights, turns):
+        queue = FairQueue()
+        for _ in range(200):
+            queue.push(waiter("a"), weights[0])
+        for _ in range(200):
+            queue.push(waiter("b"), weights[1])
+        order = [queue.pop().req.customer for _ in range(100)]
+        self.assertAlmostEqual(order.count("a"), turns[0], delta=1)
+        self.assertAlmostEqual(order.count("b"), turns[1], delta=1)
+
+    def test_a_late_modest_customer_passes_a_long_queue(self):
+        queue = FairQueue()
+        for _ in range(100):
+            queue.push(waiter("greedy"), 1.0)
+        queue.pop()
+        queue.push(waiter("modest"), 1.0)
+        order = [queue.pop().req.customer for _ in range(3)]
+        self.assertIn("modest", order)
+        self.assertEqual(queue.ahead_of("modest", 1.0), 1.0)
+
+    def test_the_newest_of_the_greediest_goes(self):
+        queue = FairQueue()
+        waiters = [waiter("greedy") for _ in range(5)]
+        for one in waiters:
+            queue.push(one, 1.0)
+        self.assertIs(queue.most_greedy("modest", 1.0), waiters[-1])
+        self.assertIsNone(queue.most_greedy("greedy", 1.0))
+        self.assertIsNone(queue.most_greedy("modest", 0.1))
+
+    @settings(derandomize=True, database=None, max_examples=100)
+    @given(st.integers(0, 10_000))
+    def test_none_is_lost_and_order_holds_within_a_customer(self, seed):
+        rng = random.Random(seed)
+        queue = FairQueue()
+        expected = {"a": [], "b": [], "c": []}
+        for _ in range(100):
+            name = rng.choice("abc")
+            if rng.random() < 0.6:
+                expected[name].append(waiter(name))
+                queue.push(expected[name][-1], rng.choice([0.5, 1.0, 2.0]))
+            elif queue and rng.random() < 0.5:
+                popped = queue.pop()
+                self.assertIs(popped, expected[popped.req.customer].pop(0))
+            elif expected[name]:
+                gone = expected[name].pop(rng.randrange(len(expected[name])))
+                queue.remove(gone)
+            self.assertEqual(len(queue), sum(map(len, expected.values())))
+
+
+class InstanceLoadTest(unittest.TestCase):
+    def test_slow_start_after_a_return(self):
+        load = InstanceLoad()
+        self.assertEqual(load.ramp(0.0), 1.0)
+        load.note_away()
+        load.note_present(10.0)
+        self.assertEqual(load.ramp(10.0), 0.1)
+        self.assertLess(load.ramp(10.0 + SLOW_START_S / 2), 0.6)
+        self.assertEqual(load.ramp(10.0 + SLOW_START_S), 1.0)
+
+    def test_old_slowness_fades(self):
+        load = InstanceLoad()
+        load.on_answer(0.0, 1.0)
+        self.assertAlmostEqual(load.cost(0.0, 0.02), 1.0)
+        self.assertAlmostEqual(load.cost(30.0, 0.02), 0.02, places=4)
--- a/lab/overload.py
+++ b/lab/overload.py
@@ -70,7 +70,7 @@
         goodput: good answers against the capacity, or the demand if smaller.
         p99_ms: latency that 99 of 100 good answers kept.
         refusal_p99_ms: time after which 99 of 100 refused callers knew.
-        amplification: attempts at back ends for each request.
+        amplification: attempts at back ends for each request since the start.
         modest: the worst served modest customer's share of good answers.
     """
 
@@ -98,6 +98,7 @@
         self._hosts = [self._host(naive, seed, n) for n in range(site.hosts)]
         self._good: list[float] = []
         self._bad: list[float] = []
+        self._requests = 0
         self._attempts = 0
         self._asked: dict[str, int] = {}
         self._served: dict[str, int] = {}
@@ -128,7 +129,7 @@
             goodput=len(self._good) / FLAGS.virtual_s / demand,
             p99_ms=percentile_99(self._good) * 1000,
             refusal_p99_ms=percentile_99(self._bad) * 1000,
-            amplification=self._attempts / max(1, len(self._good) + len(self._bad)),
+            amplification=self._attempts / self._requests,
             modest=self._worst_modest(),
         )
 
@@ -149,6 +150,8 @@
         is_counted = WARM_S <= now < self._counted_to
 
         def on_done(call: Call) -> None:
+            self._requests += 1
+            self._attempts += call.attempts
             if is_counted:
                 self._count(call, self._loop.clock.now - now)
             if not call.good and number < self._scenario.caller_tries:
@@ -158,7 +161,6 @@
         self._rng.choice(self._hosts).handle(call)
 
     def _count(self, call: Call, took_s: float) -> None:
-        self._attempts += call.attempts
         self._asked[call.customer] = self._asked.get(call.customer, 0) + 1
         (self._good if call.good else self._bad).append(took_s)
         if call.good:
--- a/lab/overload_world.py
+++ b/lab/overload_world.py
@@ -65,6 +65,7 @@
             due, _, timer = heapq.heappop(self._heap)
             self.clock.now = max(self.clock.now, due)
             timer.run()
+        self.clock.now = max(self.clock.now, end)
 
 
 class Backend:
