--- a/dogwoodtack/door/tests/rig.py
+++ b/dogwoodtack/door/tests/rig.py
@@ -158,6 +158,7 @@
             health=self.health,
             pool=self.pool,
             burn=Mock(),
+            trail=Mock(),
             max_body_bytes=MAX_BODY_BYTES,
             stall_timeout_s=STALL_S,
         )
