--- a/dogwoodtack/limits/limits.py
+++ b/dogwoodtack/limits/limits.py
@@ -9,14 +9,17 @@
 from ..leaving import Leaving
 from ..reactor import Reactor
 from .messages import OnSlot, Slot, SlotRequest
+from .pick import Picker, PickTask
 from .service import ServiceLoad
 from .waiter import Waiter
 
 __all__ = ["Limits", "Waiter"]
 
+WAIT_SHARE = 0.1
 MAX_WAIT_SHARE = 0.25
+WAIT_TURNS = 4
+SPARED_RETRIES = 1.0
 USUAL_WEIGHT = 1.0
-MIN_WEIGHT = 0.001
 
 
 class Limits:
@@ -33,10 +36,7 @@
     ) -> None:
         self._reactor = reactor
         self._catalog = catalog
-        self._health = health
-        self._floor = floor
-        self._leaving = leaving
-        self._rng = rng
+        self._picker = Picker(health, floor, leaving, rng)
         self._loads: dict[str, ServiceLoad] = {}
 
     def acquire(self, req: SlotRequest, on_slot: OnSlot) -> Waiter:
@@ -47,14 +47,32 @@
         """
         waiter = Waiter(req, on_slot)
         load = self._load(req.service)
-        if not self._candidates(req):
-            self._refuse(waiter, ErrorKind.NO_INSTANCE)
-        elif req.is_retry and not load.budget.take():
+        if req.is_retry and not self._may_retry(req, load):
             self._refuse(waiter, ErrorKind.OVERLOADED)
-        elif not self._grant_now(waiter, load):
+        elif self._grant_now(waiter, load):
+            return waiter
+        elif not self._has_candidates(req, load):
+            self._refuse(waiter, ErrorKind.NO_INSTANCE)
+        else:
             self._enqueue(waiter, load)
         return waiter
 
+    def _may_retry(self, req: SlotRequest, load: ServiceLoad) -> bool:
+        """Spend from the retry budget; those over their share leave a part."""
+        if not self._has_candidates(req, load):
+            return False
+        is_over = load.queue.is_over_share(req.customer, self._now())
+        return load.budget.take(SPARED_RETRIES if is_over else 0.0)
+
+    def _has_candidates(self, req: SlotRequest, load: ServiceLoad) -> bool:
+        return self._picker.has_candidates(self._task(req, load))
+
+    def _pick(self, req: SlotRequest, load: ServiceLoad) -> Instance | None:
+        return self._picker.pick(self._task(req, load))
+
+    def _task(self, req: SlotRequest, load: ServiceLoad) -> PickTask:
+        return PickTask(self._current(req), load, req.exclude, self._now())
+
     def record(self, sample: Sample) -> None:
         """Learn from an attempt, after its slot was given back."""
         service = self._catalog.get(sample.service)
@@ -62,7 +80,7 @@
             return
         load = self._load(service)
         load.forget_others(service)
-        load.record(sample, slots_of(service))
+        load.record(sample, len(service.instances), slots_of(service))
         self._serve_queue(load)
 
     def _load(self, service: Service) -> ServiceLoad:
@@ -79,88 +97,47 @@
         """Return the service as it stands now, which may be newer than asked."""
         return self._catalog.get(req.service.name) or req.service
 
-    # Choosing an instance.
-
-    def _candidates(self, req: SlotRequest) -> list[Instance]:
-        service = self._current(req)
-        load = self._load(service)
-        now = self._now()
-        present = []
-        for instance in service.instances:
-            if self._is_away(service.name, instance):
-                load.instance(instance.name, now).note_away()
-            elif instance.name not in req.exclude:
-                present.append(instance)
-        return present
-
-    def _is_away(self, service: str, instance: Instance) -> bool:
-        return (
-            instance.is_leaving
-            or self._leaving.is_leaving(service, instance.name)
-            or self._floor.is_removed(service, instance.name)
-        )
-
-    def _pick(self, req: SlotRequest, load: ServiceLoad) -> Instance | None:
-        """Return the cheaper of two instances drawn by weight, or None."""
-        now = self._now()
-        free = [
-            instance
-            for instance in self._candidates(req)
-            if load.instance(instance.name, now).in_use < instance.slots
-        ]
-        if len(free) < 2:
-            return free[0] if free else None
-        weights = [self._weight(req.service.name, one, load, now) for one in free]
-        drawn = self._rng.choices(free, weights, k=2)
-        return min(
-            drawn,
-            key=lambda one: load.instance(one.name, now).cost(now, load.latency_s),
-        )
-
-    def _weight(
-        self, service: str, instance: Instance, load: ServiceLoad, now: float
-    ) -> float:
-        known = load.instance(instance.name, now)
-        weight = self._health.weight(service, instance.name) * known.ramp(now)
-        return max(MIN_WEIGHT, weight)
-
     # Granting, queueing and refusing.
 
     def _grant_now(self, waiter: Waiter, load: ServiceLoad) -> bool:
-        if not load.has_room or (load.queue and not waiter.req.is_retry):
+        if not load.has_room(self._now()) or (load.queue and not waiter.req.is_retry):
             return False
-        return self._grant(waiter, load)
-
-    def _grant(self, waiter: Waiter, load: ServiceLoad) -> bool:
         instance = self._pick(waiter.req, load)
         if instance is None:
             return False
+        self._grant(waiter, load, instance)
+        return True
+
+    def _grant(self, waiter: Waiter, load: ServiceLoad, instance: Instance) -> None:
         waiter.cancel()
         now = self._now()
         known = load.instance(instance.name, now)
         known.note_present(now)
         known.in_use += 1
         load.in_use += 1
-        if not waiter.req.is_retry:
-            load.budget.note_first(self._current(waiter.req).retry_ratio)
+        service = self._current(waiter.req)
+        weight = service.shares.get(waiter.req.customer, USUAL_WEIGHT)
+        load.queue.note_grant(waiter.req.customer, weight, now)
+        if not waiter.req.exclude:
+            load.budget.note_first(service.retry_ratio)
         slot = Slot(waiter.req.service.name, instance, self._on_release)
         waiter.on_slot(slot, None)
-        return True
 
     def _enqueue(self, waiter: Waiter, load: ServiceLoad) -> None:
         req = waiter.req
-        weight = self._current(req).shares.get(req.customer, USUAL_WEIGHT)
-        left_s = req.deadline - self._now()
-        if load.expected_wait_s(req.customer, weight) > left_s * MAX_WAIT_SHARE:
-            greedy = load.queue.most_greedy(req.customer, weight)
+        now = self._now()
+        left_s = req.deadline - now
+        wait_s = longest_wait_s(left_s, load)
+        if load.expected_wait_s(req.customer, now) > wait_s:
+            greedy = load.queue.most_greedy(req.customer, now)
             if greedy is None or left_s <= load.latency_s:
                 self._refuse(waiter, ErrorKind.OVERLOADED)
                 return
             load.queue.remove(greedy)
             self._refuse(greedy, ErrorKind.OVERLOADED)
-        wait_s = min(left_s * MAX_WAIT_SHARE, left_s - load.latency_s)
         waiter.timer = self._reactor.call_later(wait_s, self._give_up, waiter, load)
-        load.queue.push(waiter, weight)
+        load.queue.push(waiter)
+        self._wake_after_pause(load)
 
     def _give_up(self, waiter: Waiter, load: ServiceLoad) -> None:
         """Refuse a waiter that has waited for as long as makes sense."""
@@ -174,25 +151,48 @@
 
     def _on_release(self, slot: Slot) -> None:
         load = self._loads[slot.service]
-        load.in_use -= 1
-        load.instance(slot.instance.name, self._now()).in_use -= 1
+        now = self._now()
+        load.note_release(now)
+        load.instance(slot.instance.name, now).in_use -= 1
+        self._serve_queue(load)
+
+    def _wake_after_pause(self, load: ServiceLoad) -> None:
+        pause_s = load.paused_until - self._now()
+        if pause_s > 0 and load.queue and not load.is_waking:
+            load.is_waking = True
+            self._reactor.call_later(pause_s, self._wake, load)
+
+    def _wake(self, load: ServiceLoad) -> None:
+        load.is_waking = False
         self._serve_queue(load)
 
     def _serve_queue(self, load: ServiceLoad) -> None:
-        while load.queue and load.has_room:
-            waiter = load.queue.peek()
+        self._wake_after_pause(load)
+        while load.queue and load.has_room(self._now()):
+            waiter = load.queue.peek(self._now())
             if waiter.is_done:
-                load.queue.pop()
-            elif not self._candidates(waiter.req):
-                load.queue.pop()
-                self._refuse(waiter, ErrorKind.NO_INSTANCE)
-            elif self._pick(waiter.req, load) is None:
+                load.queue.remove(waiter)
+                continue
+            instance = self._pick(waiter.req, load)
+            if instance is not None:
+                load.queue.remove(waiter)
+                load.note_turn(self._now())
+                self._grant(waiter, load, instance)
+            elif self._has_candidates(waiter.req, load):
                 return
             else:
-                load.queue.pop()
-                load.note_turn(self._now())
-                if not self._grant(waiter, load):
-                    self._refuse(waiter, ErrorKind.OVERLOADED)
+                load.queue.remove(waiter)
+                self._refuse(waiter, ErrorKind.NO_INSTANCE)
+
+
+def longest_wait_s(left_s: float, load: ServiceLoad) -> float:
+    """Return how long a request may wait with some seconds left.
+
+    A few turns of the queue are allowed even where turns are slow, so that
+    there is something to share out.
+    """
+    share_s = max(left_s * WAIT_SHARE, load.turn_s * WAIT_TURNS)
+    return min(share_s, left_s * MAX_WAIT_SHARE, left_s - load.latency_s)
 
 
 def slots_of(service: Service) -> int:
--- a/dogwoodtack/limits/service.py
+++ b/dogwoodtack/limits/service.py
@@ -1,5 +1,7 @@
 """What this entry host knows of one service's load."""
 
+import math
+
 from ..catalog import Service
 from ..health import Sample, SampleKind
 from .budget import RetryBudget
@@ -12,6 +14,7 @@
 EWMA_SHARE = 0.05
 START_LATENCY_S = 0.05
 SETTLE_S = 1.0
+WIDESPREAD_SHARE = 0.15
 OVERLOAD_KINDS = frozenset({SampleKind.SHED, SampleKind.TIMEOUT})
 
 
@@ -23,16 +26,24 @@
         self.budget = RetryBudget()
         self.queue = FairQueue()
         self.in_use = 0
+        self.paused_until = 0.0
+        self.is_waking = False
         self.latency_s = START_LATENCY_S
         self._turn_s: float | None = None
         self._turn_at: float | None = None
         self._began_at = now
         self._instances: dict[str, InstanceLoad] = {}
 
-    @property
-    def has_room(self) -> bool:
+    def has_room(self, now: float) -> bool:
         """Return whether one more request may be sent on."""
-        return self.in_use < self.window.limit
+        if now < self.paused_until:
+            return False
+        return self.in_use < max(1.0, self.window.limit)
+
+    def note_release(self, now: float) -> None:
+        """Note that a request has ended; a small window begins a pause."""
+        self.in_use -= 1
+        self.paused_until = now + self.window.pause_s(self.latency_s)
 
     def instance(self, name: str, now: float) -> InstanceLoad:
         """Return the load of an instance; one that is new begins slowly."""
@@ -53,12 +64,23 @@
             if name in names or load.in_use
         }
 
-    def expected_wait_s(self, customer: str, weight: float) -> float:
+    def _is_widespread(self, now: float, instances: int) -> bool:
+        """Return whether overload was seen at more than a sick instance or two."""
+        if instances == 1:
+            return True
+        seen = sum(one.has_shed(now) for one in self._instances.values())
+        return seen >= max(2, math.ceil(WIDESPREAD_SHARE * instances))
+
+    def expected_wait_s(self, customer: str, now: float) -> float:
         """Return the seconds a new waiter would wait, roughly."""
-        turn_s = self._turn_s
-        if turn_s is None:
-            turn_s = self.latency_s / self.window.limit
-        return (self.queue.ahead_of(customer, weight) + 1) * turn_s
+        return (self.queue.ahead_of(customer, now) + 1) * self.turn_s
+
+    @property
+    def turn_s(self) -> float:
+        """Return the seconds between two waiters' turns, roughly."""
+        if self._turn_s is None:
+            return self.latency_s / self.window.limit
+        return self._turn_s
 
     def note_turn(self, now: float) -> None:
         """Note that the next waiter got its turn, to learn how long a turn is."""
@@ -67,11 +89,12 @@
             self._turn_s = known + EWMA_SHARE * (now - self._turn_at - known)
         self._turn_at = now if self.queue else None
 
-    def record(self, sample: Sample, most: float) -> None:
+    def record(self, sample: Sample, instances: int, most: float) -> None:
         """Learn from one attempt.
 
         Args:
             sample: how the attempt ended.
+            instances: how many instances the service has.
             most: the largest window that makes sense.
         """
         load = self.instance(sample.instance, sample.at)
@@ -79,7 +102,8 @@
             load.note_away()
         elif sample.kind in OVERLOAD_KINDS:
             load.on_shed(sample.at)
-            self.window.on_shed(sample.at, self.latency_s)
+            if self._is_widespread(sample.at, instances):
+                self.window.on_shed(sample.at, self.latency_s)
         elif sample.kind is SampleKind.OK:
             load.on_answer(sample.at, sample.latency_s)
             self.latency_s += EWMA_SHARE * (sample.latency_s - self.latency_s)
