Claim ports by blocks, so that test runs side by side do not collide

Cause: two tests of one full run ended in an error because another run on this machine took a port between the check and the daemon's start (Address already in use). Conclusion: collisions among this project's runs are closed.

--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -27,7 +27,7 @@
 POLL_S = 0.02
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
-PORTS_PER_PROCESS = 97
+BLOCK_PORTS = 100
 
 
 class Answered(NamedTuple):
@@ -52,9 +52,27 @@
     operator: Address
 
 
-_next_ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
-for _ in range(os.getpid() * PORTS_PER_PROCESS % (LAST_PORT - FIRST_PORT)):
-    next(_next_ports)
+_blocks = itertools.cycle(range(FIRST_PORT, LAST_PORT, BLOCK_PORTS))
+_guards: list[socket.socket] = []
+_block_ports: list[int] = []
+
+
+def _claim_block() -> None:
+    """Claim a block of ports for this process, as long as it lives.
+
+    The claim is a socket bound to the block's first port.  Several test runs side
+    by side would otherwise find the same port free before either listens on it.
+    """
+    for first in _blocks:
+        guard = socket.socket()
+        try:
+            guard.bind(("127.0.0.1", first))
+        except OSError:
+            guard.close()
+            continue
+        _guards.append(guard)
+        _block_ports.extend(range(first + 1, first + BLOCK_PORTS))
+        return
 
 
 def free_ports(count: int) -> list[int]:
@@ -62,12 +80,12 @@
 
     They lie below the range from which the system takes the ports of outgoing
     connections: a port that was free a moment ago can be taken by one of those.
-    Each process starts at another place, so that test runs side by side rarely
-    try the same ports.
     """
     found: list[int] = []
     while len(found) < count:
-        port = next(_next_ports)
+        if not _block_ports:
+            _claim_block()
+        port = _block_ports.pop(0)
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
