--- a/dogwoodtack/keys/memory.py
+++ b/dogwoodtack/keys/memory.py
@@ -9,6 +9,7 @@
 __all__ = ["KeyEntry", "KeyMemory", "KeyState"]
 
 HEADER_OVERHEAD_BYTES = 100
+FORGET_BATCH = 64
 
 
 class KeyState(enum.StrEnum):
@@ -65,7 +66,7 @@
         self._max_keys = max_keys
         self._max_answer_bytes = max_answer_bytes
         self._entries: dict[str, KeyEntry] = {}
-        self._epochs: dict[int, list[str]] = {}
+        self._epochs: dict[int, deque[str]] = {}
         self._kept: deque[str] = deque()
         self.answer_bytes = 0
         self.answers_dropped = 0
@@ -85,7 +86,7 @@
     def add(self, key: str, entry: KeyEntry) -> None:
         """Remember a key until its epoch is forgotten."""
         self._entries[key] = entry
-        self._epochs.setdefault(entry.epoch, []).append(key)
+        self._epochs.setdefault(entry.epoch, deque()).append(key)
 
     def remove(self, key: str) -> None:
         """Forget a key now; only safe where this host never held its right."""
@@ -103,15 +104,27 @@
         self._drop_answers()
 
     def forget_before(self, epoch: int) -> None:
-        """Forget every key of an epoch before this one."""
+        """Forget keys of epochs before this one, a batch at each call.
+
+        A whole epoch at once would hold the loop up; to remember a key for longer
+        is harmless.
+        """
+        left = FORGET_BATCH
         for old in [known for known in self._epochs if known < epoch]:
-            for key in self._epochs.pop(old):
-                entry = self._entries.get(key)
-                if entry is not None and entry.epoch == old:
-                    self.remove(key)
+            keys = self._epochs[old]
+            while keys and left > 0:
+                self._forget(keys.popleft(), old)
+                left -= 1
+            if not keys:
+                del self._epochs[old]
         while self._kept and self._kept[0] not in self._entries:
             self._kept.popleft()
 
+    def _forget(self, key: str, epoch: int) -> None:
+        entry = self._entries.get(key)
+        if entry is not None and entry.epoch == epoch:
+            self.remove(key)
+
     def _release(self, key: str) -> None:
         answer = self._entries[key].answer
         if answer is not None:
--- a/dogwoodtack/keys/tests/test_table.py
+++ b/dogwoodtack/keys/tests/test_table.py
@@ -208,6 +208,18 @@
         self.assertEqual((table.remembered, table.answer_bytes), (0, 0))
         self.assertTrue(table.may_have_run(self.key))
 
+    def test_many_keys_are_forgotten_in_batches(self):
+        table = self.wires.tables[OWNER]
+        for number in range(1000):
+            self.begin(OWNER, f"{self.key}-{number}")
+        self.clock.advance(16 * 60)
+        before = table.remembered
+        for _ in range(1000):
+            self.assertNotIsInstance(self.begin(OWNER), Run)
+            self.assertLessEqual(before - table.remembered, 100)
+            before = table.remembered
+        self.assertEqual(before, 0)
+
     def test_full_table_refuses_new_keys_and_keeps_old_ones(self):
         self.add(OWNER, seed=1, rules=RULES._replace(max_keys=1))
         self.run_at(OWNER, Ran(KEPT))
