End the wait for a key's owner at the request's deadline

Cause: a request whose key's holder is silent was answered after the questions' own time limits, up to 3 s, whatever its deadline.

Before: tests.test_truth with a paused owner and a deadline of 100 ms was told owner-unreachable; after: deadline-passed, outcome unknown, and the key runs once when its owner is back.

--- a/dogwoodtack/door/exchange.py
+++ b/dogwoodtack/door/exchange.py
@@ -11,6 +11,7 @@
 from ..errors import ErrorKind, Outcome, RequestError, WireError, answer_for
 from ..health import Health, Sample, SampleKind
 from ..keys import (
+    KeyDecision,
     KeyRequest,
     KeyResult,
     KeyTable,
@@ -27,7 +28,7 @@
 from ..limits import Limits, Slot, SlotRequest, Waiter
 from ..logs import log_event
 from ..misc import new_token
-from ..reactor import Reactor
+from ..reactor import Reactor, Timer
 from .attempt import Attempt
 from .conn import RequestHead, ServerConn, is_bodiless
 from .headers import (
@@ -110,7 +111,7 @@
         self._streams_body = False
         self._body_at = self.started_at
         self._is_caller_paused = False
-        self._is_settling = False
+        self._settle_timer: Timer | None = None
         self._ticket: KeyTicket | None = None
         self._waiter: Waiter | None = None
         self._attempt: Attempt | None = None
@@ -259,9 +260,16 @@
                 return
             self._seek_slot()
             return
-        self._is_settling = True
+        left_s = self._deadline - self._parts.reactor.clock.monotonic()
+        self._settle_timer = self._parts.reactor.call_later(
+            left_s, self.refuse, ErrorKind.DEADLINE_PASSED
+        )
         req = KeyRequest(key, service.name, self._fingerprint())
-        self._parts.keys.begin(req, self._on_decision)
+        self._parts.keys.begin(req, self._on_settled)
+
+    def _on_settled(self, decision: KeyDecision) -> None:
+        self._settle_timer.cancel()
+        self._on_decision(decision)
 
     def _fingerprint(self) -> str:
         digest = hashlib.sha256()
--- a/tests/test_truth.py
+++ b/tests/test_truth.py
@@ -214,6 +214,27 @@
             late = self.call("POST", "/", b"", node=node, Idempotency_Key=used)
             self.assertEqual(late.body, answer.body)
 
+    def test_deadline_passes_while_the_owner_is_paused(self):
+        self.serve()
+        key = self.key()
+        other = self.fleet.nodes[1]
+        head = {"Idempotency_Key": key, "X_Deadline_Ms": "100"}
+        self.fleet.signal(self.node.name, signal.SIGSTOP)
+        late = self.call("POST", "/", b"", node=other, **head)
+        self.fleet.signal(self.node.name, signal.SIGCONT)
+        self.assert_told(late, 504, "unknown")
+        self.assertEqual(late.headers["x-dogwoodtack-error"], "deadline-passed")
+
+        def has_run():
+            answers = [
+                self.call("POST", "/", b"", node=node, Idempotency_Key=key)
+                for node in self.fleet.nodes
+            ]
+            return all(answer.status == 200 for answer in answers)
+
+        self.fleet.wait_until(has_run, "the key has run")
+        self.assertEqual(len(self.fleet.journal("jt-1")), 1)
+
     def test_streamed_bodies_that_differ_are_different_requests(self):
         self.serve()
         key = self.key()
