--- a/lab/keys_run.py
+++ b/lab/keys_run.py
@@ -37,6 +37,8 @@
     SICK_BACKENDS = "sick-backends"
     PAUSED_HOST = "paused-host"
     KILLED_HOST = "killed-host"
+    REPLACED_HOST = "replaced-host"
+    STOPPED_HOST = "stopped-host"
     STORE_DOWN = "store-down"
     ALL_AT_ONCE = "all-at-once"
 
@@ -91,6 +93,13 @@
         Scenario.SICK_BACKENDS: [Deed(0, do) for do in sick],
         Scenario.PAUSED_HOST: [Deed(0.5, pause), Deed(2.0, wake)],
         Scenario.KILLED_HOST: [Deed(1.0, kill)],
+        Scenario.REPLACED_HOST: [
+            Deed(1.0, partial(fleet.signal, "entry-3", signal.SIGKILL)),
+            Deed(1.2, partial(fleet.spawn_node, fleet.nodes[3])),
+        ],
+        Scenario.STOPPED_HOST: [
+            Deed(0.5, partial(fleet.signal, "entry-4", signal.SIGTERM))
+        ],
         Scenario.STORE_DOWN: [Deed(0, partial(fleet.set_platform_fault, down=True))],
     }
     if scenario is Scenario.ALL_AT_ONCE:
