--- a/dogwoodtack/health/health.py
+++ b/dogwoodtack/health/health.py
@@ -7,7 +7,7 @@
 from .evidence import Evidence, bucket_of, decode
 from .holds import Hold
 from .messages import Explanation, Sample, SampleKind, Verdict
-from .pool import Track
+from .track import Track
 from .watch import ABSORBED_PERIOD_S, BUSY_PERIOD_S, OnChange, Watch
 
 __all__ = ["FULL_WEIGHT", "Health"]
--- a/dogwoodtack/health/pool.py
+++ b/dogwoodtack/health/pool.py
@@ -3,8 +3,8 @@
 import math
 from typing import NamedTuple
 
+from .cells import Cell, is_seen, shares_of, sum_counts
 from .evidence import BUCKETS_PER_OCTAVE
-from .holds import Hold
 from .learned import SlowMark, Spread
 from .messages import Explanation, RequestClass, Signal, Verdict
 from .scores import (
@@ -15,11 +15,11 @@
     likelihood_ratio,
     peer_shares,
 )
-from .windows import LENGTHS_S, Counts, Windows
+from .track import CALM_SCORE, CLASSES, USUAL_SLOW_SHARE, WARM_UP_S, Track
+from .windows import LENGTHS_S, RATE_LEVEL, Counts
 
 __all__ = ["Pool", "judge"]
 
-CLASSES = (True, False)
 TESTS = (
     (Signal.FAILED, RequestClass.ALL),
     (Signal.FAILED, RequestClass.NON_IDEMPOTENT),
@@ -30,22 +30,11 @@
 )
 MOST_SICK_SHARE = 0.5
 PROBATION_NATS = 3.0
-PROBATION_S = 20.0
-PROBATION_WEIGHT = 0.1
-SICK_WEIGHT = 0.05
-DOUBTFUL = 0.5
-WARM_UP_S = 30.0
 QUIET_S = 60.0
-OUT_OF_WORK_S = 8.0
 SOURCE_MEMORY_S = 81.0
 MIN_SOURCES = 2
-RATE_LEVEL = 2
-REPORTED_LATE_LEVELS = 2
-CALM_SCORE = 4.0
 SPREAD_DOUBT = 2.0
-USUAL_SLOW_SHARE = 0.25
 LARGEST_USUAL_SLOW_SHARE = 0.5
-PAST_STEP = 0.03
 
 ALLOWANCES = {
     Signal.FAILED: Allowance(2.0, 0.002, 0.01, 10.0),
@@ -54,44 +43,13 @@
 }
 
 
-class Track:
-    """What is known of one instance."""
+class _Scored(NamedTuple):
+    """The evidence of one test against one instance."""
 
-    def __init__(self, now: float) -> None:
-        self.windows = {is_idempotent: Windows() for is_idempotent in CLASSES}
-        self.hold = Hold()
-        self.new_since = now
-        self.seen_at = -math.inf
-        self.probation_at: float | None = None
-        self.lowered_until = 0.0
-        self.bad_sources: dict[str, float] = {}
-        self.usual_slow = dict.fromkeys(CLASSES, USUAL_SLOW_SHARE)
-        self.explanation = Explanation()
-        self.is_sick = False
-        self.was_sick = False
-
-    def is_out(self, now: float) -> bool:
-        """Return whether an instance was suspect and gets no work any more."""
-        return self.was_sick and now - self.seen_at > OUT_OF_WORK_S
-
-    def begin_probation(self, now: float) -> None:
-        """Drop the evidence, not what is usual for the instance."""
-        self.windows = {is_idempotent: Windows() for is_idempotent in CLASSES}
-        self.bad_sources.clear()
-        self.explanation = Explanation()
-        self.probation_at = now
-        self.lowered_until = 0.0
-        self.is_sick = False
-        self.was_sick = False
-        self.hold.note_return(now)
-
-
-class _Cell(NamedTuple):
-    """One test: a signal in some requests over one window."""
-
-    signal: Signal
-    requests: RequestClass
-    level: int
+    name: str
+    own: Share
+    allowed: float
+    ratio: float
 
 
 def judge(explanations: dict[str, Explanation], limit: float) -> set[str]:
@@ -188,12 +146,12 @@
         due = self._due(now)
         counts = self._counts(now)
         for signal, requests in TESTS:
-            if not _is_seen(signal, counts[requests]):
+            if not is_seen(signal, counts[requests]):
                 continue
             floors: dict[str, float] = {}
             for level in reversed(range(len(LENGTHS_S))):
-                cell = _Cell(signal, requests, level)
-                shares = _shares(cell, counts[requests])
+                cell = Cell(signal, requests, level)
+                shares = shares_of(cell, counts[requests])
                 if due[level]:
                     values = list(shares.values())
                     self._spreads[requests].learn(signal, level, values)
@@ -202,7 +160,7 @@
         for name, track in self._tracks.items():
             track.explanation = self._finish(now, track, best[name], several)
             if due[RATE_LEVEL]:
-                self._learn_usual(now, track)
+                track.learn_usual(now)
         if due[RATE_LEVEL]:
             for mark in self._marks.values():
                 mark.follow()
@@ -217,7 +175,7 @@
             idempotent, others = (track.windows[one].counts(now) for one in CLASSES)
             counts[RequestClass.IDEMPOTENT][name] = idempotent
             counts[RequestClass.NON_IDEMPOTENT][name] = others
-            sums = [_sum(*pair) for pair in zip(idempotent, others)]
+            sums = [sum_counts(*pair) for pair in zip(idempotent, others)]
             counts[RequestClass.ALL][name] = sums
         return counts
 
@@ -232,7 +190,7 @@
 
     def _test(
         self,
-        cell: _Cell,
+        cell: Cell,
         shares: dict[str, Share],
         floors: dict[str, float],
         best: dict[str, Explanation],
@@ -246,37 +204,42 @@
         values = list(shares.values())
         if not any(share.hits for share in values):
             return floors
-        is_longest = cell.level == len(LENGTHS_S) - 1
-        allowances = {}
-        scored = []
-        for name, own, peers in zip(shares, values, peer_shares(values)):
-            track = self._tracks[name]
-            if own.hits <= 0:
-                continue
-            allowed = self._allowed(cell, track, peers)
-            allowed = max(allowed, floors.get(name, 0.0))
-            if not is_longest:
-                allowances[name] = allowed
-            ratio = likelihood_ratio(own, peers, allowed)
-            scored.append((ratio, name, own, allowed))
+        scored = self._score(cell, shares, floors)
         spread = self._spreads[cell.requests].value(cell.signal, cell.level)
-        worst = max((ratio for ratio, *_ in scored), default=0.0)
+        worst = max(one.ratio for one in scored)
         if worst > CALM_SCORE * spread:
             spread = max(spread, self._present_spread(cell, values))
-        for ratio, name, own, allowed in scored:
-            if ratio / spread > best[name].score:
-                best[name] = Explanation(
-                    score=ratio / spread,
+        for one in scored:
+            if one.ratio / spread > best[one.name].score:
+                best[one.name] = Explanation(
+                    score=one.ratio / spread,
                     signal=cell.signal,
                     requests=cell.requests,
                     window_s=LENGTHS_S[cell.level],
-                    hits=own.hits,
-                    total=own.total,
-                    peer_share=allowed,
+                    hits=one.own.hits,
+                    total=one.own.total,
+                    peer_share=one.allowed,
                 )
-        return allowances
+        if cell.level == len(LENGTHS_S) - 1:
+            return {}
+        return {one.name: one.allowed for one in scored}
+
+    def _score(
+        self, cell: Cell, shares: dict[str, Share], floors: dict[str, float]
+    ) -> list[_Scored]:
+        """Return the evidence against each instance that showed the signal."""
+        scored = []
+        peers = peer_shares(list(shares.values()))
+        for (name, own), others in zip(shares.items(), peers):
+            if own.hits <= 0:
+                continue
+            allowed = self._allowed(cell, self._tracks[name], others)
+            allowed = max(allowed, floors.get(name, 0.0))
+            ratio = likelihood_ratio(own, others, allowed)
+            scored.append(_Scored(name, own, allowed, ratio))
+        return scored
 
-    def _present_spread(self, cell: _Cell, shares: list[Share]) -> float:
+    def _present_spread(self, cell: Cell, shares: list[Share]) -> float:
         """Return how much instances differ by chance now, estimated cautiously.
 
         Queues make slow answers come in long runs as soon as the whole service
@@ -299,7 +262,7 @@
         is_later = track.new_since - self._began_at > WARM_UP_S
         return is_later and now - track.new_since < WARM_UP_S
 
-    def _allowed(self, cell: _Cell, track: Track, peers: Share) -> float:
+    def _allowed(self, cell: Cell, track: Track, peers: Share) -> float:
         """Return the share allowed by the peers' present and the own past."""
         allowance = ALLOWANCES[cell.signal]
         allowed = allowed_share(peers, allowance)
@@ -316,8 +279,7 @@
         sources = self._recent(track.bad_sources, now)
         if not several or found.signal is Signal.SLOW:
             sources = max(sources, MIN_SOURCES)
-        if track.probation_at is not None and now - track.probation_at > PROBATION_S:
-            track.probation_at = None
+        track.end_probation(now)
         return found._replace(
             sources=sources,
             on_probation=track.probation_at is not None,
@@ -333,24 +295,11 @@
             del sources[one]
         return len(sources)
 
-    @staticmethod
-    def _learn_usual(now: float, track: Track) -> None:
-        """Follow an instance's ordinary share of slow answers while it is calm."""
-        if track.explanation.score > CALM_SCORE or now - track.new_since < WARM_UP_S:
-            return
-        for is_idempotent in CLASSES:
-            counts = track.windows[is_idempotent].counts(now)[RATE_LEVEL]
-            answered = counts.total - counts.failed
-            if answered > 0:
-                usual = track.usual_slow[is_idempotent]
-                seen = counts.slow / answered
-                track.usual_slow[is_idempotent] += PAST_STEP * (seen - usual)
-
     def weights(self, now: float, limit: float) -> dict[str, float]:
         """Return the weight of each instance that should get less work."""
         weights = {}
         for name, track in self._tracks.items():
-            weight = _weight(now, track, limit)
+            weight = track.weight(now, limit)
             if weight < 1.0:
                 weights[name] = weight
         return weights
@@ -368,56 +317,3 @@
             Verdict(name, name in sick, one.score) for name, one in explanations.items()
         ]
         return sorted(found, key=lambda one: (not one.is_sick, -one.score))
-
-
-def _weight(now: float, track: Track, limit: float) -> float:
-    """Return from SICK_WEIGHT to 1, falling as the evidence grows."""
-    if now < track.lowered_until:
-        return SICK_WEIGHT
-    doubt = (track.explanation.score / limit - DOUBTFUL) / (1 - DOUBTFUL)
-    weight = 1.0 - min(1.0, max(0.0, doubt)) * (1.0 - SICK_WEIGHT)
-    if track.probation_at is not None:
-        passed = min(1.0, (now - track.probation_at) / PROBATION_S)
-        weight = min(weight, PROBATION_WEIGHT + passed * (1.0 - PROBATION_WEIGHT))
-    return weight
-
-
-def _sum(left: Counts, right: Counts) -> Counts:
-    return Counts(
-        left.total + right.total,
-        left.failed + right.failed,
-        left.slow + right.slow,
-        left.very_slow + right.very_slow,
-    )
-
-
-def _is_seen(signal: Signal, counts: dict[str, list[Counts]]) -> bool:
-    """Return whether any instance showed a signal in the longest window."""
-    longest = [levels[-1] for levels in counts.values()]
-    if signal is Signal.FAILED:
-        return any(one.failed for one in longest)
-    if signal is Signal.SLOW:
-        return any(one.slow for one in longest)
-    return any(one.failed or one.very_slow for one in longest)
-
-
-def _shares(cell: _Cell, counts: dict[str, list[Counts]]) -> dict[str, Share]:
-    """Return the counts that one test looks at.
-
-    Entry hosts report bad attempts at once and good ones seconds later, so a
-    short window is filled up with the good attempts that are still to come.
-    """
-    shares = {}
-    for name, levels in counts.items():
-        one = levels[cell.level]
-        total = one.total
-        if cell.level < REPORTED_LATE_LEVELS:
-            usual = levels[RATE_LEVEL].total / LENGTHS_S[RATE_LEVEL]
-            total = max(total, usual * LENGTHS_S[cell.level])
-        if cell.signal is Signal.FAILED:
-            shares[name] = Share(one.failed, total)
-        elif cell.signal is Signal.LOST:
-            shares[name] = Share(one.failed + one.very_slow, total)
-        else:
-            shares[name] = Share(one.slow, one.total - one.failed)
-    return shares
--- a/dogwoodtack/health/windows.py
+++ b/dogwoodtack/health/windows.py
@@ -2,9 +2,10 @@
 
 from typing import NamedTuple
 
-__all__ = ["Counts", "LENGTHS_S", "Window", "Windows"]
+__all__ = ["Counts", "LENGTHS_S", "RATE_LEVEL", "Window", "Windows"]
 
 LENGTHS_S = (1.0, 3.0, 9.0, 27.0, 81.0)
+RATE_LEVEL = 2
 PARTS = 4
 
 
