Let an entry host leave discovery when a plan drains it

Cause: the drain-entry-host intent was stored and nobody acted on it. Now the named host leaves the membership's usable members, and comes back when the drain ends; its title to floors moves only when it is stopped. Ruled out: giving titles up at the drain, because a drain that ends would find them gone. Before: discovery named a drained host.

--- a/dogwoodtack/membership/gossip.py
+++ b/dogwoodtack/membership/gossip.py
@@ -121,6 +121,14 @@
     def leave(self) -> None:
         """Tell some members at once that this node is leaving."""
         self._view.leave()
+        self._tell_some()
+
+    def stay(self) -> None:
+        """Tell some members at once that this node is not leaving after all."""
+        self._view.stay()
+        self._tell_some()
+
+    def _tell_some(self) -> None:
         self._touch(self._view.me.incarnation)
         others = self._others()
         for record in self._rng.sample(others, min(LEAVE_FANOUT, len(others))):
--- a/dogwoodtack/membership/members.py
+++ b/dogwoodtack/membership/members.py
@@ -41,6 +41,10 @@
         """Tell the fleet that this node is leaving."""
         self._update_mine(self.me._replace(is_leaving=True))
 
+    def stay(self) -> None:
+        """Tell the fleet that this node is not leaving after all."""
+        self._update_mine(self.me._replace(is_leaving=False))
+
     def note_ready(self) -> None:
         """Tell the fleet that this node holds the configuration."""
         self._update_mine(self.me._replace(is_ready=True))
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -17,7 +17,7 @@
 from .errors import ErrorKind
 from .floor import Floor, FloorControl, FloorParts
 from .health import Health, HealthReport
-from .intents import Intents
+from .intents import ENTRY_HOST_KIND, SERVICE_KIND, Intents
 from .keys import KeyRules, KeyTable, PeerAsker, key_routes
 from .leaving import HintSender, Leaving, LeavingCourier
 from .limits import Limits
@@ -37,7 +37,6 @@
 STOP_POLL_S = 0.05
 DEFAULT_OBJECTIVE = Objective(good_ratio=0.999, slow_s=1.0)
 STANDING_POLL_S = 0.1
-SERVICE_KIND = "service"
 
 
 class Node(BaseComponent):
@@ -292,6 +291,18 @@
             service = self.catalog.get(obj.name)
             if service is not None:
                 self.health.set_caution(service.name, service.caution)
+        elif obj.kind == ENTRY_HOST_KIND and obj.name == self.settings.node_name:
+            self._take_own_drain(bool(obj.value and obj.value.get("leaving")))
+
+    def _take_own_drain(self, is_on: bool) -> None:
+        """Leave discovery, or come back to it, as an operator's plan says."""
+        if self._stopping or is_on == self.membership.me.is_leaving:
+            return
+        log_event("entry-host-drain", on=is_on)
+        if is_on:
+            self.gossip.leave()
+        else:
+            self.gossip.stay()
 
     def start_work(self) -> None:
         """Begin to work, once every part stands."""
--- a/tests/test_intents.py
+++ b/tests/test_intents.py
@@ -109,6 +109,21 @@
         code, receipt = self.tool("confirm", plan["plan_id"], "--yes")
         self.assertEqual((code, receipt["version"]), (OK, 2))
 
+    def test_drained_entry_host_leaves_discovery_and_comes_back(self):
+        host = self.fleet.nodes[1]
+        for is_on, count in ((True, 1), (False, 2)):
+            intent = {"kind": "drain-entry-host", "host": host.name, "on": is_on}
+            code, plan = self.tool("submit", "-", stdin=json.dumps(intent))
+            self.assertEqual(code, OK, plan)
+            code, _ = self.tool("confirm", plan["plan_id"], "--yes")
+            self.assertEqual(code, OK)
+            self.fleet.wait_until(lambda: self.found() == count, f"{count} addresses")
+
+    def found(self):
+        target = "/.well-known/dogwoodtack/services/jobtrack"
+        answer = http_call(self.fleet.nodes[0].caller, "GET", target)
+        return len(answer.json()["addresses"])
+
     def test_store_gone(self):
         _, plan = self.submit("set-floor", floor=1)
         self.fleet.signal("platform", signal.SIGKILL)
