--- a/tests/test_floor.py
+++ b/tests/test_floor.py
@@ -20,6 +20,8 @@
 CALLERS_PER_NODE = 2
 PAUSE_S = 0.02
 EJECT_LIMIT_S = 40.0
+DRAIN_LIMIT_S = 5.0
+HOLD_S = 10.0
 TAKEOVER_LIMIT_S = 90.0
 CLOCK = SystemClock()
 
@@ -67,7 +69,9 @@
 
 class FloorTest(unittest.TestCase):
     def setUp(self):
-        self.fleet = ScriptedFleet({"store": {"timeout_s": 0.5}})
+        self.fleet = ScriptedFleet(
+            {"store": {"timeout_s": 0.5}, "test": {"cuts": "yes"}}
+        )
         self.addCleanup(self.fleet.close)
         self.fleet.make_sick()
         self.fleet.start_platform()
@@ -114,22 +118,11 @@
         self.assertLessEqual(len(worst.instances), REMOVABLE, seen)
         self.assertEqual(len(worst.instances), REMOVABLE, "nothing was put to the test")
 
-    def test_more_sick_than_the_floor_allows_and_a_drain(self):
+    def test_more_sick_than_the_floor_allows(self):
         self.fleet.make_sick(*BACKENDS[:4])
         self.wait_ejected(self.fleet.nodes, REMOVABLE, BACKENDS[:4])
-        value = self.fleet.service_value(
-            "jobtrack.example", floor=FLOOR, drains=["jt-5"]
-        )
-        self.fleet.put_object("service", SERVICE, value, self.version)
-
-        def is_drained():
-            seen = [self.floor(node) for node in self.fleet.nodes]
-            return all(one["drained"] == ["jt-5"] for one in seen)
-
-        began = time.monotonic()
-        self.fleet.wait_until(is_drained, "jt-5 drained everywhere")
-        self.assertLess(time.monotonic() - began, 10.0)
-        self.wait_ejected(self.fleet.nodes, REMOVABLE - 1, BACKENDS[:4])
+        time.sleep(HOLD_S + 5.0)
+        self.wait_ejected(self.fleet.nodes, REMOVABLE, BACKENDS[:4])
         self.check_history()
 
     def test_store_outage(self):
@@ -153,6 +146,53 @@
         self.assertIn("event=floor-confirmed", self.fleet.log_text(holder.name))
         self.check_history()
 
+    def cut(self, nodes, *addresses):
+        body = {"addresses": [str(address) for address in addresses]}
+        for node in nodes:
+            self.fleet.operator(node, "PUT", "/test/cut", body)
+
+    def test_hosts_that_cannot_ask_the_holder(self):
+        self.fleet.make_sick(*BACKENDS[:3])
+        self.wait_ejected(self.fleet.nodes, REMOVABLE, BACKENDS[:3])
+        holder = self.holder()
+        others = self.others(holder)
+        lost, heard = others[:2], [holder, *others[2:]]
+        self.cut(lost, holder.peer)
+        self.fleet.make_sick(*BACKENDS[3:])
+        self.wait_ejected(lost, 0, [])
+        self.wait_ejected(heard, REMOVABLE, BACKENDS[3:])
+        self.cut(lost)
+        self.wait_ejected(self.fleet.nodes, REMOVABLE, BACKENDS[3:])
+        self.check_history()
+
+    def test_drain_confirmed_while_ejections_are_in_use(self):
+        self.fleet.make_sick(*BACKENDS[:3])
+        self.wait_ejected(self.fleet.nodes, REMOVABLE, BACKENDS[:3])
+        for number, instance in enumerate(("jt-4", "jt-5")):
+            intent = {
+                "kind": "drain-back-end",
+                "service": SERVICE,
+                "instance": instance,
+            }
+            node = self.fleet.nodes[number]
+            plan = self.fleet.operator(node, "POST", "/intents", intent).json()
+            target = f"/plans/{plan['plan_id']}/confirm"
+            answer = self.fleet.operator(self.fleet.nodes[2], "POST", target, plan)
+            self.assertEqual(answer.status, 200, answer.body)
+            version = answer.json()["version"]
+            began = time.monotonic()
+            self.fleet.wait_service(SERVICE, version)
+        self.fleet.wait_until(
+            lambda: all(
+                self.floor(node)["drained"] == ["jt-4", "jt-5"]
+                for node in self.fleet.nodes
+            ),
+            "both drained everywhere",
+        )
+        self.assertLess(time.monotonic() - began, DRAIN_LIMIT_S)
+        self.wait_ejected(self.fleet.nodes, 0, [])
+        self.check_history()
+
     def set_listed(self, **states):
         data = json.dumps(states).encode()
         http_call(self.fleet.platform, "PUT", "/test/hosts", data)
