--- a/dogwoodtack/floor/control.py
+++ b/dogwoodtack/floor/control.py
@@ -24,6 +24,7 @@
         self._holdings = Holdings(parts, floor.turns)
         self._puller = Puller(parts, floor, self._holdings)
         self._report = Report(parts, floor, self._holdings)
+        floor.on_first_use = self._pull_soon
 
     def begin(self) -> None:
         """Begin to pull, decide and claim."""
@@ -41,6 +42,13 @@
         self._holdings.mind(served, now)
         self._puller.pull_due(now)
 
+    def _pull_soon(self) -> None:
+        """Ask for what is out of work in a service that had its first request."""
+        self._parts.reactor.call_soon(self._pull_now)
+
+    def _pull_now(self) -> None:
+        self._puller.pull_due(self._floor.turns.note())
+
     def release(self) -> None:
         """Give up every title, because this process is about to end."""
         self._holdings.release()
--- a/dogwoodtack/floor/floor.py
+++ b/dogwoodtack/floor/floor.py
@@ -1,5 +1,7 @@
 """Which instances are out of work on this entry host, at the moment of use."""
 
+from collections.abc import Callable
+
 from ..clock import Clock, SystemClock
 from ..logs import log_event
 from .turns import Turns
@@ -12,18 +14,26 @@
 
 
 class Floor:
-    """Answer whether an instance is ejected or drained at this moment."""
+    """Answer whether an instance is ejected or drained at this moment.
+
+    `on_first_use` is called when a service begins to be served here, so that what
+    is out of work can be asked for at once.
+    """
 
     def __init__(self, clock: Clock | None = None) -> None:
         self.turns = Turns(clock or SystemClock())
         self.turns.subscribe(self._on_pause)
+        self.on_first_use: Callable[[], None] | None = None
         self._usages: dict[str, Usage] = {}
         self._used_at: dict[str, float] = {}
 
     def is_removed(self, service: str, instance: str) -> bool:
         """Return whether an instance must get no new work."""
         now = self.turns.note()
+        is_first_use = service not in self._used_at
         self._used_at[service] = now
+        if is_first_use and self.on_first_use is not None:
+            self.on_first_use()
         return self.usage(service).is_removed(instance, now)
 
     def is_drained(self, service: str, instance: str) -> bool:
