Let any serving host claim a vacant title, and a replaced host lose its own

Cause 1: only the first six of a home set claimed. A service whose few callers all use another host would never have had a holder: nothing ejected, no drain in effect. Cause 2: a host replaced under its name at another address stays on the list by that name, so its dead process kept the title for ever.

--- a/dogwoodtack/floor/holdings.py
+++ b/dogwoodtack/floor/holdings.py
@@ -138,9 +138,18 @@
             ownership.claim()
 
     def _is_vacant(self, holder: HolderEntry | None) -> bool:
+        """Return whether a title has no holder, or one that seems to be gone.
+
+        A host that is replaced under its name stays listed; then its earlier
+        process counts as gone once it is known dead.
+        """
         if holder is None or self._is_predecessor(holder):
             return True
-        return not self._parts.membership.is_listed(holder.name)
+        membership = self._parts.membership
+        if membership.by_incarnation(holder.incarnation) is not None:
+            return False
+        is_replaced = membership.by_name(holder.name) is not None
+        return is_replaced or not membership.is_listed(holder.name)
 
     def _hold_s(self, holder: HolderEntry | None) -> float:
         if holder is None or self._is_predecessor(holder):
@@ -159,14 +168,18 @@
         )
 
     def _rank(self, service: str) -> int | None:
-        """Return this node's place among those that may claim, None for no place."""
+        """Return this node's place in the order of claims, None while it leaves.
+
+        A node beyond the first places comes last: it may be the only one that the
+        service's few callers use.
+        """
         membership = self._parts.membership
         if membership.me.is_leaving:
             return None
         members = [one for one in membership.members() if not one.is_leaving]
         homes = home_set(service, members, CLAIM_RANKS)
         names = [one.name for one in homes]
-        return names.index(self.me.name) if self.me.name in names else None
+        return names.index(self.me.name) if self.me.name in names else CLAIM_RANKS
 
     # The decisions.
 
