Let nobody take the port that a test needs to be refused

Ruled out: a change of the tool, which was not touched. The test now keeps a bound socket that does not listen, so that the connection is refused for certain.

--- a/tests/test_intents.py
+++ b/tests/test_intents.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import socket
 import subprocess
 import sys
 import unittest
@@ -9,7 +10,8 @@
 
 from nose2.tools import params
 
-from lab.fleet import ACCESS_KEY, Fleet, free_ports, http_call
+from dogwoodtack.misc import Address
+from lab.fleet import ACCESS_KEY, Fleet, http_call
 
 OK, REFUSED, USAGE, CONFLICT, UNKNOWN, UNREACHABLE = range(6)
 RACES = 5
@@ -147,8 +149,10 @@
         self.assertEqual(self.submit("no-such-kind")[0], REFUSED)
         self.assertEqual(self.tool("no-such-command")[0], USAGE)
         self.assertEqual(self.tool("confirm", "0" * 32, "--yes")[0], USAGE)
-        gone = self.fleet.nodes[0]._replace(
-            operator=self.fleet.platform._replace(port=free_ports(1)[0])
-        )
+        silent = socket.socket()
+        self.addCleanup(silent.close)
+        silent.bind(("127.0.0.1", 0))
+        refusing = Address(*silent.getsockname())
+        gone = self.fleet.nodes[0]._replace(operator=refusing)
         self.assertEqual(self.tool("status", nodes=[gone])[0], UNREACHABLE)
         self.assertEqual(self.tool("status", nodes=[gone, *self.fleet.nodes])[0], OK)
