Name the changes of an instance's work by a closed list

Cause: usage.py and puller.py compared bare strings. Event is a StrEnum now; the log lines stay as they were.

--- a/dogwoodtack/floor/puller.py
+++ b/dogwoodtack/floor/puller.py
@@ -11,7 +11,7 @@
 from .holdings import Holdings
 from .messages import PullAnswer, PullForm, PullItem
 from .parts import FloorParts
-from .usage import Change
+from .usage import Change, Event
 
 __all__ = ["PULL_PATH", "Puller"]
 
@@ -133,5 +133,5 @@
         log_changes(service, changes)
         is_held_here = self._holdings.get(service).ownership.is_mine
         for change in changes:
-            if change.event == "returned" and not is_held_here:
+            if change.event is Event.RETURNED and not is_held_here:
                 self._parts.health.begin_probation(service, change.instance)
--- a/dogwoodtack/floor/usage.py
+++ b/dogwoodtack/floor/usage.py
@@ -1,24 +1,34 @@
 """What one entry host may treat as out of work, checked at the moment of use."""
 
+import enum
 from typing import NamedTuple
 
 from ..catalog import Service
 from .messages import PullItemAnswer
 
-__all__ = ["Change", "Usage"]
+__all__ = ["Change", "Event", "Usage"]
+
+
+class Event(enum.StrEnum):
+    """How an instance's work changed on this entry host; also the log's event."""
+
+    EJECTED = "ejected"
+    RETURNED = "returned"
+    DRAINED = "drained"
+    UNDRAINED = "undrained"
 
 
 class Change(NamedTuple):
     """An instance that went out of work or came back.
 
     Attributes:
-        event: `ejected`, `returned`, `drained` or `undrained`.
+        event: how its work changed.
         instance: the instance's name.
         at: boottime in seconds.
         until: boottime in seconds until when it was granted, None for a drain.
     """
 
-    event: str
+    event: Event
     instance: str
     at: float
     until: float | None = None
@@ -75,7 +85,7 @@
             return changes
         for name in answer["grants"]:
             if name not in self._grants:
-                changes.append(Change("ejected", name, now, until))
+                changes.append(Change(Event.EJECTED, name, now, until))
             self._grants[name] = max(until, self._grants.get(name, until))
         if answer["admits"] == version:
             self._admitted_version = version
@@ -93,7 +103,7 @@
     def clear(self, now: float) -> list[Change]:
         """Give every instance work again, because nothing is pulled any more."""
         changes = self.expire(now)
-        changes += [Change("returned", name, now, now) for name in self._grants]
+        changes += [Change(Event.RETURNED, name, now, now) for name in self._grants]
         self._grants.clear()
         return changes + self.doubt_drains(now)
 
@@ -102,10 +112,10 @@
         ended = [(name, end) for name, end in self._grants.items() if end <= now]
         for name, _ in ended:
             del self._grants[name]
-        return [Change("returned", name, end, end) for name, end in ended]
+        return [Change(Event.RETURNED, name, end, end) for name, end in ended]
 
     def _admit(self, names: frozenset[str], now: float) -> list[Change]:
-        begun = [Change("drained", name, now) for name in names - self._admitted]
-        ended = [Change("undrained", name, now) for name in self._admitted - names]
+        begun = [Change(Event.DRAINED, name, now) for name in names - self._admitted]
+        ended = [Change(Event.UNDRAINED, name, now) for name in self._admitted - names]
         self._admitted = names
         return begun + ended
