Drop a silent host from discovery sooner

Cause: test_cut_off_host_takes_no_work_and_comes_back failed once: another host still named the cut-off one 4 s after its cut. A verdict waited for the next random exchange, and only membership's own calls looked for silent hosts.

A new verdict is told to six members at once, and a push or comparison of configuration that gets no answer makes membership look at that member. Ruled out: calling twice a second (doubles idle cost).

--- a/dogwoodtack/membership/gossip.py
+++ b/dogwoodtack/membership/gossip.py
@@ -19,7 +19,7 @@
 from ..surface import Later, Responder, Route, SurfaceRequest
 from .contact import Contact, CutOffWatch
 from .hosts import HostView, WireReading
-from .members import Membership
+from .members import Member, Membership
 from .records import MemberRecord, MemberState, WireRecord, from_wire, to_wire
 
 __all__ = ["Gossip"]
@@ -39,7 +39,7 @@
 REPAIR_INTERVAL_S = 5.0
 REPAIR_PER_MEMBER_S = 0.005
 REPAIR_BUCKETS = 16
-LEAVE_FANOUT = 6
+NEWS_FANOUT = 6
 HTTP_OK = 200
 
 
@@ -122,9 +122,14 @@
         """Tell some members at once that this node is leaving."""
         self._view.leave()
         self._touch(self._view.me.incarnation)
+        self._tell_some()
+
+    def _tell_some(self) -> None:
+        """Exchange with several members at once, so that news travels fast."""
         others = self._others()
-        for record in self._rng.sample(others, min(LEAVE_FANOUT, len(others))):
-            self._exchange(record.member.peer_address, record)
+        alive = [one for one in others if one.state is MemberState.ALIVE]
+        for record in self._rng.sample(alive, min(NEWS_FANOUT, len(alive))):
+            self._exchange(record.member.peer_address, None)
 
     def routes(self) -> list[Route]:
         """Return what the peer port answers for membership."""
@@ -329,6 +334,7 @@
         member = record.member
         log_event(f"member-{state}", "WARNING", member=member.name, cause=cause)
         self._note_state(record)
+        self._tell_some()
 
     def _note_state(self, record: MemberRecord) -> None:
         """Set the timers that a record's state asks for."""
@@ -373,6 +379,12 @@
             self._touch(self._view.me.incarnation)
             log_event("accusation-refuted", counter=self._view.mine.counter)
 
+    def doubt(self, member: Member) -> None:
+        """Look at once at a member that did not answer another slice's call."""
+        record = self._view.record(member.incarnation)
+        if record is not None and record.state is MemberState.ALIVE:
+            self._exchange(member.peer_address, record)
+
     # Calls through helpers.
 
     def _ask_helpers(self, record: MemberRecord) -> None:
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -28,7 +28,7 @@
 from .peers import Peers
 from .reactor import Reactor
 from .settings import Settings
-from .spread import ConfigState, Spread
+from .spread import ConfigState, Spread, SpreadReport
 from .store import Store, StoreObject
 from .surface import Route, Surface, SurfaceRequest
 
@@ -107,6 +107,10 @@
             self.rng,
             bool(cfg.peers_seeds),
             self._on_synced,
+            self.gossip.doubt,
+        )
+        self.spread_report = SpreadReport(
+            self.metrics.registry, self.membership, self.spread, self.peers
         )
         self.keys = self._build_keys()
         report = HealthReport(self.metrics.registry)
@@ -243,6 +247,7 @@
         self.metrics.in_flight.set({}, self.door.in_flight)
         self.metrics.store_calls.set({}, self.store.calls_made)
         self._view_keys()
+        self.spread_report.update()
         return self.metrics.render()
 
     def _count_request(self, note: RequestNote) -> None:
--- a/dogwoodtack/spread/spread.py
+++ b/dogwoodtack/spread/spread.py
@@ -66,6 +66,7 @@
         rng: random.Random,
         has_seeds: bool,
         on_synced: Callable[[], None],
+        on_silent: Callable[[Member], None],
     ) -> None:
         self._reactor = reactor
         self._peers = peers
@@ -75,6 +76,7 @@
         self._rng = rng
         self._has_seeds = has_seeds
         self._on_synced = on_synced
+        self._on_silent = on_silent
         self._watcher = Watcher(
             reactor,
             store,
@@ -257,8 +259,10 @@
         left = [one for one in piece.members if one != member]
 
         def on_reply(reply: Reply | None, exc: WireError | None) -> None:
-            is_taken = reply is not None and reply.status == HTTP_OK
-            if not is_taken and left and attempts > 1:
+            if reply is not None and reply.status == HTTP_OK:
+                return
+            self._on_silent(member)
+            if left and attempts > 1:
                 self._push_piece(batch, Piece(piece.range, left), attempts - 1)
 
         body: PushBody = {"objects": batch, "range": list(piece.range)}
@@ -312,6 +316,7 @@
 
         def on_reply(reply: Reply | None, exc: WireError | None) -> None:
             if reply is None or reply.status != HTTP_OK:
+                self._on_silent(member)
                 self._exchange_with_any(attempts - 1)
                 return
             self._take_exchange(reply.body)
--- a/dogwoodtack/spread/tests/fakes.py
+++ b/dogwoodtack/spread/tests/fakes.py
@@ -120,6 +120,7 @@
             random.Random(number * 77 + life),
             bool(seeds),
             self.gossip.note_ready,
+            self.gossip.doubt,
         )
         network.views[self.address] = [*self.gossip.routes(), *self.spread.routes()]
         self.spread.begin()
--- a/lab/slopes_spread.py
+++ b/lab/slopes_spread.py
@@ -38,6 +38,7 @@
 SETTLE_S = 8.0
 CHANGE_INTERVAL_S = 1.0
 MEMBERS = (36, 200, 1000, 6300)
+CHANGES = (0, 5, 20, 64)
 OBJECTS = (100, 1000, 5000, 10000)
 INSTANCES = 16
 REPEATS = 30
@@ -67,6 +68,8 @@
     busy_cpu: float
     idle_bytes: float
     busy_bytes: float
+    idle_out: float
+    busy_out: float
 
 
 class Sight(NamedTuple):
@@ -76,6 +79,7 @@
     calls: int
     cpu_s: float
     bytes: int
+    out: int
 
 
 def fit(sizes: tuple[int, ...], values: list[float]) -> Fit:
@@ -105,6 +109,7 @@
         sum(calls.values()),
         sum(cpu_s(fleet.procs[node.name].pid) for node in fleet.nodes),
         sum(status["control_bytes"] for status in statuses),
+        sum(status["control_calls"] for status in statuses),
     )
 
 
@@ -152,22 +157,22 @@
         print(f"{hosts} hosts: {len(delays)} of {expected} changes seen in force")
     p50, p99, most = np.percentile(np.array(delays) * 1000, (50, 99, 100))
     idle, busy = rates(first, second, hosts), rates(second, third, hosts)
-    return Row(
-        hosts, p50, p99, most, idle[0], busy[0], idle[1], busy[1], idle[2], busy[2]
-    )
+    pairs = [rate for pair in zip(idle, busy) for rate in pair]
+    return Row(hosts, p50, p99, most, *pairs)
 
 
-def rates(start: Sight, end: Sight, hosts: int) -> tuple[float, float, float]:
-    """Return store calls, and a node's share of a core and bytes, per second.
+def rates(start: Sight, end: Sight, hosts: int) -> list[float]:
+    """Return rates per second: store calls, then a node's core, bytes and calls.
 
     The bytes are counted where a call is made; the other end carries them too.
     """
     seconds = end.at - start.at
-    return (
+    return [
         (end.calls - start.calls) / seconds,
         100 * (end.cpu_s - start.cpu_s) / seconds / hosts,
         2 * (end.bytes - start.bytes) / seconds / hosts,
-    )
+        (end.out - start.out) / seconds / hosts,
+    ]
 
 
 class _NoReactor:
@@ -215,14 +220,23 @@
     return float(np.median(times))
 
 
-def exchange_cost(count: int) -> tuple[float, float]:
-    """Return microseconds and bytes of answering one quiet exchange."""
+def exchange_cost(count: int, changes: int = 0) -> tuple[float, float]:
+    """Return microseconds and bytes of answering one exchange.
+
+    Args:
+        count: how many members there are.
+        changes: how many recent changes both sides tell.
+    """
     reactor = _NoReactor()
     view = view_of(count)
     contact = Contact(reactor.clock, True)
     gossip = Gossip(reactor, None, view, contact, (), None)
     route = gossip.routes()[0]
-    ask = {"changes": [], "root": "", "hosts_number": 0, "hosts": None}
+    records = view.records()[1 : changes + 1]
+    for record in records:
+        gossip._touch(record.member.incarnation)
+    told = [to_wire(record) for record in records]
+    ask = {"changes": told, "root": "", "hosts_number": 0, "hosts": None}
     body = {**ask, "me": to_wire(MemberRecord(member_of(1), 1, MemberState.ALIVE, 1.0))}
     text = json.dumps(body)
 
@@ -233,6 +247,21 @@
     return time_us(act), float(len(text) + len(act()))
 
 
+def repair_cost(count: int) -> tuple[float, float]:
+    """Return microseconds and bytes of finding and sending five lost records."""
+    view = view_of(count)
+    buckets = view.digest.buckets()
+    for record in view.records()[1:6]:
+        view.accuse(record.member.incarnation, MemberState.SUSPECT)
+
+    def act() -> str:
+        differing = view.digest.differing(json.loads(json.dumps(buckets)))
+        found = [one for index in differing for one in view.in_bucket(index)]
+        return json.dumps([to_wire(one) for one in found])
+
+    return time_us(act), float(len(json.dumps(buckets)) + len(act()))
+
+
 def view_change_cost(count: int) -> float:
     """Return microseconds of what follows from one change of the view."""
     view = view_of(count)
@@ -308,7 +337,9 @@
 
 def print_rows(rows: list[Row]) -> None:
     """Print the runs of processes and their fits."""
-    print("hosts  in force ms p50/p99/max  store calls/s  % of a core  bytes/s")
+    print(
+        "hosts  in force ms p50/p99/max  store calls/s  % of a core  bytes/s  calls/s"
+    )
     print("                                  idle   busy    idle  busy   idle   busy")
     for row in rows:
         print(
@@ -316,6 +347,7 @@
             f"     {row.idle_calls:8.2f} {row.busy_calls:6.2f}"
             f"  {row.idle_cpu:6.2f} {row.busy_cpu:5.2f}"
             f"  {row.idle_bytes:6.0f} {row.busy_bytes:6.0f}"
+            f"  {row.idle_out:5.2f} {row.busy_out:5.2f}"
         )
     if len(rows) < 2:
         return
@@ -332,6 +364,12 @@
     exchanges = [exchange_cost(count) for count in MEMBERS]
     print_series("membership exchange, us", MEMBERS, [one[0] for one in exchanges])
     print_series("membership exchange, bytes", MEMBERS, [one[1] for one in exchanges])
+    told = [exchange_cost(200, count) for count in CHANGES]
+    print_series("the same by recent changes, us", CHANGES, [one[0] for one in told])
+    print_series("the same by recent changes, bytes", CHANGES, [one[1] for one in told])
+    repairs = [repair_cost(count) for count in MEMBERS]
+    print_series("mending five records, us", MEMBERS, [one[0] for one in repairs])
+    print_series("mending five records, bytes", MEMBERS, [one[1] for one in repairs])
     changes = [view_change_cost(count) for count in MEMBERS]
     print_series("after a change of the view, us", MEMBERS, changes)
     sizes = [memory_bytes(view_of, count) for count in MEMBERS]
