--- a/dogwoodtack/membership/gossip.py
+++ b/dogwoodtack/membership/gossip.py
@@ -275,7 +275,10 @@
         self._called_at = self._now()
         self._take_body(req.body)
         self._answer_accusation()
-        return self._body(req.body["hosts_number"])
+        body = self._body(req.body["hosts_number"])
+        told = {_news(item) for item in req.body["changes"]}
+        body["changes"] = [one for one in body["changes"] if _news(one) not in told]
+        return body
 
     # Repair.
 
@@ -443,3 +446,8 @@
             }
             for record in self._view.records()
         ]
+
+
+def _news(item: WireRecord) -> tuple[str, int, str]:
+    """Return what makes a record news: who it is of, its counter and state."""
+    return item["incarnation"], item["counter"], item["state"]
--- a/dogwoodtack/spread/state.py
+++ b/dogwoodtack/spread/state.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple
 
 from ..digest import BucketDigest, bucket_of, entry_hash
+from ..logs import log_event
 from ..store import StoreObject
 
 __all__ = ["ConfigState"]
@@ -57,7 +58,7 @@
         self._decoded.pop(key, None)
         self._index(key, known, obj.version)
         for listener in self._listeners:
-            listener(obj)
+            _tell(listener, obj)
         return True
 
     def _index(self, key: tuple[str, str], known: _Kept | None, version: int) -> None:
@@ -117,6 +118,21 @@
         return StoreObject(*key, kept.version, _decode(kept.data))
 
 
+def _tell(listener: OnChange, obj: StoreObject) -> None:
+    """Call a listener; its failure keeps no other object from being taken."""
+    try:
+        listener(obj)
+    except Exception as exc:
+        log_event(
+            "config-listener-failed",
+            "ERROR",
+            kind=obj.kind,
+            name=obj.name,
+            version=obj.version,
+            error=repr(exc),
+        )
+
+
 def _encode(value: Any) -> bytes | None:
     if value is None:
         return None
--- a/dogwoodtack/spread/tests/test_state.py
+++ b/dogwoodtack/spread/tests/test_state.py
@@ -33,6 +33,15 @@
         self.assertEqual(seen, [obj] if is_taken else [])
         self.assertEqual(state.value("service", "x")["n"], max(known, offered))
 
+    def test_failing_listener_keeps_nobody_from_hearing(self):
+        state = ConfigState()
+        heard = []
+        state.subscribe(lambda obj: heard.append(1 / 0))
+        state.subscribe(heard.append)
+        obj = StoreObject("service", "x", 3, {})
+        self.assertTrue(state.apply(obj))
+        self.assertEqual(heard, [obj])
+
     def test_tombstone_deletes_and_is_not_undone(self):
         state = ConfigState()
         state.apply(StoreObject("service", "x", 3, {"n": 3}))
--- a/lab/slopes_spread.py
+++ b/lab/slopes_spread.py
@@ -35,7 +35,7 @@
 flags.DEFINE_bool("processes", True, "Run the part with separate processes.")
 
 IDLE_S = 10.0
-SETTLE_S = 8.0
+SETTLE_S = 15.0
 CHANGE_INTERVAL_S = 1.0
 MEMBERS = (36, 200, 1000, 6300)
 CHANGES = (0, 5, 20, 64)
