--- a/dogwoodtack/limits/limits.py
+++ b/dogwoodtack/limits/limits.py
@@ -14,7 +14,7 @@
 
 __all__ = ["Limits", "Waiter"]
 
-MAX_WAIT_SHARE = 0.25
+MAX_WAIT_SHARE = 0.1
 USUAL_WEIGHT = 1.0
 MIN_WEIGHT = 0.001
 
