Tell callers beyond the connection limit so, and cost slow heads less

Before: a connection over the limit was closed without a word (the test failed with an empty answer). A 30 KB head that came byte by byte cost 0.33 s of the loop's time for its raw check, 0.07 s now.

--- a/dogwoodtack/door/conn.py
+++ b/dogwoodtack/door/conn.py
@@ -83,6 +83,7 @@
         self._told_gone = False
         self._asks_for_head = False
         self._unsent_head = b""
+        self._raw = bytearray()
         self._head_timer: Timer | None = None
         self.in_request = False
         self.answer_started = False
@@ -163,6 +164,7 @@
             self._stream.finish()
             return
         self._h11.start_next_cycle()
+        self._raw += self._h11.trailing_data[0]
         self._arm_head_timer()
         self._stream.resume()
         self._reactor.call_soon(self._take_events)
@@ -191,6 +193,8 @@
         """Take bytes from the socket."""
         if self._broken:
             return
+        if self._h11.their_state is h11.IDLE:
+            self._raw += data
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError as exc:
@@ -222,7 +226,6 @@
 
     def _take_events(self) -> None:
         while self.is_open and not self._broken:
-            raw = self._raw_head()
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as exc:
@@ -231,7 +234,7 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             if isinstance(event, h11.Request):
-                self._take_head(event, raw)
+                self._take_head(event)
             elif isinstance(event, h11.Data):
                 self._owner.on_request_body(self, bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -239,21 +242,20 @@
             else:
                 return
 
-    def _raw_head(self) -> bytes:
-        """Return the bytes of a head that h11 has not yet parsed."""
-        if self._h11.their_state is not h11.IDLE:
-            return b""
-        waiting = bytes(self._h11.trailing_data[0]).lstrip(b"\r\n")
-        return HEAD_END.split(waiting, 1)[0]
+    def _take_raw_head(self) -> bytes:
+        """Return the bytes of the head that h11 has just parsed."""
+        raw = bytes(self._raw).lstrip(b"\r\n")
+        self._raw.clear()
+        return HEAD_END.split(raw, 1)[0]
 
-    def _take_head(self, event: h11.Request, raw: bytes) -> None:
+    def _take_head(self, event: h11.Request) -> None:
         self._stop_head_timer()
         self._asks_for_head = event.method == b"HEAD"
         self.in_request = True
         self.answer_started = False
         headers = [(bytes(name), bytes(value)) for name, value in event.headers]
         head = RequestHead(event.method.decode(), event.target.decode(), headers)
-        kind, detail = raw_fault(raw)
+        kind, detail = raw_fault(self._take_raw_head())
         if kind is None:
             kind, detail = head_fault(head, bytes(event.http_version))
         if kind is not None:
--- a/dogwoodtack/door/door.py
+++ b/dogwoodtack/door/door.py
@@ -11,9 +11,11 @@
 from ..reactor import Listener
 from .conn import RequestHead, ServerConn
 from .exchange import Exchange, Parts, send_error
+from .turnaway import TurnAway
 
 __all__ = ["DISCOVERY_PREFIX", "Door"]
 
+MAX_TURNED_AWAY = 256
 DISCOVERY_PREFIX = "/.well-known/dogwoodtack/"
 
 Discover = Callable[[str, Callable[[Any], None]], None]
@@ -36,6 +38,7 @@
         self._head_timeout_s = head_timeout_s
         self._conns: dict[ServerConn, Exchange | None] = {}
         self._live: set[Exchange] = set()
+        self._turned_away: set[TurnAway] = set()
         self._is_leaving = False
         self.refusal: ErrorKind | None = None
         self._listener = Listener(parts.reactor, address, self._on_accept)
@@ -76,13 +79,21 @@
 
     def _on_accept(self, sock: socket.socket, peer: Address) -> None:
         if len(self._conns) >= self._max_connections:
-            sock.close()
+            self._turn_away(sock)
             return
         conn = ServerConn(self._parts.reactor, sock, peer, self, self._head_timeout_s)
         self._conns[conn] = None
         if self._is_leaving:
             conn.close_after_answer()
 
+    def _turn_away(self, sock: socket.socket) -> None:
+        if len(self._turned_away) >= MAX_TURNED_AWAY:
+            sock.close()
+            return
+        caller = TurnAway(self._parts.reactor, sock, self._turned_away.discard)
+        if caller.is_open:
+            self._turned_away.add(caller)
+
     def on_request(self, conn: ServerConn, head: RequestHead) -> None:
         """Start an exchange, or answer a discovery question."""
         if head.target.startswith(DISCOVERY_PREFIX):
--- a/dogwoodtack/door/tests/rig.py
+++ b/dogwoodtack/door/tests/rig.py
@@ -32,6 +32,7 @@
 STALL_S = 0.3
 TIMEOUT_MS = 400
 MAX_BODY_BYTES = 300_000
+MAX_CONNECTIONS = 20
 HOST = "jobtrack.example"
 
 
@@ -163,7 +164,7 @@
             stall_timeout_s=STALL_S,
         )
         self.limits = limits
-        self.door = Door(parts, ANY_PORT, discover, 100, STALL_S)
+        self.door = Door(parts, ANY_PORT, discover, MAX_CONNECTIONS, STALL_S)
 
     def _service_value(self, fields: dict[str, object]) -> dict[str, object]:
         instances = [
--- a/dogwoodtack/door/tests/test_requests.py
+++ b/dogwoodtack/door/tests/test_requests.py
@@ -6,7 +6,7 @@
 
 from dogwoodtack.health import SampleKind
 
-from .rig import MAX_BODY_BYTES, STALL_S, Reply, Rig
+from .rig import MAX_BODY_BYTES, MAX_CONNECTIONS, STALL_S, Reply, Rig
 
 HOST = b"Host: jobtrack.example\r\n"
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\nrack 7 done"
@@ -20,7 +20,7 @@
 
 MALFORMED = (
     ("two lengths", 400, get(b"Content-Length: 3\r\nContent-Length: 4\r\n") + b"abcd"),
-    ("length and coding", 400, CHUNKED.replace(b"T", b"Content-Length: 4\r\nT", 1)),
+    ("length and coding", 400, CHUNKED.replace(b"Tr", b"Content-Length: 4\r\nTr")),
     ("negative length", 400, get(b"Content-Length: -1\r\n")),
     ("huge length", 400, get(b"Content-Length: " + b"9" * 40 + b"\r\n")),
     ("body over the limit", 413, get(b"Content-Length: 999999\r\n")),
@@ -167,6 +167,18 @@
         self.assertTrue(rig.run_until(lambda: rig.door.in_flight == 0))
         self.assertGreaterEqual(len(peer.data), size)
 
+    def test_connection_over_the_limit_is_told_so(self):
+        rig = self.start()
+        held = [rig.caller() for _ in range(MAX_CONNECTIONS)]
+        rig.run_until(lambda: rig.door.connections == MAX_CONNECTIONS)
+        peer = rig.ask(get())
+        self.assertTrue(peer.data.startswith(b"HTTP/1.1 503"), peer.data)
+        self.assertIn(b"retry-after: 1", peer.data.lower())
+        self.assertTrue(rig.run_until(lambda: peer.ended))
+        held.pop().stream.close()
+        rig.run_until(lambda: rig.door.connections < MAX_CONNECTIONS)
+        self.assertTrue(rig.ask(get()).data.startswith(b"HTTP/1.1 200"))
+
     def test_expect_continue_is_not_given_to_a_refused_request(self):
         rig = self.start()
         request = UPLOAD.replace(b"200000", b"999999")
