Shrink the window for widespread overload only

One sick instance of twenty that hangs or sheds cut the whole service's window to one request on a host (the new test failed with limit 1.0 of 40). The window falls now only when at least 15% of the instances, and two of them, shed or did not answer within five seconds.

--- a/dogwoodtack/limits/instance.py
+++ b/dogwoodtack/limits/instance.py
@@ -9,6 +9,7 @@
 FORGET_S = 2.0
 SHED_COST = 4.0
 SHED_MEMORY_S = 0.5
+SPREAD_MEMORY_S = 5.0
 SLOW_START_S = 10.0
 SLOW_START_SHARE = 0.1
 
@@ -20,7 +21,7 @@
         self.in_use = 0
         self._latency_s: float | None = None
         self._sample_at = 0.0
-        self._shed_until = 0.0
+        self._shed_at: float | None = None
         self._is_away = False
         self._slow_start_at = slow_start_at
 
@@ -43,7 +44,11 @@
 
     def on_shed(self, now: float) -> None:
         """Note that it shed a request."""
-        self._shed_until = now + SHED_MEMORY_S
+        self._shed_at = now
+
+    def has_shed(self, now: float) -> bool:
+        """Return whether it shed or did not answer in the last five seconds."""
+        return self._shed_at is not None and now - self._shed_at < SPREAD_MEMORY_S
 
     def ramp(self, now: float) -> float:
         """Return from 0.1 to 1 how far the slow start has come."""
@@ -66,4 +71,6 @@
             fade = math.exp((self._sample_at - now) / FORGET_S)
             latency_s += (self._latency_s - usual_s) * fade
         cost = (self.in_use + 1) * max(MIN_LATENCY_S, latency_s)
-        return cost * SHED_COST if now < self._shed_until else cost
+        if self._shed_at is not None and now - self._shed_at < SHED_MEMORY_S:
+            return cost * SHED_COST
+        return cost
--- a/dogwoodtack/limits/limits.py
+++ b/dogwoodtack/limits/limits.py
@@ -73,7 +73,7 @@
             return
         load = self._load(service)
         load.forget_others(service)
-        load.record(sample, slots_of(service))
+        load.record(sample, len(service.instances), slots_of(service))
         self._serve_queue(load)
 
     def _load(self, service: Service) -> ServiceLoad:
--- a/dogwoodtack/limits/service.py
+++ b/dogwoodtack/limits/service.py
@@ -1,5 +1,7 @@
 """What this entry host knows of one service's load."""
 
+import math
+
 from ..catalog import Service
 from ..health import Sample, SampleKind
 from .budget import RetryBudget
@@ -12,6 +14,7 @@
 EWMA_SHARE = 0.05
 START_LATENCY_S = 0.05
 SETTLE_S = 1.0
+WIDESPREAD_SHARE = 0.15
 OVERLOAD_KINDS = frozenset({SampleKind.SHED, SampleKind.TIMEOUT})
 
 
@@ -53,6 +56,13 @@
             if name in names or load.in_use
         }
 
+    def _is_widespread(self, now: float, instances: int) -> bool:
+        """Return whether overload was seen at more than a sick instance or two."""
+        if instances == 1:
+            return True
+        seen = sum(one.has_shed(now) for one in self._instances.values())
+        return seen >= max(2, math.ceil(WIDESPREAD_SHARE * instances))
+
     def expected_wait_s(self, customer: str, weight: float) -> float:
         """Return the seconds a new waiter would wait, roughly."""
         turn_s = self._turn_s
@@ -67,11 +77,12 @@
             self._turn_s = known + EWMA_SHARE * (now - self._turn_at - known)
         self._turn_at = now if self.queue else None
 
-    def record(self, sample: Sample, most: float) -> None:
+    def record(self, sample: Sample, instances: int, most: float) -> None:
         """Learn from one attempt.
 
         Args:
             sample: how the attempt ended.
+            instances: how many instances the service has.
             most: the largest window that makes sense.
         """
         load = self.instance(sample.instance, sample.at)
@@ -79,7 +90,8 @@
             load.note_away()
         elif sample.kind in OVERLOAD_KINDS:
             load.on_shed(sample.at)
-            self.window.on_shed(sample.at, self.latency_s)
+            if self._is_widespread(sample.at, instances):
+                self.window.on_shed(sample.at, self.latency_s)
         elif sample.kind is SampleKind.OK:
             load.on_answer(sample.at, sample.latency_s)
             self.latency_s += EWMA_SHARE * (sample.latency_s - self.latency_s)
--- a/dogwoodtack/limits/tests/test_parts.py
+++ b/dogwoodtack/limits/tests/test_parts.py
@@ -6,9 +6,11 @@
 from hypothesis import given, settings, strategies as st
 from nose2.tools import params
 
+from dogwoodtack.health import Sample, SampleKind
 from dogwoodtack.limits import SlotRequest
 from dogwoodtack.limits.budget import BURST, RetryBudget
 from dogwoodtack.limits.instance import SLOW_START_S, InstanceLoad
+from dogwoodtack.limits.service import ServiceLoad
 from dogwoodtack.limits.share import FairQueue
 from dogwoodtack.limits.waiter import Waiter
 from dogwoodtack.limits.window import MIN_LIMIT, Window
@@ -129,3 +131,22 @@
         load.on_answer(0.0, 1.0)
         self.assertAlmostEqual(load.cost(0.0, 0.02), 1.0)
         self.assertAlmostEqual(load.cost(30.0, 0.02), 0.02, places=4)
+
+
+class ServiceLoadTest(unittest.TestCase):
+    @params(
+        ("one of twenty", 20, 1, True),
+        ("four of twenty", 20, 4, False),
+        ("one of two", 2, 1, True),
+        ("both of two", 2, 2, False),
+        ("the only one", 1, 1, False),
+    )
+    def test_one_sick_instance_does_not_shrink_the_window(
+        self, _name, instances, sick, keeps
+    ):
+        load = ServiceLoad(0.0, 40)
+        for step in range(200):
+            kind = SampleKind.SHED if step % 2 else SampleKind.TIMEOUT
+            name = f"i-{step % sick}"
+            load.record(Sample("s", name, True, kind, 0.02, step * 0.05), instances, 40)
+        self.assertEqual(load.window.limit == 40.0, keeps)
