--- a/dogwoodtack/limits/budget.py
+++ b/dogwoodtack/limits/budget.py
@@ -22,9 +22,13 @@
         """Note that a request was sent on for the first time."""
         self._earned = min(self._earned + ratio, self._spent + BURST)
 
-    def take(self) -> bool:
-        """Return whether one further attempt may be made, and count it."""
-        if self._spent + 1.0 > max(BURST, self._earned + ROUNDING):
+    def take(self, spared: float = 0.0) -> bool:
+        """Return whether one further attempt may be made, and count it.
+
+        Args:
+            spared: tokens that have to stay for others.
+        """
+        if self._spent + 1.0 + spared > max(BURST, self._earned + ROUNDING):
             return False
         self._spent += 1.0
         return True
--- a/dogwoodtack/limits/limits.py
+++ b/dogwoodtack/limits/limits.py
@@ -15,7 +15,10 @@
 
 __all__ = ["Limits", "Waiter"]
 
-MAX_WAIT_SHARE = 0.1
+WAIT_SHARE = 0.1
+MAX_WAIT_SHARE = 0.25
+WAIT_TURNS = 4
+SPARED_RETRIES = 1.0
 USUAL_WEIGHT = 1.0
 
 
@@ -55,7 +58,11 @@
         return waiter
 
     def _may_retry(self, req: SlotRequest, load: ServiceLoad) -> bool:
-        return self._has_candidates(req, load) and load.budget.take()
+        """Spend from the retry budget; those over their share leave a part."""
+        if not self._has_candidates(req, load):
+            return False
+        is_over = load.queue.is_over_share(req.customer, self._now())
+        return load.budget.take(SPARED_RETRIES if is_over else 0.0)
 
     def _has_candidates(self, req: SlotRequest, load: ServiceLoad) -> bool:
         return self._picker.has_candidates(self._task(req, load))
@@ -93,7 +100,7 @@
     # Granting, queueing and refusing.
 
     def _grant_now(self, waiter: Waiter, load: ServiceLoad) -> bool:
-        if not load.has_room or (load.queue and not waiter.req.is_retry):
+        if not load.has_room(self._now()) or (load.queue and not waiter.req.is_retry):
             return False
         instance = self._pick(waiter.req, load)
         if instance is None:
@@ -108,25 +115,29 @@
         known.note_present(now)
         known.in_use += 1
         load.in_use += 1
+        service = self._current(waiter.req)
+        weight = service.shares.get(waiter.req.customer, USUAL_WEIGHT)
+        load.queue.note_grant(waiter.req.customer, weight, now)
         if not waiter.req.is_retry:
-            load.budget.note_first(self._current(waiter.req).retry_ratio)
+            load.budget.note_first(service.retry_ratio)
         slot = Slot(waiter.req.service.name, instance, self._on_release)
         waiter.on_slot(slot, None)
 
     def _enqueue(self, waiter: Waiter, load: ServiceLoad) -> None:
         req = waiter.req
-        weight = self._current(req).shares.get(req.customer, USUAL_WEIGHT)
-        left_s = req.deadline - self._now()
-        if load.expected_wait_s(req.customer, weight) > left_s * MAX_WAIT_SHARE:
-            greedy = load.queue.most_greedy(req.customer, weight)
+        now = self._now()
+        left_s = req.deadline - now
+        wait_s = longest_wait_s(left_s, load)
+        if load.expected_wait_s(req.customer, now) > wait_s:
+            greedy = load.queue.most_greedy(req.customer, now)
             if greedy is None or left_s <= load.latency_s:
                 self._refuse(waiter, ErrorKind.OVERLOADED)
                 return
             load.queue.remove(greedy)
             self._refuse(greedy, ErrorKind.OVERLOADED)
-        wait_s = min(left_s * MAX_WAIT_SHARE, left_s - load.latency_s)
         waiter.timer = self._reactor.call_later(wait_s, self._give_up, waiter, load)
-        load.queue.push(waiter, weight)
+        load.queue.push(waiter)
+        self._wake_after_pause(load)
 
     def _give_up(self, waiter: Waiter, load: ServiceLoad) -> None:
         """Refuse a waiter that has waited for as long as makes sense."""
@@ -140,28 +151,50 @@
 
     def _on_release(self, slot: Slot) -> None:
         load = self._loads[slot.service]
-        load.in_use -= 1
-        load.instance(slot.instance.name, self._now()).in_use -= 1
+        now = self._now()
+        load.note_release(now)
+        load.instance(slot.instance.name, now).in_use -= 1
+        self._serve_queue(load)
+
+    def _wake_after_pause(self, load: ServiceLoad) -> None:
+        pause_s = load.paused_until - self._now()
+        if pause_s > 0 and load.queue and not load.is_waking:
+            load.is_waking = True
+            self._reactor.call_later(pause_s, self._wake, load)
+
+    def _wake(self, load: ServiceLoad) -> None:
+        load.is_waking = False
         self._serve_queue(load)
 
     def _serve_queue(self, load: ServiceLoad) -> None:
-        while load.queue and load.has_room:
-            waiter = load.queue.peek()
+        self._wake_after_pause(load)
+        while load.queue and load.has_room(self._now()):
+            waiter = load.queue.peek(self._now())
             if waiter.is_done:
-                load.queue.pop()
+                load.queue.remove(waiter)
                 continue
             instance = self._pick(waiter.req, load)
             if instance is not None:
-                load.queue.pop()
+                load.queue.remove(waiter)
                 load.note_turn(self._now())
                 self._grant(waiter, load, instance)
             elif self._has_candidates(waiter.req, load):
                 return
             else:
-                load.queue.pop()
+                load.queue.remove(waiter)
                 self._refuse(waiter, ErrorKind.NO_INSTANCE)
 
 
+def longest_wait_s(left_s: float, load: ServiceLoad) -> float:
+    """Return how long a request may wait with some seconds left.
+
+    A few turns of the queue are allowed even where turns are slow, so that
+    there is something to share out.
+    """
+    share_s = max(left_s * WAIT_SHARE, load.turn_s * WAIT_TURNS)
+    return min(share_s, left_s * MAX_WAIT_SHARE, left_s - load.latency_s)
+
+
 def slots_of(service: Service) -> int:
     """Return how many requests a service's back ends run at once."""
     return sum(instance.slots for instance in service.instances)
--- a/dogwoodtack/limits/service.py
+++ b/dogwoodtack/limits/service.py
@@ -26,16 +26,24 @@
         self.budget = RetryBudget()
         self.queue = FairQueue()
         self.in_use = 0
+        self.paused_until = 0.0
+        self.is_waking = False
         self.latency_s = START_LATENCY_S
         self._turn_s: float | None = None
         self._turn_at: float | None = None
         self._began_at = now
         self._instances: dict[str, InstanceLoad] = {}
 
-    @property
-    def has_room(self) -> bool:
+    def has_room(self, now: float) -> bool:
         """Return whether one more request may be sent on."""
-        return self.in_use < self.window.limit
+        if now < self.paused_until:
+            return False
+        return self.in_use < max(1.0, self.window.limit)
+
+    def note_release(self, now: float) -> None:
+        """Note that a request has ended; a small window begins a pause."""
+        self.in_use -= 1
+        self.paused_until = now + self.window.pause_s(self.latency_s)
 
     def instance(self, name: str, now: float) -> InstanceLoad:
         """Return the load of an instance; one that is new begins slowly."""
@@ -63,12 +71,16 @@
         seen = sum(one.has_shed(now) for one in self._instances.values())
         return seen >= max(2, math.ceil(WIDESPREAD_SHARE * instances))
 
-    def expected_wait_s(self, customer: str, weight: float) -> float:
+    def expected_wait_s(self, customer: str, now: float) -> float:
         """Return the seconds a new waiter would wait, roughly."""
-        turn_s = self._turn_s
-        if turn_s is None:
-            turn_s = self.latency_s / self.window.limit
-        return (self.queue.ahead_of(customer, weight) + 1) * turn_s
+        return (self.queue.ahead_of(customer, now) + 1) * self.turn_s
+
+    @property
+    def turn_s(self) -> float:
+        """Return the seconds between two waiters' turns, roughly."""
+        if self._turn_s is None:
+            return self.latency_s / self.window.limit
+        return self._turn_s
 
     def note_turn(self, now: float) -> None:
         """Note that the next waiter got its turn, to learn how long a turn is."""
--- a/dogwoodtack/limits/window.py
+++ b/dogwoodtack/limits/window.py
@@ -2,7 +2,7 @@
 
 __all__ = ["Window"]
 
-MIN_LIMIT = 1.0
+MIN_LIMIT = 0.2
 SHED_FACTOR = 0.8
 GROWTH_PER_ANSWER = 0.04
 FULL_GROWTH = 1.0
@@ -15,6 +15,9 @@
     may use them all.  It falls by a fifth at most once in the time an answer
     takes, because what was sent before the fall says nothing about it, and
     grows slowly after that, faster the longer nothing is shed.
+
+    A limit under 1 is kept by pauses between requests: many hosts may share a
+    service that has fewer slots than there are hosts.
     """
 
     def __init__(self, slots: int) -> None:
@@ -36,7 +39,12 @@
         if self._shed_at is None:
             return FULL_GROWTH
         calm_s = max(1.0, now - self._shed_at)
-        return min(FULL_GROWTH, GROWTH_PER_ANSWER * calm_s)
+        growth = GROWTH_PER_ANSWER * min(1.0, self.limit)
+        return min(FULL_GROWTH, growth * calm_s)
+
+    def pause_s(self, latency_s: float) -> float:
+        """Return the seconds to wait after one request before the next."""
+        return latency_s * max(0.0, 1.0 / self.limit - 1.0)
 
     def on_shed(self, now: float, latency_s: float) -> None:
         """Shrink, unless the last fall is too fresh to have shown its effect."""
--- a/lab/overload_world.py
+++ b/lab/overload_world.py
@@ -75,7 +75,7 @@
         self._loop = loop
         self._site = site
         self._rng = rng
-        self._running: set["Attempt"] = set()
+        self._running: dict["Attempt", None] = {}
         self._queue: list["Attempt"] = []
         self._shed_debt_s = 0.0
         self.down_until = 0.0
@@ -99,12 +99,12 @@
             work_s *= COLD_FACTOR
         work_s += self._shed_debt_s
         self._shed_debt_s = 0.0
-        self._running.add(attempt)
+        self._running[attempt] = None
         self._loop.call_later(work_s, self._finish, attempt)
 
     def _finish(self, attempt: "Attempt") -> None:
         if attempt in self._running:
-            self._running.discard(attempt)
+            del self._running[attempt]
             attempt.end_later(HOP_S, SampleKind.OK)
             self._next()
 
@@ -113,7 +113,7 @@
         if attempt in self._queue:
             self._queue.remove(attempt)
         elif attempt in self._running:
-            self._running.discard(attempt)
+            del self._running[attempt]
             self._next()
 
     def _next(self) -> None:
