Leave refused connections out of the retry budget

Cause: the full run of the tests failed in test_truth, where every other first attempt meets a closed port: three such requests spent the lent retries and the rest were answered backend-refused though another instance was well. A refused connection costs no back end anything, so going elsewhere after it does not count. What reached a back end and was cut, timed out or shed still counts.

--- a/dogwoodtack/door/exchange.py
+++ b/dogwoodtack/door/exchange.py
@@ -126,6 +126,7 @@
         self._answered_at: float | None = None
         self._last_fault = ErrorKind.NO_INSTANCE
         self._may_have_run = False
+        self._has_reached_backend = False
 
     # Receiving the request.
 
@@ -313,7 +314,7 @@
             customer=customer_of(self._head),
             deadline=self._deadline,
             exclude=frozenset(self._tried),
-            is_retry=self._attempts > 0,
+            is_retry=self._has_reached_backend,
         )
         self._waiter = self._parts.limits.acquire(req, self._on_slot)
 
@@ -387,6 +388,7 @@
         self._last_fault = exc.kind
         if exc.bytes_sent:
             self._may_have_run = True
+            self._has_reached_backend = True
         else:
             self._last_fault = ErrorKind.BACKEND_REFUSED
         if self._is_passing:
@@ -539,6 +541,7 @@
     def _on_not_executed(self, attempt: Attempt) -> None:
         """Go elsewhere with what a back end shed by its documented word."""
         self._record(attempt, SampleKind.SHED)
+        self._has_reached_backend = True
         self._answer = None
         self._held.clear()
         self._last_fault = ErrorKind.BACKEND_SHED
--- a/dogwoodtack/limits/limits.py
+++ b/dogwoodtack/limits/limits.py
@@ -118,7 +118,7 @@
         service = self._current(waiter.req)
         weight = service.shares.get(waiter.req.customer, USUAL_WEIGHT)
         load.queue.note_grant(waiter.req.customer, weight, now)
-        if not waiter.req.is_retry:
+        if not waiter.req.exclude:
             load.budget.note_first(service.retry_ratio)
         slot = Slot(waiter.req.service.name, instance, self._on_release)
         waiter.on_slot(slot, None)
--- a/dogwoodtack/limits/messages.py
+++ b/dogwoodtack/limits/messages.py
@@ -17,7 +17,8 @@
         customer: who asks, for fair shares.
         deadline: monotonic time in seconds after which waiting is pointless.
         exclude: instances this request has already tried.
-        is_retry: whether the slot is for a further attempt at the same request.
+        is_retry: whether the request has reached a back end before.  A refused
+            connection costs no back end anything and is not counted.
     """
 
     service: Service
