--- a/dogwoodtack/limits/limits.py
+++ b/dogwoodtack/limits/limits.py
@@ -10,7 +10,7 @@
 from ..reactor import Reactor
 from .messages import OnSlot, Slot, SlotRequest
 from .pick import Picker, PickTask
-from .service import ServiceLoad
+from .service import LoadView, ServiceLoad
 from .waiter import Waiter
 
 __all__ = ["Limits", "Waiter"]
@@ -83,6 +83,10 @@
         load.record(sample, len(service.instances), slots_of(service))
         self._serve_queue(load)
 
+    def view(self) -> dict[str, LoadView]:
+        """Return each service's load on this entry host, for operators."""
+        return {name: load.view() for name, load in self._loads.items()}
+
     def _load(self, service: Service) -> ServiceLoad:
         load = self._loads.get(service.name)
         if load is None:
--- a/dogwoodtack/limits/service.py
+++ b/dogwoodtack/limits/service.py
@@ -1,6 +1,7 @@
 """What this entry host knows of one service's load."""
 
 import math
+from typing import TypedDict
 
 from ..catalog import Service
 from ..health import Sample, SampleKind
@@ -9,7 +10,7 @@
 from .share import FairQueue
 from .window import Window
 
-__all__ = ["ServiceLoad"]
+__all__ = ["LoadView", "ServiceLoad"]
 
 EWMA_SHARE = 0.05
 START_LATENCY_S = 0.05
@@ -18,6 +19,22 @@
 OVERLOAD_KINDS = frozenset({SampleKind.SHED, SampleKind.TIMEOUT})
 
 
+class LoadView(TypedDict):
+    """One service's load on one entry host.
+
+    Attributes:
+        window: how many requests may be under way at once; under 1 means pauses.
+        under_way: requests at back ends.
+        waiting: requests in the queue.
+        latency_ms: what an answer takes lately.
+    """
+
+    window: float
+    under_way: int
+    waiting: int
+    latency_ms: float
+
+
 class ServiceLoad:
     """The window, queue, retry budget and instances of one service."""
 
@@ -45,6 +62,15 @@
         self.in_use -= 1
         self.paused_until = now + self.window.pause_s(self.latency_s)
 
+    def view(self) -> LoadView:
+        """Return what operators are shown."""
+        return LoadView(
+            window=round(self.window.limit, 2),
+            under_way=self.in_use,
+            waiting=len(self.queue),
+            latency_ms=round(self.latency_s * 1000, 2),
+        )
+
     def instance(self, name: str, now: float) -> InstanceLoad:
         """Return the load of an instance; one that is new begins slowly."""
         known = self._instances.get(name)
--- a/dogwoodtack/limits/tests/test_limits.py
+++ b/dogwoodtack/limits/tests/test_limits.py
@@ -115,6 +115,13 @@
         self.ask("modest")
         self.assertNotIn("modest", [customer for customer, _ in self.refused])
 
+    def test_operators_see_the_load(self):
+        for _ in range(5):
+            self.ask()
+        seen = self.limits.view()["s"]
+        self.assertEqual((seen["under_way"], seen["waiting"]), (4, 1))
+        self.assertEqual(seen["window"], 4.0)
+
     def test_retries_end_with_the_budget(self):
         for _ in range(20):
             self.ask(is_retry=True)
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -274,6 +274,7 @@
             "cut_off": self.membership.is_cut_off(),
             "config": self.spread.status(),
             "members": self.gossip.status(),
+            "limits": self.limits.view(),
             "services": {
                 service.name: self.catalog.version(service.name)
                 for service in self.catalog.services()
