Keep the start's objects out of garbage collections

Cause: at 500 requests/s with 20 back ends added p99 was 15 ms. Timing every callback and collection in the daemon showed two full collections of 33 ms in 7 s (about 1% of the requests wait behind them) and no callback of its own over 13 ms.

--- a/dogwoodtack/daemon.py
+++ b/dogwoodtack/daemon.py
@@ -1,5 +1,6 @@
 """The daemon's command line: one process for each entry host."""
 
+import gc
 import sys
 
 from absl import app, flags
@@ -34,10 +35,21 @@
     set_up_logs(settings.logs_level, node=settings.node_name)
     node = Node(settings)
     node.start_work()
+    freeze_heap()
     node.run()
     return node.exit_code
 
 
+def freeze_heap() -> None:
+    """Keep what was loaded at the start out of garbage collections.
+
+    A full collection that visits every loaded module holds the loop for about
+    30 ms.  None of it can become garbage while the daemon runs.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 def print_settings(settings) -> None:
     """Print every setting with its value and where it came from."""
     for setting in SETTINGS:
