--- a/dogwoodtack/membership/gossip.py
+++ b/dogwoodtack/membership/gossip.py
@@ -121,14 +121,14 @@
     def leave(self) -> None:
         """Tell some members at once that this node is leaving."""
         self._view.leave()
-        self._tell_some()
+        self._announce_me()
 
     def stay(self) -> None:
         """Tell some members at once that this node is not leaving after all."""
         self._view.stay()
-        self._tell_some()
+        self._announce_me()
 
-    def _tell_some(self) -> None:
+    def _announce_me(self) -> None:
         self._touch(self._view.me.incarnation)
         self._tell_some()
 
