Save retries in quiet times for the seconds before an ejection

Ruled out: a burst that is earned again (1.11 attempts for each request, measured before), a higher ratio (the target is 1.1). Conclusion: retries since the start stay under the ratio; only the loan is larger.

--- a/dogwoodtack/limits/budget.py
+++ b/dogwoodtack/limits/budget.py
@@ -2,7 +2,8 @@
 
 __all__ = ["RetryBudget"]
 
-BURST = 3.0
+LENT = 10.0
+SAVED = 20.0
 ROUNDING = 1e-9
 
 
@@ -10,8 +11,10 @@
     """A token bucket that first attempts fill and further attempts drain.
 
     Further attempts never come to more than `ratio` for each request that was
-    sent on since the start.  The first three are lent, so that a host that has
-    just started can retry; later requests pay for them.
+    sent on since the start.  The first ten are lent, so that a host that has just
+    started can retry; later requests pay for them.  What quiet times earn is saved
+    up to a limit: it carries look-ups over the seconds until a back end that has
+    begun to fail is ejected.
     """
 
     def __init__(self) -> None:
@@ -20,7 +23,7 @@
 
     def note_first(self, ratio: float) -> None:
         """Note that a request was sent on for the first time."""
-        self._earned = min(self._earned + ratio, self._spent + BURST)
+        self._earned = min(self._earned + ratio, self._spent + SAVED)
 
     def take(self, spared: float = 0.0) -> bool:
         """Return whether one further attempt may be made, and count it.
@@ -28,7 +31,7 @@
         Args:
             spared: tokens that have to stay for others.
         """
-        if self._spent + 1.0 + spared > max(BURST, self._earned + ROUNDING):
+        if self._spent + 1.0 + spared > max(LENT, self._earned + ROUNDING):
             return False
         self._spent += 1.0
         return True
