Wait for every port of a restarted entry host in the spread tests

Cause: one of three runs failed with a refused connection: the tests waited for the callers' port only, and the operators' port opens after it. The launcher's wait_node waits for all three. Which test it was is not known, its name was not kept; that the race is the cause is inferred from the code.

--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -224,7 +224,7 @@
     def restart(self, node):
         self.kill(node)
         self.fleet.spawn_node(node)
-        self.fleet.wait_port(node.name, node.caller)
+        self.fleet.wait_node(node)
 
     @params({"down": True}, {"hang": True}, {"stale_reads": True})
     def test_host_that_starts_with_a_poor_store(self, fault):
@@ -246,7 +246,7 @@
             self.assert_in_force()
             self.fleet.spawn_node(node)
             self.write()
-            self.fleet.wait_port(node.name, node.caller)
+            self.fleet.wait_node(node)
             self.assert_in_force()
 
     def test_every_watcher_killed_at_once(self):
@@ -257,7 +257,7 @@
         self.assert_in_force()
         for node in chosen:
             self.fleet.spawn_node(node)
-            self.fleet.wait_port(node.name, node.caller)
+            self.fleet.wait_node(node)
         self.assert_in_force()
 
 
