--- a/dogwoodtack/door/exchange.py
+++ b/dogwoodtack/door/exchange.py
@@ -323,6 +323,7 @@
             deadline=self._deadline,
             exclude=frozenset(self._tried),
             is_retry=self._has_reached_backend,
+            is_idempotent=self._is_idempotent,
         )
         self._waiter = self._parts.limits.acquire(req, self._on_slot)
 
--- a/dogwoodtack/limits/limits.py
+++ b/dogwoodtack/limits/limits.py
@@ -71,7 +71,13 @@
         return self._picker.pick(self._task(req, load))
 
     def _task(self, req: SlotRequest, load: ServiceLoad) -> PickTask:
-        return PickTask(self._current(req), load, req.exclude, self._now())
+        return PickTask(
+            service=self._current(req),
+            load=load,
+            exclude=req.exclude,
+            now=self._now(),
+            is_idempotent=req.is_idempotent,
+        )
 
     def record(self, sample: Sample) -> None:
         """Learn from an attempt, after its slot was given back."""
--- a/dogwoodtack/limits/messages.py
+++ b/dogwoodtack/limits/messages.py
@@ -19,6 +19,7 @@
         exclude: instances this request has already tried.
         is_retry: whether the request has reached a back end before.  A refused
             connection costs no back end anything and is not counted.
+        is_idempotent: whether the request may run more than once.
     """
 
     service: Service
@@ -26,6 +27,7 @@
     deadline: float
     exclude: frozenset[str]
     is_retry: bool
+    is_idempotent: bool = True
 
 
 class Slot:
--- a/dogwoodtack/limits/pick.py
+++ b/dogwoodtack/limits/pick.py
@@ -22,12 +22,14 @@
     Attributes:
         exclude: instances that the request has already tried.
         now: monotonic time in seconds.
+        is_idempotent: whether the request may run more than once.
     """
 
     service: Service
     load: ServiceLoad
     exclude: frozenset[str]
     now: float
+    is_idempotent: bool
 
 
 class Picker:
@@ -95,8 +97,16 @@
         return not is_away and name not in task.exclude
 
     def _weight(self, task: PickTask, instance: Instance) -> float:
+        """Return how often an instance is drawn.
+
+        One that is on trial after an ejection is tried with look-ups: a release
+        that it swallows cannot be sent elsewhere.
+        """
+        name = task.service.name
+        if not task.is_idempotent and self._health.on_probation(name, instance.name):
+            return MIN_WEIGHT
         known = task.load.instance(instance.name, task.now)
-        weight = self._health.weight(task.service.name, instance.name)
+        weight = self._health.weight(name, instance.name)
         return max(MIN_WEIGHT, weight * known.ramp(task.now))
 
     def _cost(self, task: PickTask, instance: Instance) -> float:
--- a/dogwoodtack/limits/tests/test_limits.py
+++ b/dogwoodtack/limits/tests/test_limits.py
@@ -22,6 +22,7 @@
         self.catalog = Catalog()
         self.health = Mock()
         self.health.weight.return_value = 1.0
+        self.health.on_probation.return_value = False
         self.floor = Mock()
         self.floor.is_removed.return_value = False
         self.leaving = Mock()
@@ -47,13 +48,21 @@
         value = {"routes": [route], "instances": listed, **fields}
         self.catalog.put("s", 1, value)
 
-    def ask(self, customer="", is_retry=False, exclude=(), left_s=DEADLINE_S):
+    def ask(
+        self,
+        customer="",
+        is_retry=False,
+        exclude=(),
+        left_s=DEADLINE_S,
+        is_idempotent=True,
+    ):
         req = SlotRequest(
             self.catalog.get("s"),
             customer,
             self.loop.clock.now + left_s,
             frozenset(exclude),
             is_retry,
+            is_idempotent,
         )
 
         def on_slot(slot, kind):
@@ -123,6 +132,16 @@
         self.assertEqual((seen["under_way"], seen["waiting"]), (4, 1))
         self.assertEqual(seen["window"], 4.0)
 
+    @params((True, True), (False, False))
+    def test_an_instance_on_trial_gets_lookups_only(self, is_idempotent, gets_some):
+        self.health.on_probation.side_effect = lambda service, name: name == "i-0"
+        names = set()
+        for _ in range(50):
+            self.ask(is_idempotent=is_idempotent)
+            names.add(self.granted[0].instance.name)
+            self.end()
+        self.assertEqual("i-0" in names, gets_some)
+
     def test_retries_end_with_the_budget(self):
         for _ in range(40):
             self.ask(is_retry=True)
