--- a/dogwoodtack/discovery/prefixes.py
+++ b/dogwoodtack/discovery/prefixes.py
@@ -17,7 +17,7 @@
 __all__ = ["PREFIX_PATH", "PrefixBook"]
 
 PREFIX_PATH = "/keys/prefix"
-KEPT_S = 30.0
+MAX_KEPT_S = 150.0
 ASK_TIMEOUT_S = 0.5
 HTTP_OK = 200
 
@@ -38,14 +38,22 @@
         reactor: gives the time.
         peers: carries the questions.
         own_prefix: returns this host's prefix.
+        window_s: seconds in which a host takes new keys under one prefix; a
+            prefix is kept for a quarter of that, so that the keys made from it
+            have the rest.
     """
 
     def __init__(
-        self, reactor: Reactor, peers: Peers, own_prefix: Callable[[], str]
+        self,
+        reactor: Reactor,
+        peers: Peers,
+        own_prefix: Callable[[], str],
+        window_s: float,
     ) -> None:
         self._reactor = reactor
         self._peers = peers
         self._own_prefix = own_prefix
+        self._kept_s = min(MAX_KEPT_S, window_s / 4)
         self._kept: dict[str, _Kept] = {}
 
     def own(self) -> str:
@@ -74,7 +82,7 @@
         stale = [
             incarnation
             for incarnation, kept in self._kept.items()
-            if now - kept.asked_at > KEPT_S
+            if now - kept.asked_at > self._kept_s
         ]
         for incarnation in stale:
             del self._kept[incarnation]
--- a/dogwoodtack/keys/table.py
+++ b/dogwoodtack/keys/table.py
@@ -99,6 +99,11 @@
         """Return what a caller's new keys begin with."""
         return key_prefix(self.incarnation, self._epoch())
 
+    @property
+    def window_s(self) -> float:
+        """Return for how many seconds new keys are taken under one prefix."""
+        return self._rules.epoch_s * self._rules.window_epochs
+
     @property
     def remembered(self) -> int:
         """Return how many keys are remembered."""
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -158,7 +158,9 @@
     def _build_door(self) -> None:
         cfg = self.settings
         self.trail = Trail(self._count_request)
-        self.prefixes = PrefixBook(self.reactor, self.peers, lambda: self.keys.prefix)
+        self.prefixes = PrefixBook(
+            self.reactor, self.peers, lambda: self.keys.prefix, self.keys.window_s
+        )
         discovery = Discovery(
             self.catalog,
             self.membership,
--- /dev/null
+++ b/lab/slopes_memory.py
@@ -0,0 +1,83 @@
+"""Measure the memory of what a daemon remembers of its requests."""
+
+import tracemalloc
+from collections.abc import Callable
+
+from absl import app
+
+from dogwoodtack.burn import Burn, Objective, Served
+from dogwoodtack.clock import VirtualClock
+from dogwoodtack.door import RequestNote, Trail
+from dogwoodtack.door.trail import AttemptNote
+from dogwoodtack.errors import Outcome
+from dogwoodtack.health import SampleKind
+from dogwoodtack.misc import new_token
+
+from .slopes_door import fit_line
+
+__all__ = ["bytes_of"]
+
+NOTES = (500, 1000, 2000, 5000)
+SERVICES = (1, 5, 25, 100)
+HOURS = 6
+STEP_S = 10.0
+
+
+def bytes_of(build: Callable[[int], object], size: int) -> int:
+    """Return the memory that building something of a size takes."""
+    tracemalloc.start()
+    kept = build(size)
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return held
+
+
+def build_trail(size: int) -> Trail:
+    """Return a trail with a number of notes."""
+    trail = Trail(lambda note: None)
+    for _ in range(size):
+        attempt = AttemptNote("".join(("jt", "-1")), SampleKind.OK, 1.5)
+        trail.add(
+            RequestNote(
+                id=new_token(),
+                service="jobtrack",
+                method="GET",
+                reason="served",
+                status=200,
+                outcome=Outcome.RAN,
+                ms=2.5,
+                attempts=(attempt,),
+            )
+        )
+    return trail
+
+
+def build_burn(size: int) -> Burn:
+    """Return six hours of a number of services, both request classes."""
+    clock = VirtualClock()
+    burn = Burn(clock, lambda name: Objective(0.999, 1.0))
+    names = [f"service-{number}" for number in range(size)]
+    for _ in range(int(HOURS * 3600 / STEP_S)):
+        clock.advance(STEP_S)
+        for name in names:
+            for is_idempotent in (False, True):
+                served = Served(name, is_idempotent, Outcome.RAN, 200, 0.1, True)
+                burn.record(served)
+    return burn
+
+
+def main(argv: list[str]) -> int:
+    """Print a fit for each kind of memory."""
+    for name, build, sizes in (
+        ("request note", build_trail, NOTES),
+        ("service's burn", build_burn, SERVICES),
+    ):
+        held = [bytes_of(build, size) for size in sizes]
+        fit = fit_line([float(size) for size in sizes], [float(one) for one in held])
+        print(f"{name}: {fit.slope:.0f} (+/- {fit.error:.0f}) bytes each, {sizes}")
+    return 0
+
+
+if __name__ == "__main__":
+    app.run(main)
