Move relaying and own answers out of the exchange

Cause: door/exchange.py had grown to 697 lines with five duties; headers of a kept answer and of a relayed one were made in two places. Before: 697 lines. After: 603, relay.py (holding and passing on) and replies.py (errors, kept answers) beside it. No behaviour changed: 144 tests of door, backends and four process modules pass. Ruled out: a rewrite of its decisions.

--- a/dogwoodtack/door/door.py
+++ b/dogwoodtack/door/door.py
@@ -10,7 +10,8 @@
 from ..misc import Address
 from ..reactor import Listener
 from .conn import RequestHead, ServerConn
-from .exchange import Exchange, Parts, send_error
+from .exchange import Exchange, Parts
+from .replies import send_error
 from .turnaway import TurnAway
 
 __all__ = ["DISCOVERY_PREFIX", "Door"]
--- a/dogwoodtack/door/exchange.py
+++ b/dogwoodtack/door/exchange.py
@@ -5,7 +5,7 @@
 from functools import singledispatchmethod
 from typing import NamedTuple
 
-from ..backends import Header, LinkPool, OutgoingHead, ResponseHead
+from ..backends import LinkPool, OutgoingHead, ResponseHead
 from ..burn import Burn, Served
 from ..catalog import Catalog, Match
 from ..errors import ErrorKind, Outcome, RequestError, WireError, answer_for
@@ -21,7 +21,6 @@
     Refuse,
     Replay,
     Run,
-    StoredAnswer,
     Unknown,
 )
 from ..leaving import Leaving
@@ -33,26 +32,21 @@
 from .conn import RequestHead, ServerConn, is_bodiless
 from .headers import (
     DRAINING,
-    ERROR_KIND,
     IDEMPOTENCY_KEY,
     NOT_EXECUTED,
-    OUTCOME,
-    REQUEST_ID,
-    answer_headers,
     backend_headers,
     customer_of,
     deadline_of,
 )
+from .relay import HOLD_S, Relay
+from .replies import send_error, send_stored
 from .trail import AttemptNote, RequestNote, Trail
 
 __all__ = ["Exchange", "Parts"]
 
 BUFFER_BYTES = 65536
-HOLD_BYTES = 65536
-HOLD_S = 1.0
 MAX_ATTEMPTS = 3
 FIRST_ATTEMPT_SHARE = 0.6
-KEPT_ANSWER_BYTES = 16384
 SERVER_ERROR = 500
 CALLER_GONE = 499
 
@@ -118,13 +112,8 @@
         self._tried: set[str] = set()
         self._attempts = 0
         self._notes: list[AttemptNote] = []
-        self._answer: ResponseHead | None = None
-        self._held = bytearray()
-        self._is_passing = False
-        self._is_hold_over = False
+        self._relay = Relay(conn, parts.reactor.clock, self.request_id)
         self._is_watching = False
-        self._caller_gone = False
-        self._answered_at: float | None = None
         self._last_fault = ErrorKind.NO_INSTANCE
         self._may_have_run = False
         self._has_reached_backend = False
@@ -240,7 +229,7 @@
         """
         if self.is_done:
             return
-        self._caller_gone = True
+        self._relay.is_muted = True
         dispatched = self._attempt is not None and self._attempt.bytes_sent
         if dispatched and not self._is_idempotent and not self._streams_body:
             return
@@ -299,13 +288,7 @@
         if self.is_done:
             return
         answer = decision.answer
-        headers = [pair for pair in answer.headers if pair[0] != REQUEST_ID]
-        headers.append((REQUEST_ID, self.request_id.encode()))
-        headers.append((OUTCOME, Outcome.RAN.encode()))
-        self._conn.send_head(answer.status, headers)
-        if answer.body:
-            self._conn.send_body(answer.body)
-        self._conn.end_answer()
+        send_stored(self._conn, answer, self.request_id)
         self._close("replayed", answer.status, Outcome.RAN, is_whole=True)
 
     @_on_decision.register
@@ -346,7 +329,7 @@
             return
         if not self._is_idempotent and self._conn.has_left():
             slot.release()
-            self._caller_gone = True
+            self._relay.is_muted = True
             self._settle_ticket(NotRun())
             self._close("caller-gone", CALLER_GONE, Outcome.NOT_RUN, is_whole=False)
             return
@@ -400,12 +383,11 @@
             self._has_reached_backend = True
         else:
             self._last_fault = ErrorKind.BACKEND_REFUSED
-        if self._is_passing:
+        if self._relay.is_passing:
             self._settle_ticket(Unknown())
             self._abort_caller(str(exc.kind))
             return
-        self._answer = None
-        self._held.clear()
+        self._relay.drop()
         may_repeat = self._is_idempotent or not exc.bytes_sent
         if may_repeat and self._can_try_again():
             self._seek_slot()
@@ -424,7 +406,7 @@
     def _can_try_again(self) -> bool:
         if self._streams_body and not self._body:
             return False
-        return self._attempts < MAX_ATTEMPTS and not self._caller_gone
+        return self._attempts < MAX_ATTEMPTS and not self._relay.is_muted
 
     def _record(self, attempt: Attempt, kind: SampleKind) -> None:
         sample = Sample(
@@ -443,59 +425,31 @@
     # Relaying the answer.
 
     def on_attempt_head(self, attempt: Attempt, head: ResponseHead) -> None:
-        """Hold the answer until it is whole, too large or too slow to hold.
-
-        A short answer has to be whole by the request's deadline.
-        """
+        """Take the answer's head; a short answer has to be whole by the deadline."""
         if attempt is not self._attempt:
             return
-        self._answer = head
-        if is_long(head):
+        self._relay.take_head(head)
+        if self._relay.is_long:
             attempt.rearm(self._parts.stall_timeout_s)
             self._parts.reactor.call_later(HOLD_S, self._end_hold, attempt)
 
     def _end_hold(self, attempt: Attempt) -> None:
-        if attempt is not self._attempt:
-            return
-        self._is_hold_over = True
-        if self._held and not self._is_passing:
-            self._begin_passing()
+        if attempt is self._attempt:
+            self._relay.end_hold()
 
     def on_attempt_body(self, attempt: Attempt, data: bytes) -> None:
-        """Hold a piece of the answer, or pass it on."""
+        """Take a piece of the answer; what was shed is never passed on."""
         if attempt is not self._attempt:
             return
-        if self._answer.header(NOT_EXECUTED) is not None:
+        if self._relay.head.header(NOT_EXECUTED) is not None:
             return
-        if is_long(self._answer):
+        if self._relay.is_long:
             attempt.rearm(self._parts.stall_timeout_s)
-        if not self._is_passing:
-            self._held += data
-            if len(self._held) <= HOLD_BYTES and not self._is_hold_over:
-                return
-            self._begin_passing()
-        else:
-            self._conn.send_body(data)
+        self._relay.take_body(data)
         if self._conn.is_full:
             attempt.pause()
             self._watch_caller_progress()
 
-    def _begin_passing(self) -> None:
-        self._is_passing = True
-        self._answered_at = self._parts.reactor.clock.monotonic()
-        if self._caller_gone:
-            return
-        self._conn.send_head(self._answer.status, self._answer_headers())
-        self._conn.send_body(bytes(self._held))
-        self._held.clear()
-
-    def _answer_headers(self) -> list[Header]:
-        headers = answer_headers(self._answer.headers)
-        headers = [pair for pair in headers if pair[0] != REQUEST_ID]
-        headers.append((REQUEST_ID, self.request_id.encode()))
-        headers.append((OUTCOME, Outcome.RAN.encode()))
-        return headers
-
     def on_conn_drained(self) -> None:
         """Read on from the back end."""
         if self._attempt is not None:
@@ -527,19 +481,16 @@
         if attempt is not self._attempt:
             return
         self._attempt = None
-        head = self._answer
+        head = self._relay.head
         self._note_draining(attempt, head)
         if head.header(NOT_EXECUTED) is not None:
             self._on_not_executed(attempt)
             return
         is_error = head.status >= SERVER_ERROR
         self._record(attempt, SampleKind.ERROR if is_error else SampleKind.OK)
-        self._settle_ticket(Ran(self._kept_answer()))
-        if not self._is_passing:
-            self._begin_passing()
-        if not self._caller_gone:
-            self._conn.end_answer()
-        whole = not self._caller_gone
+        self._settle_ticket(Ran(self._relay.kept()))
+        self._relay.finish()
+        whole = not self._relay.is_muted
         self._close("served", head.status, Outcome.RAN, is_whole=whole)
 
     def _note_draining(self, attempt: Attempt, head: ResponseHead) -> None:
@@ -551,23 +502,13 @@
         """Go elsewhere with what a back end shed by its documented word."""
         self._record(attempt, SampleKind.SHED)
         self._has_reached_backend = True
-        self._answer = None
-        self._held.clear()
+        self._relay.drop()
         self._last_fault = ErrorKind.BACKEND_SHED
         if self._can_try_again():
             self._seek_slot()
             return
         self._finish_unserved(ErrorKind.BACKEND_SHED)
 
-    def _kept_answer(self) -> StoredAnswer | None:
-        if self._is_passing or len(self._held) > KEPT_ANSWER_BYTES:
-            return None
-        return StoredAnswer(
-            self._answer.status,
-            answer_headers(self._answer.headers),
-            bytes(self._held),
-        )
-
     # Ending.
 
     def refuse(self, kind: ErrorKind, detail: str = "") -> None:
@@ -607,7 +548,7 @@
     def _send_error(self, kind: ErrorKind, detail: str, outcome: Outcome) -> None:
         if self._may_have_run and outcome is Outcome.NOT_RUN:
             outcome = Outcome.UNKNOWN
-        if not self._caller_gone:
+        if not self._relay.is_muted:
             send_error(self._conn, kind, detail, self.request_id, outcome)
         status = answer_for(kind).status
         self._close(kind, status, outcome, is_whole=True)
@@ -642,10 +583,10 @@
             is_idempotent=self._is_idempotent,
             outcome=outcome,
             status=status,
-            latency_s=(self._answered_at or now) - self.started_at,
+            latency_s=(self._relay.answered_at or now) - self.started_at,
             is_whole=is_whole,
             error=reason if isinstance(reason, ErrorKind) else None,
-            is_caller_gone=self._caller_gone,
+            is_caller_gone=self._relay.is_muted,
         )
         self._parts.burn.record(served)
         note = RequestNote(
@@ -660,38 +601,3 @@
         )
         self._parts.trail.add(note)
         log_event("request", **{**note._asdict(), "attempts": self._attempts})
-
-
-def is_long(head: ResponseHead) -> bool:
-    """Return whether an answer may be too long to be held until it is whole."""
-    length = head.header(b"content-length")
-    return length is None or int(length) > HOLD_BYTES
-
-
-def send_error(
-    conn: ServerConn,
-    kind: ErrorKind,
-    detail: str,
-    request_id: str = "",
-    outcome: Outcome | None = None,
-) -> None:
-    """Answer a request with an error kind, at once.
-
-    The outcome is what the kind implies unless another one is given.
-    """
-    answer = answer_for(kind)
-    text = f"{answer.text} {detail}".strip()
-    body = (text + "\n").encode("utf-8", "replace")
-    headers = [
-        (b"content-type", b"text/plain; charset=utf-8"),
-        (b"content-length", str(len(body)).encode()),
-        (OUTCOME, (outcome or answer.outcome).encode()),
-        (ERROR_KIND, kind.encode()),
-    ]
-    if request_id:
-        headers.append((REQUEST_ID, request_id.encode()))
-    if answer.retry_after_s is not None:
-        headers.append((b"retry-after", str(answer.retry_after_s).encode()))
-    conn.send_head(answer.status, headers)
-    conn.send_body(body)
-    conn.end_answer()
