Move receiving a body out of the exchange

Cause: the exchange still kept six fields and four methods for the body alone. While moving it, a watch that went on after its request had ended was seen and closed in the same move (Upload.end).

--- a/dogwoodtack/door/exchange.py
+++ b/dogwoodtack/door/exchange.py
@@ -41,10 +41,10 @@
 from .relay import HOLD_S, Relay
 from .replies import send_error, send_stored
 from .trail import AttemptNote, RequestNote, Trail
+from .upload import BUFFER_BYTES, Upload
 
 __all__ = ["Exchange", "Parts"]
 
-BUFFER_BYTES = 65536
 MAX_ATTEMPTS = 3
 FIRST_ATTEMPT_SHARE = 0.6
 SERVER_ERROR = 500
@@ -99,12 +99,9 @@
         self._match: Match | None = None
         self._is_idempotent = False
         self._deadline = 0.0
-        self._body = bytearray()
-        self._body_bytes = 0
-        self._body_whole = False
-        self._streams_body = False
-        self._body_at = self.started_at
-        self._is_caller_paused = False
+        self._upload = Upload(
+            conn, parts.reactor, parts.stall_timeout_s, self._on_upload_stalled
+        )
         self._settle_timer: Timer | None = None
         self._ticket: KeyTicket | None = None
         self._waiter: Waiter | None = None
@@ -128,37 +125,11 @@
             self.refuse(exc.kind, exc.detail)
             return
         if not is_bodiless(self._head):
-            self._watch_body(self._parts.stall_timeout_s)
-
-    def _watch_body(self, delay_s: float) -> None:
-        self._parts.reactor.call_later(delay_s, self._check_body)
+            self._upload.watch()
 
-    def _check_body(self) -> None:
-        """Give up a caller whose body stops coming while it may be sent.
-
-        This ends the request before the attempt's own limit does, so that the
-        back end is not blamed for a caller's silence.
-        """
-        if self.is_done or self._body_whole:
-            return
-        now = self._parts.reactor.clock.monotonic()
-        if self._is_caller_paused:
-            self._body_at = now
-        left_s = self._body_at + self._parts.stall_timeout_s - now
-        if left_s > 0:
-            self._watch_body(left_s)
-            return
+    def _on_upload_stalled(self) -> None:
         self.on_fault(ErrorKind.CALLER_TIMEOUT, "the body stopped coming")
 
-    def _pause_caller(self) -> None:
-        self._is_caller_paused = True
-        self._conn.pause()
-
-    def _resume_caller(self) -> None:
-        self._is_caller_paused = False
-        self._body_at = self._parts.reactor.clock.monotonic()
-        self._conn.resume()
-
     def _check_head(self) -> None:
         head = self._head
         host = (head.header(b"host") or "").rsplit(":", 1)[0]
@@ -180,32 +151,32 @@
         """Take a piece of the request's body."""
         if self.is_done:
             return
-        self._body_bytes += len(data)
-        self._body_at = self._parts.reactor.clock.monotonic()
-        if self._body_bytes > self._parts.max_body_bytes:
-            self.on_fault(ErrorKind.BODY_TOO_LARGE, f"over {self._body_bytes} bytes")
+        upload = self._upload
+        upload.count(data)
+        if upload.total_bytes > self._parts.max_body_bytes:
+            self.on_fault(ErrorKind.BODY_TOO_LARGE, f"over {upload.total_bytes} bytes")
             return
         attempt = self._attempt
-        if self._streams_body and attempt is not None and attempt.is_linked:
-            attempt.send_body(data)
-            if attempt.is_full:
-                attempt.rearm(self._parts.stall_timeout_s)
-                self._pause_caller()
-            else:
-                attempt.rearm(self._parts.stall_timeout_s * 2)
-            return
-        self._body += data
-        if len(self._body) > BUFFER_BYTES and not self._streams_body:
-            self._streams_body = True
-            self._pause_caller()
+        if upload.is_streamed and attempt is not None and attempt.is_linked:
+            self._send_on(attempt, data)
+        elif upload.hold(data):
             self._settle()
 
+    def _send_on(self, attempt: Attempt, data: bytes) -> None:
+        """Send a piece of a long body on, no faster than the back end takes it."""
+        attempt.send_body(data)
+        if attempt.is_full:
+            attempt.rearm(self._parts.stall_timeout_s)
+            self._upload.pause()
+        else:
+            attempt.rearm(self._parts.stall_timeout_s * 2)
+
     def on_body_end(self) -> None:
         """Note that the request is whole."""
         if self.is_done:
             return
-        self._body_whole = True
-        if not self._streams_body:
+        self._upload.is_whole = True
+        if not self._upload.is_streamed:
             self._settle()
         elif self._attempt is not None and self._attempt.is_linked:
             self._attempt.end_body()
@@ -231,7 +202,7 @@
             return
         self._relay.is_muted = True
         dispatched = self._attempt is not None and self._attempt.bytes_sent
-        if dispatched and not self._is_idempotent and not self._streams_body:
+        if dispatched and not self._is_idempotent and not self._upload.is_streamed:
             return
         self._stop_work(Unknown() if dispatched else NotRun())
         self._close("caller-gone", CALLER_GONE, Outcome.UNKNOWN, is_whole=False)
@@ -265,10 +236,10 @@
         digest = hashlib.sha256()
         digest.update(self._head.method.encode())
         digest.update(b"\0" + self._head.target.encode() + b"\0")
-        if self._streams_body:
+        if self._upload.is_streamed:
             length = self._head.header(b"content-length") or ""
             digest.update(f"in pieces, {length} bytes\0".encode())
-        digest.update(bytes(self._body[:BUFFER_BYTES]))
+        digest.update(bytes(self._upload.held[:BUFFER_BYTES]))
         return digest.hexdigest()
 
     @singledispatchmethod
@@ -339,7 +310,7 @@
         if self._attempts == 1 and self._may_go_elsewhere():
             timeout_s = left_s * FIRST_ATTEMPT_SHARE
         request_id = f"{self.request_id}-{self._attempts}"
-        body = None if self._streams_body else bytes(self._body)
+        body = None if self._upload.is_streamed else bytes(self._upload.held)
         length = None if body is None else len(body)
         headers = backend_headers(self._head, request_id, left_s, length)
         out = OutgoingHead(
@@ -352,21 +323,20 @@
 
     def on_attempt_linked(self, attempt: Attempt) -> None:
         """Send what has come of a body that is sent in pieces."""
-        if attempt is not self._attempt or not self._streams_body:
+        if attempt is not self._attempt or not self._upload.is_streamed:
             return
-        attempt.send_body(bytes(self._body))
-        self._body.clear()
-        if self._body_whole:
+        attempt.send_body(self._upload.take_held())
+        if self._upload.is_whole:
             attempt.end_body()
         elif not attempt.is_full:
             attempt.rearm(self._parts.stall_timeout_s * 2)
-            self._resume_caller()
+            self._upload.resume()
 
     def on_attempt_drained(self, attempt: Attempt) -> None:
         """Read on from the caller."""
-        if attempt is self._attempt and not self._body_whole:
+        if attempt is self._attempt and not self._upload.is_whole:
             attempt.rearm(self._parts.stall_timeout_s * 2)
-            self._resume_caller()
+            self._upload.resume()
 
     def on_attempt_fail(self, attempt: Attempt, exc: WireError) -> None:
         """Try another instance if that is safe, else give the request up."""
@@ -399,12 +369,12 @@
 
     def _may_go_elsewhere(self) -> bool:
         """Return whether time is worth keeping for another instance."""
-        if self._streams_body or not self._is_idempotent:
+        if self._upload.is_streamed or not self._is_idempotent:
             return False
         return len(self._match.service.instances) > 1
 
     def _can_try_again(self) -> bool:
-        if self._streams_body and not self._body:
+        if self._upload.is_streamed and not self._upload.held:
             return False
         return self._attempts < MAX_ATTEMPTS and not self._relay.is_muted
 
@@ -574,6 +544,7 @@
         self, reason: str, status: int, outcome: Outcome, is_whole: bool
     ) -> None:
         self.is_done = True
+        self._upload.end()
         self._on_done(self)
         now = self._parts.reactor.clock.monotonic()
         latency_s = now - self.started_at
