--- a/dogwoodtack/metrics.py
+++ b/dogwoodtack/metrics.py
@@ -3,6 +3,8 @@
 from aioprometheus import Counter, Gauge, Registry
 from aioprometheus.renderer import render
 
+from .door import RequestNote
+
 __all__ = ["Metrics"]
 
 
@@ -43,6 +45,15 @@
             registry=self.registry,
         )
 
+    def count_request(self, note: RequestNote) -> None:
+        """Count a request that has ended."""
+        labels = {
+            "service": note.service,
+            "outcome": str(note.outcome),
+            "status": str(note.status),
+        }
+        self.requests.inc(labels)
+
     def render(self) -> str:
         """Return every metric in the text format."""
         content, _headers = render(self.registry, ["text/plain"])
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -13,7 +13,7 @@
 from .catalog import Catalog
 from .clock import SystemClock
 from .discovery import Discovery, PrefixBook
-from .door import Door, Parts, RequestNote, Trail
+from .door import Door, Parts, Trail
 from .errors import ErrorKind
 from .floor import Floor, FloorControl, FloorParts
 from .health import Health, HealthReport
@@ -24,13 +24,14 @@
 from .logs import log_event
 from .membership import Contact, Gossip, HomeSets, HostReader, Member, Membership
 from .metrics import Metrics
-from .misc import Address, new_token, parse_address
+from .misc import Address, new_token
 from .peers import Peers
 from .reactor import Reactor
 from .settings import Settings
 from .spread import ConfigState, Spread, SpreadReport
 from .store import Store, StoreObject
-from .surface import Route, Surface, SurfaceRequest
+from .surface import Route, Surface
+from .views import NodeViews
 
 __all__ = ["Node"]
 
@@ -49,10 +50,11 @@
         self.settings = settings
         self.incarnation = new_token()
         self.exit_code = 0
-        self._stopping = False
+        self.is_stopping = False
         self._build_loop()
         self._build_state()
         self._build_door()
+        self.views = NodeViews(self)
         self._build_surfaces()
 
     def _build_loop(self) -> None:
@@ -157,7 +159,7 @@
 
     def _build_door(self) -> None:
         cfg = self.settings
-        self.trail = Trail(self._count_request)
+        self.trail = Trail(self.metrics.count_request)
         self.prefixes = PrefixBook(
             self.reactor, self.peers, lambda: self.keys.prefix, self.keys.window_s
         )
@@ -212,27 +214,12 @@
     def operator_routes(self) -> list[Route]:
         """Return what the operator port answers."""
         return [
-            Route("GET", "/metrics", self._view_metrics),
-            Route("GET", "/status", self._view_status),
-            Route("GET", "/burn", lambda req: self.burn.report()),
+            *self.views.routes(),
             *self.trail.operator_routes(),
             *self.intents.operator_routes(),
             *self.floor_control.operator_routes(),
-            *self._test_routes(),
         ]
 
-    def _test_routes(self) -> list[Route]:
-        """Return what only tests use; nothing unless a setting allows it."""
-        if not self.settings.test_cuts:
-            return []
-        return [Route("PUT", "/test/cut", self._set_cut)]
-
-    def _set_cut(self, req: SurfaceRequest) -> Any:
-        """Leave calls to some addresses without an answer."""
-        addresses = frozenset(parse_address(text) for text in req.body["addresses"])
-        self.client.cut_addresses = addresses
-        return {"cut": len(addresses)}
-
     def peer_routes(self) -> list[Route]:
         """Return what the peer port answers."""
         return [
@@ -244,49 +231,6 @@
             *key_routes(self.keys),
         ]
 
-    def _view_metrics(self, req: SurfaceRequest) -> str:
-        self.metrics.in_flight.set({}, self.door.in_flight)
-        self.metrics.store_calls.set({}, self.store.calls_made)
-        self._view_keys()
-        self.spread_report.update()
-        return self.metrics.render()
-
-    def _count_request(self, note: RequestNote) -> None:
-        labels = {
-            "service": note.service,
-            "outcome": str(note.outcome),
-            "status": str(note.status),
-        }
-        self.metrics.requests.inc(labels)
-
-    def _view_keys(self) -> None:
-        self.metrics.keys.set({}, self.keys.remembered)
-        self.metrics.key_answer_bytes.set({}, self.keys.answer_bytes)
-        for word, count in self.keys.words.items():
-            self.metrics.key_words.set({"word": word}, count)
-
-    def _view_status(self, req: SurfaceRequest) -> Any:
-        return {
-            "node": self.settings.node_name,
-            "incarnation": self.incarnation,
-            "zone": self.settings.node_zone,
-            "leaving": self._stopping,
-            "in_flight": self.door.in_flight,
-            "connections": self.door.connections,
-            "store_calls": self.store.calls_made,
-            "control_bytes": self.client.bytes_sent + self.client.bytes_received,
-            "control_calls": self.client.calls_made,
-            "peer_calls": dict(self.peers.calls_by_area),
-            "cut_off": self.membership.is_cut_off(),
-            "config": self.spread.status(),
-            "members": self.gossip.status(),
-            "limits": self.limits.view(),
-            "services": {
-                service.name: self.catalog.version(service.name)
-                for service in self.catalog.services()
-            },
-        }
-
     def _objective_of(self, name: str) -> Objective:
         service = self.catalog.get(name)
         if service is None:
@@ -304,7 +248,7 @@
 
     def _take_own_drain(self, is_on: bool) -> None:
         """Leave discovery, or come back to it, as an operator's plan says."""
-        if self._stopping or is_on == self.membership.me.is_leaving:
+        if self.is_stopping or is_on == self.membership.me.is_leaving:
             return
         log_event("entry-host-drain", on=is_on)
         if is_on:
@@ -342,14 +286,14 @@
         event.stop()
         if signo not in (signal.SIGTERM, signal.SIGINT):
             return
-        if self._stopping:
+        if self.is_stopping:
             self._exit("second-signal")
             return
         self._begin_stop()
 
     def _begin_stop(self) -> None:
         """Leave discovery, wait out its lifetime, then refuse and drain."""
-        self._stopping = True
+        self.is_stopping = True
         self.gossip.leave()
         self.door.announce_stop()
         self.floor_control.release()
--- /dev/null
+++ b/dogwoodtack/views.py
@@ -0,0 +1,73 @@
+"""What the operator port shows of a node as a whole."""
+
+from typing import TYPE_CHECKING, Any
+
+from .misc import parse_address
+from .surface import Route, SurfaceRequest
+
+if TYPE_CHECKING:
+    from .node import Node
+
+__all__ = ["NodeViews"]
+
+
+class NodeViews:
+    """Status, metrics and burn of one node."""
+
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+
+    def routes(self) -> list[Route]:
+        """Return what the operator port answers for the node itself."""
+        return [
+            Route("GET", "/metrics", self._view_metrics),
+            Route("GET", "/status", self._view_status),
+            Route("GET", "/burn", lambda req: self._node.burn.report()),
+            *self._test_routes(),
+        ]
+
+    def _test_routes(self) -> list[Route]:
+        """Return what only tests use; nothing unless a setting allows it."""
+        if not self._node.settings.test_cuts:
+            return []
+        return [Route("PUT", "/test/cut", self._set_cut)]
+
+    def _set_cut(self, req: SurfaceRequest) -> Any:
+        """Leave calls to some addresses without an answer."""
+        addresses = frozenset(parse_address(text) for text in req.body["addresses"])
+        self._node.client.cut_addresses = addresses
+        return {"cut": len(addresses)}
+
+    def _view_metrics(self, req: SurfaceRequest) -> str:
+        node = self._node
+        node.metrics.in_flight.set({}, node.door.in_flight)
+        node.metrics.store_calls.set({}, node.store.calls_made)
+        node.metrics.keys.set({}, node.keys.remembered)
+        node.metrics.key_answer_bytes.set({}, node.keys.answer_bytes)
+        for word, count in node.keys.words.items():
+            node.metrics.key_words.set({"word": word}, count)
+        node.spread_report.update()
+        return node.metrics.render()
+
+    def _view_status(self, req: SurfaceRequest) -> Any:
+        node = self._node
+        return {
+            "node": node.settings.node_name,
+            "incarnation": node.incarnation,
+            "zone": node.settings.node_zone,
+            "leaving": node.is_stopping,
+            "in_flight": node.door.in_flight,
+            "connections": node.door.connections,
+            "store_calls": node.store.calls_made,
+            "control_bytes": node.client.bytes_sent + node.client.bytes_received,
+            "control_calls": node.client.calls_made,
+            "peer_calls": dict(node.peers.calls_by_area),
+            "cut_off": node.membership.is_cut_off(),
+            "config": node.spread.status(),
+            "members": node.gossip.status(),
+            "limits": node.limits.view(),
+            "services": {
+                service.name: node.catalog.version(service.name)
+                for service in node.catalog.services()
+            },
+        }
