Let experiments and tests share one virtual loop

Cause: the same loop in virtual time stood in lab/overload_world.py and in the fakes of membership's tests. After: lab/virtual.py. No behaviour changed: the tests of limits, leaving, membership, spread and overload pass. Ruled out: moving it into the product, which has no use for it.

--- a/dogwoodtack/leaving/tests/test_courier.py
+++ b/dogwoodtack/leaving/tests/test_courier.py
@@ -6,7 +6,7 @@
 from dogwoodtack.leaving import Hint, HintSender
 from dogwoodtack.membership import Member
 from dogwoodtack.misc import Address
-from lab.overload_world import Loop
+from lab.virtual import VirtualLoop
 
 HINT = Hint("jobtrack", "jt-1")
 KNOWN_AFTER_S = 0.5
@@ -19,7 +19,7 @@
 
 class HintSenderTest(unittest.TestCase):
     def test_a_host_that_is_known_late_is_told_too(self):
-        loop, peers, homes = Loop(), Mock(), Mock()
+        loop, peers, homes = VirtualLoop(), Mock(), Mock()
         homes.of.return_value = [member(0)]
         membership = Mock(me=member(0))
         HintSender(loop, peers, membership, homes, Mock()).send(HINT)
--- a/dogwoodtack/limits/tests/test_limits.py
+++ b/dogwoodtack/limits/tests/test_limits.py
@@ -11,14 +11,14 @@
 from dogwoodtack.health import Sample, SampleKind
 from dogwoodtack.limits import Limits, SlotRequest
 from dogwoodtack.limits.budget import LENT
-from lab.overload_world import Loop
+from lab.virtual import VirtualLoop
 
 DEADLINE_S = 1.0
 
 
 class LimitsTest(unittest.TestCase):
     def setUp(self):
-        self.loop = Loop()
+        self.loop = VirtualLoop(0.0)
         self.catalog = Catalog()
         self.health = Mock()
         self.health.weight.return_value = 1.0
--- a/dogwoodtack/membership/tests/fakes.py
+++ b/dogwoodtack/membership/tests/fakes.py
@@ -1,57 +1,27 @@
 """A loop on a virtual clock, and peers that call each other's views directly."""
 
-import heapq
-import itertools
 import json
 import random
-from collections.abc import Callable
 from typing import Any
 
 from dogwoodtack.calls import Reply
-from dogwoodtack.clock import VirtualClock
 from dogwoodtack.errors import ErrorKind, WireError
 from dogwoodtack.membership import Contact, Gossip, Member, Membership
 from dogwoodtack.membership.hosts import HostView
 from dogwoodtack.misc import Address
-from dogwoodtack.reactor import Timer
 from dogwoodtack.surface import Later, Route, SurfaceRequest
+from lab.virtual import VirtualLoop
 
-__all__ = ["FakeNetwork", "FakeNode", "FakePeers", "FakeReactor"]
+__all__ = ["FakeNetwork", "FakeNode", "FakePeers"]
 
 DELAY_S = 0.001
 
 
-class FakeReactor:
-    """Run timers in order of their time."""
-
-    def __init__(self) -> None:
-        self.clock = VirtualClock()
-        self._heap: list[tuple[float, int, Timer]] = []
-        self._order = itertools.count()
-
-    def call_later(self, delay_s: float, fn: Callable[..., None], *args: Any) -> Timer:
-        timer = Timer(fn, args)
-        due = self.clock.now + max(0.0, delay_s)
-        heapq.heappush(self._heap, (due, next(self._order), timer))
-        return timer
-
-    def call_soon(self, fn: Callable[..., None], *args: Any) -> Timer:
-        return self.call_later(0.0, fn, *args)
-
-    def run_for(self, seconds: float) -> None:
-        end = self.clock.now + seconds
-        while self._heap and self._heap[0][0] <= end:
-            due, _, timer = heapq.heappop(self._heap)
-            self.clock.now = max(self.clock.now, due)
-            timer.run()
-        self.clock.now = end
-
-
 class FakeNetwork:
     """Carry calls between nodes, but for cut directions and silent nodes."""
 
     def __init__(self) -> None:
-        self.reactor = FakeReactor()
+        self.reactor = VirtualLoop()
         self.views: dict[Address, list[Route]] = {}
         self.cut: set[tuple[Address, Address]] = set()
         self.silent: set[Address] = set()
--- a/lab/overload.py
+++ b/lab/overload.py
@@ -12,7 +12,8 @@
 
 from dogwoodtack.catalog import Catalog
 
-from .overload_world import Backend, Call, FleetHost, Loop, NaiveHost, Site
+from .overload_world import Backend, Call, FleetHost, NaiveHost, Site
+from .virtual import VirtualLoop
 
 __all__ = ["SCENARIOS", "SITES", "Figures", "Scenario", "measure"]
 
@@ -89,7 +90,7 @@
     def __init__(self, site: Site, scenario: Scenario, naive: bool, seed: int) -> None:
         self._site = site
         self._scenario = scenario
-        self._loop = Loop()
+        self._loop = VirtualLoop(0.0)
         self._rng = random.Random(seed)
         self._counted_to = WARM_S + FLAGS.virtual_s
         work_rng = random.Random(seed + 1000)
--- a/lab/overload_world.py
+++ b/lab/overload_world.py
@@ -1,19 +1,17 @@
 """Virtual entry hosts and back ends around the daemon's own limits."""
 
-import heapq
-import itertools
 import random
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from dogwoodtack.catalog import Catalog, Instance
-from dogwoodtack.clock import VirtualClock
 from dogwoodtack.errors import ErrorKind
 from dogwoodtack.health import Sample, SampleKind
 from dogwoodtack.limits import Limits, Slot, SlotRequest
-from dogwoodtack.reactor import Timer
 
-__all__ = ["Backend", "Call", "FleetHost", "Loop", "NaiveHost", "Site"]
+from .virtual import VirtualLoop
+
+__all__ = ["Backend", "Call", "FleetHost", "NaiveHost", "Site"]
 
 HOP_S = 0.0005
 SHED_WORK_S = 0.001
@@ -44,34 +42,10 @@
         return self.instances * self.slots / self.work_s
 
 
-class Loop:
-    """Virtual time: what the limits ask of the reactor, and nothing else."""
-
-    def __init__(self) -> None:
-        self.clock = VirtualClock(0.0)
-        self._heap: list[tuple[float, int, Timer]] = []
-        self._order = itertools.count()
-
-    def call_later(self, delay_s: float, fn: Callable[..., None], *args: Any) -> Timer:
-        """Call a function after some virtual seconds."""
-        timer = Timer(fn, args)
-        due = self.clock.now + max(0.0, delay_s)
-        heapq.heappush(self._heap, (due, next(self._order), timer))
-        return timer
-
-    def run_to(self, end: float) -> None:
-        """Make every call that is due before a time."""
-        while self._heap and self._heap[0][0] <= end:
-            due, _, timer = heapq.heappop(self._heap)
-            self.clock.now = max(self.clock.now, due)
-            timer.run()
-        self.clock.now = max(self.clock.now, end)
-
-
 class Backend:
     """One instance: slots, a short queue, shedding, cancellation, cold start."""
 
-    def __init__(self, loop: Loop, site: Site, rng: random.Random) -> None:
+    def __init__(self, loop: VirtualLoop, site: Site, rng: random.Random) -> None:
         self._loop = loop
         self._site = site
         self._rng = rng
@@ -136,7 +110,7 @@
 
     def __init__(
         self,
-        loop: Loop,
+        loop: VirtualLoop,
         backend: Backend,
         timeout_s: float,
         on_end: Callable[[SampleKind, float], None],
@@ -205,7 +179,7 @@
 
     def __init__(
         self,
-        loop: Loop,
+        loop: VirtualLoop,
         catalog: Catalog,
         backends: dict[str, Backend],
         rng: random.Random,
@@ -267,7 +241,7 @@
     """Plain round-robin, up to three tries at once, no limit and no budget."""
 
     def __init__(
-        self, loop: Loop, backends: dict[str, Backend], rng: random.Random
+        self, loop: VirtualLoop, backends: dict[str, Backend], rng: random.Random
     ) -> None:
         self._loop = loop
         self._backends = list(backends.values())
