Send work elsewhere while a drain waits for the floor

Ruled out: keeping all work from it at once, which the floor may not allow. Conclusion: capacity is untouched; it just comes last.

--- a/dogwoodtack/limits/pick.py
+++ b/dogwoodtack/limits/pick.py
@@ -100,9 +100,12 @@
         """Return how often an instance is drawn.
 
         One that is on trial after an ejection is tried with look-ups: a release
-        that it swallows cannot be sent elsewhere.
+        that it swallows cannot be sent elsewhere.  One that operators want drained
+        gets work only where no other has room, until the floor lets it go.
         """
         name = task.service.name
+        if instance.name in task.service.drains:
+            return MIN_WEIGHT
         if not task.is_idempotent and self._health.on_probation(name, instance.name):
             return MIN_WEIGHT
         known = task.load.instance(instance.name, task.now)
--- a/dogwoodtack/limits/tests/test_limits.py
+++ b/dogwoodtack/limits/tests/test_limits.py
@@ -142,6 +142,18 @@
             self.end()
         self.assertEqual("i-0" in names, gets_some)
 
+    @params((1, False), (4, True))
+    def test_a_drain_that_waits_gets_what_no_other_can_take(self, at_once, gets_some):
+        self.put(instances=2, slots=2, drains=["i-0"])
+        names = set()
+        for _ in range(25):
+            for _ in range(at_once):
+                self.ask()
+            while self.granted:
+                names.add(self.granted[0].instance.name)
+                self.end()
+        self.assertEqual("i-0" in names, gets_some)
+
     def test_retries_end_with_the_budget(self):
         for _ in range(40):
             self.ask(is_retry=True)
