--- a/dogwoodtack/floor/puller.py
+++ b/dogwoodtack/floor/puller.py
@@ -6,6 +6,7 @@
 from ..calls import Reply
 from ..catalog import Service
 from ..errors import WireError
+from ..health import FULL_WEIGHT
 from ..misc import Address
 from .floor import Floor, log_changes
 from .holdings import Holdings
@@ -82,7 +83,13 @@
         version = self._parts.catalog.version(service.name)
         if service.drains and not usage.is_admitted(version):
             return True
-        return self._parts.health.has_bad_news(service.name)
+        health = self._parts.health
+        if health.has_bad_news(service.name):
+            return True
+        return any(
+            health.weight(service.name, one.name) < FULL_WEIGHT
+            for one in service.instances
+        )
 
     def _form(self, services: list[Service], address: Address) -> PullForm:
         """Return a pull; a holder needs no evidence from itself."""
