--- a/tests/test_truth.py
+++ b/tests/test_truth.py
@@ -100,7 +100,7 @@
 
     def test_idempotent_request_that_was_sent_and_then_refused(self):
         self.fleet.backends["closed"] = "127.0.0.1:1"
-        self.serve(retry_ratio=1.0)
+        self.serve()
         for _ in range(8):
             request = "GET / HTTP/1.1\r\nhost: {host}\r\nconnection: close\r\n\r\n"
             caller = self.connect(request)
