Keep the retry slack to serving hosts, and learn each instance's habit

Change: only serving hosts share the slack, and less of it is spent. Evidence relaxes towards an instance's own past; unsafe work is packed on few instances.

--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -207,10 +207,6 @@
         if is_ready != self.roster.is_ready:
             log_event("readiness", ready=is_ready, version=self.feed.version)
             self.roster.is_ready = is_ready
-        zones = {one.zone for one in self.book.all()} or {self.settings.zone}
-        serving = max(1, len(self.fleet.serving()))
-        self.placer.rivals = serving
-        self.placer.sharers = serving * len(zones)
 
     def _find_route(self, host: str, target: str) -> tuple[Route | None, int]:
         return self._table.match(host, target), self.feed.version
--- a/dogwoodtack/fleet/fleet.py
+++ b/dogwoodtack/fleet/fleet.py
@@ -74,9 +74,22 @@
         self._reactor.call_later(BEAT_S, self._beat)
         now = self._reactor.clock.monotonic()
         self._placer.occupancy.forget_silent(now)
+        self._count_rivals()
         self.tell_now()
         self._placer.pump(now)
 
+    def _count_rivals(self) -> None:
+        """Tell the placer how many hosts share slots and the retry budget.
+
+        A host that no caller is sent to gets only stray requests, and has no part
+        in the slack of the retry budget.
+        """
+        serving = self.serving()
+        zones = {one.zone for one in self._placer.book.all()}
+        self._placer.rivals = max(1, len(serving))
+        is_serving = self._roster.me in serving
+        self._placer.sharers = len(serving) * max(1, len(zones)) if is_serving else 0
+
     def tell_now(self) -> None:
         """Send a beat to the hosts of the zone."""
         zone = self._roster.me.zone
@@ -130,5 +143,4 @@
         if beat.host.zone != self._roster.me.zone:
             return
         self._placer.occupancy.on_peer_all(beat.host.name, beat.in_flight, now)
-        self._placer.rivals = max(1, len(self.serving()))
         self._on_beat(beat)
--- a/dogwoodtack/placement/choice.py
+++ b/dogwoodtack/placement/choice.py
@@ -14,6 +14,9 @@
 OTHER_ZONE_COST = 0.03
 # Bytes between zones are priced: about a failed request for each 250 kB.
 OTHER_ZONE_COST_PER_KB = 0.004
+# Work that runs once is packed on few instances: each of them is then heard of more
+# often, and those that turn sick unheard are found by look-ups.
+PACKING_WORTH = 0.02
 # An instance with every slot but one taken is a little slower than an idle one.
 BUSY_COST = 0.06
 WARMUP_COST = 0.10
@@ -101,12 +104,14 @@
 
 
 def _cost(one: Candidate, want: Want) -> float:
-    cost = BUSY_COST * one.in_flight / max(1, one.instance.slots)
+    cost = 0.0
     if one.instance.warmup_s > 0:
         cost += WARMUP_COST
     if not one.is_local:
         cost += OTHER_ZONE_COST + OTHER_ZONE_COST_PER_KB * want.answer_kb
+    load = one.in_flight / max(1, one.instance.slots)
     if want.manner is Manner.CAREFUL:
-        return cost + one.sick
+        return cost + one.sick - PACKING_WORTH * load
+    cost += BUSY_COST * load
     news = NEWS_WORTH_PER_S * min(one.unheard_s, NEWS_LIMIT_S) if one.is_local else 0
     return cost + REPEATABLE_FAILURE_COST * one.sick - news
--- a/dogwoodtack/placement/evidence.py
+++ b/dogwoodtack/placement/evidence.py
@@ -2,7 +2,8 @@
 
 An instance is taken for a hidden Markov process with two states, sound and
 sick.  Each outcome of a request moves the belief by Bayes' rule, and time moves
-it back towards how often instances are sick in general.
+it back towards how often this instance was sick before: gray failures come back
+to the same instances.
 """
 
 import enum
@@ -15,6 +16,10 @@
 SOUND_MEAN_S = 25.0
 RELAX_RATE = 1.0 / SICK_MEAN_S + 1.0 / SOUND_MEAN_S
 PRIOR = (1.0 / SOUND_MEAN_S) / RELAX_RATE
+# Over this time an instance's own past replaces the general prior.
+HABIT_S = 20.0
+LEAST_HABIT = 0.01
+MOST_HABIT = 0.6
 # Never be surer than this, so that a belief can always be turned.
 MOST_SURE = 0.995
 SURE_SOUND = 0.005
@@ -48,10 +53,10 @@
 class Evidence:
     """The belief about one instance, or about one host's way to it."""
 
-    __slots__ = ("_at", "_prior", "_sick", "heard_at")
+    __slots__ = ("_at", "_habit", "_sick", "heard_at")
 
     def __init__(self, now: float, prior: float = PRIOR) -> None:
-        self._prior = prior
+        self._habit = prior
         self._sick = prior
         self._at = now
         self.heard_at = -math.inf
@@ -60,14 +65,22 @@
         """Return the probability that the instance is sick at a moment."""
         age = max(0.0, now - self._at)
         decay = math.exp(-RELAX_RATE * age)
-        return self._prior + (self._sick - self._prior) * decay
+        return self._habit + (self._sick - self._habit) * decay
 
     def observe(self, sign: Sign, now: float) -> float:
         """Take one outcome in and return the new probability."""
         prior = self.sick(now)
+        self._learn_habit((prior + self._sick) / 2, now)
         if_sick, if_sound = LIKELIHOODS[sign]
         both = prior * if_sick + (1.0 - prior) * if_sound
         self._sick = min(MOST_SURE, max(SURE_SOUND, prior * if_sick / both))
         self._at = max(now, self._at)
         self.heard_at = self._at
         return self._sick
+
+    def _learn_habit(self, mean_sick: float, now: float) -> None:
+        """Move the share of time that the instance is sick towards what was seen."""
+        span_s = max(0.0, now - self._at)
+        weight = 1.0 - math.exp(-span_s / HABIT_S)
+        habit = self._habit + weight * (mean_sick - self._habit)
+        self._habit = min(MOST_HABIT, max(LEAST_HABIT, habit))
--- a/dogwoodtack/placement/retries.py
+++ b/dogwoodtack/placement/retries.py
@@ -2,13 +2,13 @@
 
 import math
 from collections import deque
+from typing import NamedTuple
 
 __all__ = ["RetryBudget", "RetryRules"]
 
-from typing import NamedTuple
-
 # Other hosts' counts are not known exactly, so a part of the budget is kept back.
-SPENT_SHARE = 0.8
+RATIO_SHARE = 0.85
+SLACK_SHARE = 0.6
 
 
 class RetryRules(NamedTuple):
@@ -46,11 +46,12 @@
 
         Args:
             now: seconds on the monotonic clock.
-            hosts: how many hosts share the slack.
+            hosts: how many hosts share the slack; 0 if this host has no part in it.
         """
         self._trim(now)
-        slack = self._rules.slack / max(1, hosts)
-        allowed = SPENT_SHARE * (self._rules.ratio * len(self._requests) + slack)
+        allowed = RATIO_SHARE * self._rules.ratio * len(self._requests)
+        if hosts:
+            allowed += SLACK_SHARE * self._rules.slack / hosts
         return math.floor(allowed) - len(self._repeats)
 
     def take(self, now: float, hosts: int) -> bool:
