Replay load patterns on the placer, and refuse overdue work early

Change: work is planned with 1.3 mean work times; what is 0.2 s overdue while others can still be in time is refused with Retry-After; a split's part of weight 0 gets nothing.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -185,7 +185,9 @@
             service=self._service,
             want=want,
             priority=route.priority,
-            start_by=self._arrived_at + route.objective_s - work_s,
+            start_by=self._parts.placer.start_by(
+                self._service, self._arrived_at, route.objective_s
+            ),
             give_up_at=self._deadline - work_s / 2,
             arrived_at=self._arrived_at,
             on_place=on_place,
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -20,6 +20,8 @@
 PATH_PRIOR = 0.02
 PATH_SIGNS = frozenset({Sign.SILENT, Sign.UNREACHABLE, Sign.BROKEN, Sign.GOOD})
 RUMOURS = frozenset({Sign.SILENT, Sign.UNREACHABLE})
+# Work is planned to take this many times its mean, so that most of it ends in time.
+PLANNED_WORKS = 1.3
 # Another zone's word about its instances is believed this long.
 TOLD_S = 1.0
 # Work that runs once goes to an instance that is likely sick only if it would not be
@@ -88,6 +90,10 @@
         """Return the mean time that a request of a service holds a slot."""
         return self._work_s.get(service, WORK_GUESS_S)
 
+    def start_by(self, service: str, arrived_at: float, objective_s: float) -> float:
+        """Return when a request has to start to meet its objective."""
+        return arrived_at + objective_s - PLANNED_WORKS * self.work_s(service)
+
     def candidates(self, service: str, now: float) -> list[Candidate]:
         """Return the instances of a service that take new work."""
         found = []
--- /dev/null
+++ b/dogwoodtack/placement/tests/test_parts.py
@@ -0,0 +1,218 @@
+"""Tests of the instance book, the retry budget, the queue and the choice."""
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from dogwoodtack.misc import Address
+from dogwoodtack.placement import (
+    Candidate,
+    Change,
+    Instance,
+    InstanceBook,
+    Manner,
+    Occupancy,
+    Refusal,
+    RetryBudget,
+    RetryRules,
+    Room,
+    Ticket,
+    WaitingRoom,
+    Want,
+    choose,
+)
+
+
+def make_instance(name="i-1", service="jobs", zone="a", slots=2, draining=False):
+    address = Address("127.0.0.1", 9000 + int(name.rsplit("-", 1)[1]))
+    return Instance(name, service, address, zone, slots, draining, 0.0, 0)
+
+
+class InstanceBookTest(unittest.TestCase):
+    def test_a_late_word_does_not_undo_a_newer_one(self):
+        book = InstanceBook()
+        ready = make_instance()
+        leaving = make_instance(draining=True)
+        book.apply([Change("i-1", 5, leaving)], 5)
+        self.assertEqual(book.apply([Change("i-1", 3, ready)], 3), [])
+        self.assertTrue(book.get("i-1").is_draining)
+        self.assertEqual(book.revision, 5)
+
+    def test_an_instance_that_is_gone_stays_gone(self):
+        book = InstanceBook()
+        book.apply([Change("i-1", 5, make_instance())], 5)
+        book.apply([Change("i-1", 7, None)], 7)
+        self.assertEqual(book.apply([Change("i-1", 6, make_instance())], 7), [])
+        self.assertEqual(book.of_service("jobs"), [])
+
+    def test_a_whole_list_ends_what_it_does_not_name(self):
+        book = InstanceBook()
+        both = [Change(f"i-{n}", 5, make_instance(f"i-{n}")) for n in (1, 2)]
+        book.apply(both, 5)
+        self.assertEqual(book.missing({"i-1"}, 9), [Change("i-2", 9, None)])
+        self.assertEqual(book.missing({"i-1"}, 5), [])
+
+    def test_since_gives_a_follower_what_it_lacks(self):
+        book = InstanceBook()
+        for n in (1, 2, 3):
+            book.apply([Change(f"i-{n}", n, make_instance(f"i-{n}"))], n)
+        self.assertEqual([word.id for word in book.since(1)], ["i-2", "i-3"])
+
+
+class RetryBudgetTest(unittest.TestCase):
+    @params(
+        # requests, hosts, least and most repeats that may be sent
+        (0, 0, 0, 0),
+        (100, 0, 10, 20),
+        (100, 1, 30, 76),
+        (1000, 9, 150, 207),
+    )
+    def test_repeats_in_a_window(self, requests, hosts, least, most):
+        budget = RetryBudget(RetryRules(0.2, 10.0, 56.0))
+        for _ in range(requests):
+            budget.count_request(100.0)
+        taken = 0
+        while budget.take(100.0, hosts):
+            taken += 1
+        self.assertGreaterEqual(taken, least)
+        self.assertLessEqual(taken, most)
+
+    def test_all_hosts_together_keep_the_budget(self):
+        """Load pattern: every request of a window fails, at every host."""
+        rules = RetryRules(0.2, 10.0, 56.0)
+        serving = [RetryBudget(rules) for _ in range(9)]
+        others = [RetryBudget(rules) for _ in range(23)]
+        for turn in range(1112):
+            serving[turn % 9].count_request(100.0)
+        for budget in others:
+            budget.count_request(100.0)
+        repeats = 0
+        for hosts, budgets in ((9, serving), (0, others)):
+            for budget in budgets:
+                while budget.take(100.0, hosts):
+                    repeats += 1
+        self.assertLessEqual(repeats, 0.2 * (1112 + 23) + 56)
+
+    def test_the_window_slides(self):
+        budget = RetryBudget(RetryRules(0.2, 10.0, 0.0))
+        for _ in range(100):
+            budget.count_request(100.0)
+        while budget.take(100.0, 1):
+            pass
+        self.assertFalse(budget.take(105.0, 1))
+        for _ in range(100):
+            budget.count_request(111.0)
+        self.assertTrue(budget.take(111.0, 1))
+
+
+def make_ticket(order, priority=1, start_by=100.5, give_up_at=102.0):
+    return Ticket(order, priority, start_by, give_up_at, None)
+
+
+class WaitingRoomTest(unittest.TestCase):
+    def test_order_is_on_time_first_then_priority_then_arrival(self):
+        room = WaitingRoom()
+        plenty = Room(1000, 1, 0.1)
+        tickets = [
+            make_ticket(0, start_by=99.0),
+            make_ticket(1, priority=2),
+            make_ticket(2, priority=1),
+            make_ticket(3, priority=1),
+        ]
+        for ticket in tickets:
+            self.assertIsNone(room.admit(ticket, plenty, 100.0, 0.0))
+        self.assertEqual([one.order for one in room.in_order(100.0)], [2, 3, 1, 0])
+
+    def test_work_that_cannot_start_in_time_is_refused_when_it_comes(self):
+        """Load pattern: far more arrives than the slots hold."""
+        room = WaitingRoom()
+        pace = Room(slots=4, hosts=1, work_s=0.4)
+        verdicts = [room.admit(make_ticket(n), pace, 100.0, n / 50) for n in range(50)]
+        refused = [one for one in verdicts if isinstance(one, Refusal)]
+        self.assertLessEqual(len(room) * 0.4 / 4, 0.5 + 0.1)
+        self.assertEqual(len(refused) + len(room), 50)
+        times = {round(one.retry_after_s, 3) for one in refused}
+        self.assertGreater(len(times), 20, "they would come back together")
+        self.assertTrue(all(0.1 <= one <= 3.5 for one in times))
+
+    def test_nothing_can_be_done_without_slots(self):
+        room = WaitingRoom()
+        room.admit(make_ticket(0), Room(0, 1, 0.3), 100.0, 0.0)
+        refusal = room.admit(make_ticket(1), Room(0, 1, 0.3), 100.0, 0.0)
+        self.assertIsInstance(refusal, Refusal)
+
+    def test_expired_tickets_leave(self):
+        room = WaitingRoom()
+        late = make_ticket(0, give_up_at=101.0)
+        room.admit(late, Room(4, 1, 0.3), 100.0, 0.0)
+        self.assertEqual(room.take_expired(100.9), [])
+        self.assertEqual(room.take_expired(101.0), [late])
+        self.assertEqual(len(room), 0)
+
+
+def make_candidate(name, in_flight=0, sick=0.02, unheard_s=0.1, local=True):
+    zone = "a" if local else "b"
+    return Candidate(make_instance(name, zone=zone), in_flight, sick, unheard_s, local)
+
+
+CAREFUL = Want(Manner.CAREFUL)
+SCOUT = Want(Manner.SCOUT)
+
+
+class ChooseTest(unittest.TestCase):
+    @params(
+        ("the sound one", CAREFUL, [("i-1", {"sick": 0.4}), ("i-2", {})], "i-2"),
+        ("one with room", CAREFUL, [("i-1", {"in_flight": 2}), ("i-2", {})], "i-2"),
+        ("the own zone", CAREFUL, [("i-1", {"local": False}), ("i-2", {})], "i-2"),
+        (
+            "another zone rather than a doubtful one",
+            CAREFUL,
+            [("i-1", {"sick": 0.3}), ("i-2", {"local": False})],
+            "i-2",
+        ),
+        ("the one in use", CAREFUL, [("i-1", {"in_flight": 1}), ("i-2", {})], "i-1"),
+        ("nobody sick", CAREFUL, [("i-1", {"sick": 0.9})], None),
+        ("the unheard one", SCOUT, [("i-1", {}), ("i-2", {"unheard_s": 2.0})], "i-2"),
+        (
+            "a sick one now and then",
+            SCOUT,
+            [("i-1", {"sick": 0.9, "unheard_s": 5.0}), ("i-2", {"in_flight": 2})],
+            "i-1",
+        ),
+        (
+            "no sick one that was just heard of",
+            SCOUT,
+            [("i-1", {"sick": 0.9, "unheard_s": 0.2}), ("i-2", {"in_flight": 2})],
+            None,
+        ),
+        (
+            "not the one that had its try",
+            Want(Manner.CAREFUL, exclude=frozenset({"i-1"})),
+            [("i-1", {}), ("i-2", {"sick": 0.3})],
+            "i-2",
+        ),
+    )
+    def test_choice(self, why, want, candidates, expected):
+        fit = [make_candidate(name, **facts) for name, facts in candidates]
+        for seed in range(5):
+            found = choose(fit, want, random.Random(seed))
+            self.assertEqual(found and found.instance.id, expected, why)
+
+    def test_last_resort_takes_a_sick_one(self):
+        fit = [make_candidate("i-1", sick=0.9)]
+        found = choose(fit, CAREFUL, random.Random(1), is_last_resort=True)
+        self.assertEqual(found.instance.id, "i-1")
+
+
+class OccupancyTest(unittest.TestCase):
+    def test_own_peers_and_zones_add_up(self):
+        load = Occupancy()
+        load.begin("i-1")
+        load.on_peer("h-2", "i-1", 1, 100.0)
+        load.on_zone("b", {"i-1": 1}, 100.0)
+        self.assertEqual(load.on("i-1"), 3)
+        self.assertEqual(load.in_zone(), {"i-1": 2})
+        load.end("i-1")
+        load.forget_silent(102.0)
+        self.assertEqual(load.on("i-1"), 0)
--- a/dogwoodtack/placement/waiting.py
+++ b/dogwoodtack/placement/waiting.py
@@ -10,8 +10,9 @@
 RETURN_SPREAD_S = 0.5
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 3.0
-# A wait is an estimate; work is turned away once it is this much over the limit.
-ESTIMATE_SLACK = 1.25
+# Work that is late by this much, while work that can still be in time waits too,
+# would be passed over until its end.
+MOST_OVERDUE_S = 0.2
 
 
 class Ticket(NamedTuple):
@@ -86,7 +87,7 @@
         """
         ahead = sum(1 for known in self._tickets if known.priority <= ticket.priority)
         wait_s = room.wait_s(ahead)
-        allowed = max(0.0, ticket.start_by - now) * ESTIMATE_SLACK
+        allowed = max(0.0, ticket.start_by - now)
         if self._tickets and wait_s > allowed:
             return Refusal(retry_after(wait_s - allowed, chance))
         if ticket.give_up_at <= now:
@@ -109,8 +110,14 @@
         return True
 
     def take_expired(self, now: float) -> list[Ticket]:
-        """Take out and return the tickets that can no longer be served at all."""
-        expired = [one for one in self._tickets if one.give_up_at <= now]
+        """Take out and return the tickets that will not be served."""
+        is_pressed = any(one.start_by >= now for one in self._tickets)
+        expired = [
+            one
+            for one in self._tickets
+            if one.give_up_at <= now
+            or (is_pressed and now - one.start_by > MOST_OVERDUE_S)
+        ]
         for one in expired:
             self._tickets.remove(one)
         return expired
--- a/dogwoodtack/routing/splits.py
+++ b/dogwoodtack/routing/splits.py
@@ -34,13 +34,14 @@
         total = sum(part.weight for part in parts)
         for index, part in enumerate(parts):
             credits[index] += part.weight
-        best = max(range(len(parts)), key=credits.__getitem__)
+        dealt = [index for index, part in enumerate(parts) if part.weight > 0]
+        best = max(dealt or range(len(parts)), key=credits.__getitem__)
         credits[best] -= total
         return parts[best].service
 
     def _opening(self, parts: tuple[TrafficPart, ...]) -> list[float]:
         """Return credits as they stand somewhere within a round."""
-        total = sum(part.weight for part in parts)
         opening = [(self._first_turn - 0.5) * part.weight for part in parts]
-        opening[0] -= sum(opening)
-        return opening if total > 0 else [0.0] * len(parts)
+        heaviest = max(range(len(parts)), key=lambda index: parts[index].weight)
+        opening[heaviest] -= sum(opening)
+        return opening
--- /dev/null
+++ b/dogwoodtack/routing/tests/test_routes.py
@@ -0,0 +1,75 @@
+"""Tests of route look-up and traffic splits."""
+
+import unittest
+from collections import Counter
+
+from nose2.tools import params
+
+from dogwoodtack.routing import Route, RouteKind, RouteTable, SplitDealer, TrafficPart
+
+
+def make_route(name, prefix="/", host="shop.example", parts=(("a", 1.0),)):
+    return Route(
+        name=name,
+        host=host,
+        prefix=prefix,
+        kind=RouteKind.SAFE,
+        parts=tuple(TrafficPart(*part) for part in parts),
+        timeout_s=None,
+        objective_s=1.0,
+        max_attempts=2,
+        priority=0,
+    )
+
+
+TABLE = RouteTable(
+    (
+        make_route("short", "/racks/"),
+        make_route("long", "/racks/old/"),
+        make_route("other", "/racks/", host="other.example"),
+    )
+)
+
+
+class RouteTableTest(unittest.TestCase):
+    @params(
+        ("shop.example", "/racks/7", "short"),
+        ("shop.example", "/racks/", "short"),
+        ("shop.example", "/racks/old/7", "long"),
+        ("shop.example", "/racks/older", "short"),
+        ("shop.example", "/racks/7?next=/racks/old/", "short"),
+        ("SHOP.example:8161", "/racks/7", "short"),
+        ("other.example", "/racks/old/7", "other"),
+        ("shop.example", "/racks", None),
+        ("shop.example", "/rack/7", None),
+        ("nobody.example", "/racks/7", None),
+        ("", "/racks/7", None),
+    )
+    def test_longest_prefix_of_the_host_wins(self, host, target, expected):
+        found = TABLE.match(host, target)
+        self.assertEqual(found and found.name, expected)
+
+
+class SplitDealerTest(unittest.TestCase):
+    @params(
+        ((("a", 90.0), ("b", 10.0)), 0.0),
+        ((("a", 90.0), ("b", 10.0)), 0.9),
+        ((("a", 1.0), ("b", 1.0), ("c", 2.0)), 0.5),
+        ((("a", 33.0), ("b", 67.0)), 0.99),
+    )
+    def test_every_run_of_requests_fits_the_weights(self, parts, first_turn):
+        route = make_route("split", parts=parts)
+        total = sum(weight for _, weight in parts)
+        dealer = SplitDealer(first_turn)
+        seen = Counter()
+        for count in range(1, 200):
+            seen[dealer.deal(route)] += 1
+            for service, weight in parts:
+                self.assertLess(abs(seen[service] - count * weight / total), 1.6)
+
+    def test_new_weights_take_effect_at_once(self):
+        dealer = SplitDealer()
+        for _ in range(50):
+            dealer.deal(make_route("split", parts=(("a", 99.0), ("b", 1.0))))
+        changed = make_route("split", parts=(("a", 0.0), ("b", 1.0)))
+        self.assertEqual({dealer.deal(changed) for _ in range(20)}, {"b"})
