Start by turns instead of after a fixed wait

Change: a host waits 0.1 s for each host before it in rank; a host that knows something answers the first beat of one that knows nothing. Ruled out: an answer to every such beat: two hosts that know nothing would answer each other for ever.

--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -42,6 +42,8 @@
 GRACE_MARGIN_S = 0.3
 ANNOUNCE_RETRY_S = 1.0
 OTHER_ZONES_CHECK_S = 1.0
+# Without the list of hosts, ask for instances and configuration all the same.
+BLIND_START_S = 0.3
 SETTINGS_POLL_S = 1.0
 MAX_CALLER_CONNECTIONS = 2500
 # A link this fast carries what a whole core can handle.
@@ -79,6 +81,7 @@
         self._platform = platform
         self._is_stopping = False
         self._has_hup = False
+        self._has_begun = False
         self._settings_mark = self._mark_settings()
         self._table = RouteTable(())
         self._build_loop()
@@ -154,10 +157,15 @@
         log_event("started", callers=self.settings.callers, zone=self.settings.zone)
         self._find_hosts()
         self._find_other_zones()
-        self.feed.begin()
+        self.reactor.call_later(BLIND_START_S, self._begin_feed)
         self.fleet.begin()
         self._watch_settings()
 
+    def _begin_feed(self) -> None:
+        if not self._has_begun:
+            self._has_begun = True
+            self.feed.begin()
+
     # Who else there is.
 
     def _find_hosts(self) -> None:
@@ -174,6 +182,7 @@
         for record in records:
             self.roster.on_record(record)
         self._greet_zone()
+        self._begin_feed()
         if self.me not in records:
             self.source.announce(self.me, self._on_announced)
 
--- a/dogwoodtack/feed/feed.py
+++ b/dogwoodtack/feed/feed.py
@@ -19,8 +19,10 @@
 # A watch that is silent for longer proves nothing: its connection may be dead.
 WATCH_WAIT_S = 0.8
 RETRY_S = 0.25
-# A host that starts hears of a reader in this time, if there is one.
-START_WAIT_S = 0.6
+# A host that starts first gives those before it this time each to read the store:
+# a read takes some milliseconds, and a beat and a relayed answer hardly more.
+START_TURN_S = 0.1
+MOST_START_TURNS = 6
 # Changes come in series; a pause lets one call carry several.
 PAUSE_S = 0.1
 # While the store is away, the zone's first host asks often and the others seldom.
@@ -96,8 +98,10 @@
 
     def begin(self) -> None:
         """Read all there is, from a peer or the store, then follow."""
-        self._reactor.call_later(START_WAIT_S, self._step_instances)
-        self._reactor.call_later(START_WAIT_S, self._step_configuration)
+        turns = min(self._roster.place_among_known(), MOST_START_TURNS)
+        wait_s = START_TURN_S * (turns + 0.2)
+        self._reactor.call_later(wait_s, self._step_instances)
+        self._reactor.call_later(wait_s, self._step_configuration)
 
     def _follows_peer(self) -> bool:
         if not self.is_complete:
--- a/dogwoodtack/fleet/fleet.py
+++ b/dogwoodtack/fleet/fleet.py
@@ -185,7 +185,9 @@
     def _(self, beat: Beat, now: float) -> None:
         is_new = beat.host.name not in {host.name for host in self._roster.known()}
         self._roster.on_beat(beat, now)
-        if is_new:
+        is_blank = not beat.revision and self._placer.book.revision > 0
+        if is_new or is_blank:
+            # A host that knows nothing yet reads what the answer says is there.
             self.greet([beat.host.peers])
         if beat.host.zone != self._roster.me.zone:
             return
--- a/dogwoodtack/fleet/roster.py
+++ b/dogwoodtack/fleet/roster.py
@@ -118,6 +118,12 @@
             return None
         return min(ahead, key=lambda peer: _rank(peer.beat.host))
 
+    def place_among_known(self) -> int:
+        """Return how many of the zone's hosts come before this one, alive or not."""
+        zone = self.me.zone
+        known = [host for host in self._known.values() if host.zone == zone]
+        return sum(1 for host in known if _rank(host) < _rank(self.me))
+
     def is_first(self, now: float) -> bool:
         """Return whether this host is the first of the zone's living hosts."""
         others = (_rank(peer.beat.host) for peer in self.alive(now))
