--- a/dogwoodtack/fleet/roster.py
+++ b/dogwoodtack/fleet/roster.py
@@ -19,9 +19,14 @@
 LIST_AGE_S = 0.1
 # A reader asks the store at least this often; later words are not to be trusted.
 FRESH_S = 1.3
-# Few hosts carry a zone's requests, so that each sees enough of every instance.
-SLOTS_PER_HOST = 12
+# Few hosts carry a zone's requests, so that each sees enough of every instance: one of
+# strength 1.0 handles the requests of this many slots with a third of its processor.
+SLOTS_PER_STRENGTH = 60
 MIN_SERVING = 3
+# Callers choose evenly, so a host much weaker than the first is left out where it is
+# not needed; two hosts are kept, so that the loss of one is borne.
+FEWEST_SERVING = 2
+WEAK_SHARE = 1 / 3
 STRENGTH_STEP = 0.25
 
 
@@ -90,11 +95,13 @@
             slots: slots of the zone's instances.
             now: seconds on the monotonic clock.
         """
-        return self._ready(now)[: _serving_count(slots)]
+        ready = self._ready(now)
+        return ready[: _serving_count(ready, slots)]
 
     def beat_s(self, slots: int, now: float) -> float:
         """Return how often this host has to give a sign of life, in seconds."""
-        front = self._ready(now)[: _serving_count(slots) + RESERVES]
+        ready = self._ready(now)
+        front = ready[: _serving_count(ready, slots) + RESERVES]
         return BEAT_S if self.me in front or not self.is_ready else RESERVE_BEAT_S
 
     def _ready(self, now: float) -> list[HostRecord]:
@@ -130,8 +137,16 @@
         return all(_rank(self.me) < other for other in others)
 
 
-def _serving_count(slots: int) -> int:
-    return max(MIN_SERVING, math.ceil(slots / SLOTS_PER_HOST))
+def _serving_count(ready: list[HostRecord], slots: int) -> int:
+    """Return how many of the hosts, best first, carry the zone's requests."""
+    capacity = 0.0
+    for count, host in enumerate(ready):
+        is_enough = capacity >= slots and count >= FEWEST_SERVING
+        is_weak = host.strength < WEAK_SHARE * ready[0].strength
+        if is_enough and (count >= MIN_SERVING or is_weak):
+            return count
+        capacity += SLOTS_PER_STRENGTH * host.strength
+    return len(ready)
 
 
 @functools.lru_cache(maxsize=4096)
--- /dev/null
+++ b/dogwoodtack/platform/tests/test_wire.py
@@ -0,0 +1,166 @@
+"""Tests of decoding the platform's objects and settings."""
+
+import unittest
+
+from nose2.tools import params
+
+from dogwoodtack.entry import AddressQuestion, ReadinessQuestion
+from dogwoodtack.errors import SettingsError
+from dogwoodtack.misc import Address
+from dogwoodtack.platform import read_entry_settings, read_question
+from dogwoodtack.platform.wire import (
+    WireFormatError,
+    read_configuration,
+    read_instance,
+)
+from dogwoodtack.routing import RouteKind, TrafficPart
+
+ENTRY = {
+    "metadata": {"name": "i-1", "revision": 8},
+    "spec": {
+        "address": "10.128.0.9:8080",
+        "born": 1796346000000,
+        "info": {"service": "jobs", "version": "v1", "zone": "a", "slots": 2},
+    },
+    "status": {"state": "ready", "sequence": 4, "warmupLeftS": 0.5},
+}
+ROUTE = {
+    "host": "Shop.example",
+    "pathPrefix": "/look/",
+    "kind": "safe",
+    "timeoutS": 2,
+    "targetLatencyS": 0.8,
+    "priority": 2,
+    "trafficSplit": [
+        {"service": "jobs", "weight": 90},
+        {"service": "docs", "weight": 10},
+    ],
+    "maxAttempts": 2,
+}
+CONFIG = {
+    "version": "0000000c",
+    "routes": {"r-1": ROUTE},
+    "services": {"jobs": {"healthCheckPath": "/health", "maxConnections": 330}},
+    "limits": {"idleTimeoutS": 15},
+}
+SETTINGS = {
+    "node": "front-a-1",
+    "zone": "a",
+    "internalPortRange": [7720, 7735],
+    "seeds": ["10.1.0.10:8166"],
+    "bounds": ["drainS=2.5", "retryBudgetRatio=0.3", "closed=false"],
+    "listen": {
+        "front": "10.1.0.10:8161",
+        "ready": "10.1.0.10:8167",
+        "directory": "10.1.0.10:8164",
+    },
+    "limits": {"cpuShare": 0.43, "cores": 2, "linkMbps": 10.0},
+    "platform": {"address": "10.200.1.7:8169"},
+    "news": "ignored",
+}
+
+
+def changed(base, path, value):
+    """Return a copy of nested fields with one of them replaced or, by None, gone."""
+    copy = dict(base)
+    key, _, rest = path.partition(".")
+    if rest:
+        copy[key] = changed(base[key], rest, value)
+    elif value is None:
+        del copy[key]
+    else:
+        copy[key] = value
+    return copy
+
+
+class InstanceTest(unittest.TestCase):
+    def test_an_entry(self):
+        one = read_instance(ENTRY)
+        self.assertEqual(one[:5], ("i-1", "jobs", ("10.128.0.9", 8080), "a", 2))
+        self.assertFalse(one.is_draining)
+        self.assertEqual((one.warmup_s, one.born_ms), (0.5, 1796346000000))
+
+    @params(
+        ("status.state", "odd"),
+        ("status.state", None),
+        ("spec.info.slots", "two"),
+        ("spec.info.slots", 0),
+        ("spec.info.slots", True),
+        ("spec.info.service", 7),
+        ("spec.info.zone", None),
+        ("spec.address", "nowhere"),
+        ("spec.address", None),
+        ("spec", 17),
+        ("metadata", None),
+    )
+    def test_an_entry_of_another_writer_is_left_out(self, path, value):
+        with self.assertRaises(WireFormatError):
+            read_instance(changed(ENTRY, path, value))
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_a_configuration(self):
+        found = read_configuration(CONFIG)
+        route = found.routes[0]
+        self.assertEqual(found.version, 12)
+        self.assertEqual((route.host, route.kind), ("shop.example", RouteKind.SAFE))
+        self.assertEqual(
+            route.parts, (TrafficPart("jobs", 90.0), TrafficPart("docs", 10.0))
+        )
+        self.assertEqual(found.limits.idle_timeout_s, 15.0)
+        self.assertEqual(found.limits.max_header_bytes, 16384)
+
+    @params(
+        ("version", "odd!"),
+        ("version", 12),
+        ("routes", None),
+        ("services", None),
+        ("routes.r-1.kind", "odd"),
+        ("routes.r-1.host", None),
+    )
+    def test_one_that_cannot_be_read(self, path, value):
+        with self.assertRaises(WireFormatError):
+            read_configuration(changed(CONFIG, path, value))
+
+    def test_a_route_without_time_limit(self):
+        plain = changed(CONFIG, "routes.r-1.timeoutS", None)
+        self.assertIsNone(read_configuration(plain).routes[0].timeout_s)
+
+
+class SettingsTest(unittest.TestCase):
+    def test_settings(self):
+        found = read_entry_settings(SETTINGS)
+        self.assertEqual(found.callers, Address("10.1.0.10", 8161))
+        self.assertEqual(found.cores, 0.86)
+        self.assertEqual(found.seeds, ("10.1.0.10",))
+        self.assertEqual(found.bounds.drain_s, 2.5)
+        self.assertEqual(found.bounds.retries.ratio, 0.3)
+        self.assertEqual(found.bounds.retries.slack, 56.0)
+
+    @params(
+        ("node", None),
+        ("listen.front", "nowhere"),
+        ("listen.directory", None),
+        ("platform.address", None),
+        ("limits.cpuShare", "much"),
+        ("internalPortRange", [1]),
+    )
+    def test_bad_ones_are_named(self, path, value):
+        with self.assertRaises(SettingsError):
+            read_entry_settings(changed(SETTINGS, path, value))
+
+
+class QuestionTest(unittest.TestCase):
+    @params(
+        ("GET", "/dogwoodtack/ready", ReadinessQuestion()),
+        (
+            "GET",
+            "/dogwoodtack/resolve?name=shop.example&region=r&zone=a",
+            AddressQuestion("shop.example", "a"),
+        ),
+        ("GET", "/dogwoodtack/resolve", AddressQuestion("", "")),
+        ("POST", "/dogwoodtack/ready", None),
+        ("GET", "/other", None),
+    )
+    def test_question(self, method, target, expected):
+        self.assertEqual(read_question(method, target), expected)
