Explain a request from collected logs: dogwoodtack trace ID FILE

Cause: on-call engineers have only logs; a refused request's line did not say what decided it. Change: a refusal's line carries its inputs (others ahead, sound slots, work time); the tool puts one request's lines of all hosts in order and names the cause and each try. Three kinds of failure are driven through a real process in tests.test_entry_host.ExplainTest.

--- a/dogwoodtack/cmdline.py
+++ b/dogwoodtack/cmdline.py
@@ -13,6 +13,7 @@
 
 from .api import ApiError, OperatorApi, Unreachable
 from .burn import PlotUnavailable, draw_report, report_text
+from .entry.explain import explain_request
 from .errors import DogwoodtackError, ErrorKind
 from .intents import Plan
 from .misc import parse_address
@@ -112,12 +113,14 @@
         text: one line of help.
         arg_counts: how many arguments it takes.
         act: does the work, prints and returns the exit code.
+        is_offline: whether it asks no entry host.
     """
 
     usage: str
     text: str
     arg_counts: tuple[int, ...]
     act: Callable[[Context], ExitCode]
+    is_offline: bool = False
 
 
 def submit(ctx: Context) -> ExitCode:
@@ -174,6 +177,21 @@
     return ExitCode.OK
 
 
+def trace(ctx: Context) -> ExitCode:
+    """Print why a request got its answer, from collected logs."""
+    request_id, source = ctx.args
+    try:
+        text = sys.stdin.read() if source == "-" else Path(source).read_text()
+    except OSError as exc:
+        raise UsageError(f"{source}: {exc}") from exc
+    found = explain_request(text.splitlines(), request_id)
+    if found is None:
+        print(f"no line tells of request {request_id}", file=sys.stderr)
+        return ExitCode.REFUSED
+    _print(ctx, found._asdict(), found.text())
+    return ExitCode.OK
+
+
 def burn(ctx: Context) -> ExitCode:
     """Print what callers met, over every entry host that is named."""
     found = ctx.api.burn()
@@ -205,6 +223,13 @@
         (2, 3),
         explain,
     ),
+    "trace": Command(
+        "trace ID FILE|-",
+        "Say from collected logs why a request got its answer.",
+        (2,),
+        trace,
+        is_offline=True,
+    ),
     "burn": Command(
         "burn [--plot FILE]", "Print service-level burn, all hosts joined.", (0,), burn
     ),
@@ -292,7 +317,10 @@
     return values
 
 
-def _context(args: list[str]) -> Context:
+def _context(args: list[str], is_offline: bool) -> Context:
+    if is_offline:
+        api = OperatorApi([], "", FLAGS.timeout_s)
+        return Context(api, args, Path("plans"), FLAGS.json, FLAGS.yes, FLAGS.plot)
     cfg = _load_config(FLAGS.config)
     texts = FLAGS.addresses or cfg.get("addresses", "").replace(",", " ").split()
     key = FLAGS.access_key or os.environ.get(ACCESS_KEY_VARIABLE)
@@ -347,7 +375,7 @@
             raise UsageError(f"commands: {', '.join(COMMANDS)}; see --help")
         if len(args) - 1 not in command.arg_counts:
             raise UsageError(f"usage: dogwoodtack {command.usage}")
-        return command.act(_context(args[1:]))
+        return command.act(_context(args[1:], command.is_offline))
     except (UsageError, flags.Error) as exc:
         print(f"dogwoodtack: {exc}", file=sys.stderr)
         return ExitCode.USAGE
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -115,6 +115,7 @@
         self._last: AttemptResult | None = None
         self._first_sent_at: float | None = None
         self._is_caller_gone = False
+        self._detail = ""
         self.is_done = False
         raw_id = find_header(head.headers, parts.names.request_id) or b""
         self._id = raw_id
@@ -212,6 +213,7 @@
     def _on_refused(self, refusal: Refusal) -> None:
         if self.is_done or self._live:
             return
+        self._detail = refusal.why
         if self._last is not None:
             self._end_with(self._last)
             return
@@ -449,6 +451,7 @@
             ms=(now - self._arrived_at) * 1000,
             waited_ms=(first - self._arrived_at) * 1000,
             tries=tuple(self._tries),
+            detail=self._detail,
         )
         self._parts.trail.add(line)
 
--- a/dogwoodtack/entry/trail.py
+++ b/dogwoodtack/entry/trail.py
@@ -42,6 +42,7 @@
     ms: float
     waited_ms: float
     tries: tuple[Try, ...]
+    detail: str
 
 
 class Trail:
--- a/dogwoodtack/feed/relay.py
+++ b/dogwoodtack/feed/relay.py
@@ -64,7 +64,7 @@
                 on_done(None)
                 return
             try:
-                on_done(_read_state(reply.body))
+                on_done(read_state(reply.body))
             except (KeyError, TypeError, ValueError, AttributeError) as error:
                 log_event("relay-unusable", level="WARNING", error=repr(error))
                 on_done(None)
@@ -129,7 +129,7 @@
     return route._replace(kind=RouteKind(route.kind), parts=parts)
 
 
-def _read_state(fields: dict[str, Any]) -> RelayedState:
+def read_state(fields: dict[str, Any]) -> RelayedState:
     configuration = fields["configuration"]
     return RelayedState(
         [_read_change(change) for change in fields["instances"]],
--- /dev/null
+++ b/dogwoodtack/feed/tests/test_relay.py
@@ -0,0 +1,52 @@
+"""Tests of what hosts read from each other."""
+
+import json
+import unittest
+
+from nose2.tools import params
+
+from dogwoodtack.feed import answer_relay
+from dogwoodtack.feed.relay import read_state
+from dogwoodtack.placement import Change, InstanceBook
+from dogwoodtack.placement.tests.test_parts import make_instance
+from dogwoodtack.platform.tests.test_wire import CONFIG
+from dogwoodtack.platform.wire import read_configuration
+
+CONFIGURATION = read_configuration(CONFIG)
+
+
+def make_book():
+    book = InstanceBook()
+    for n in (1, 2, 3):
+        book.apply([Change(f"i-{n}", n, make_instance(f"i-{n}"))], n)
+    book.apply([Change("i-2", 4, None)], 4)
+    return book
+
+
+def ask(target, complete=True):
+    return answer_relay(target, make_book(), CONFIGURATION, complete)
+
+
+class RelayTest(unittest.TestCase):
+    @params((0, 3), (2, 2), (3, 1), (4, 0))
+    def test_a_follower_reads_what_it_lacks(self, revision, count):
+        body = ask(f"/state?revision={revision}&version=0")
+        state = read_state(json.loads(body))
+        self.assertEqual(len(state.changes), count)
+        self.assertEqual(state.revision, 4)
+        self.assertTrue(state.is_complete)
+        follower = InstanceBook()
+        follower.apply(make_book().since(0)[:0], revision)
+        follower.apply(state.changes, state.revision)
+        if revision == 0:
+            known = sorted(one.id for one in follower.all())
+            self.assertEqual(known, ["i-1", "i-3"])
+
+    @params((0, True), (11, True), (12, False), (13, False))
+    def test_only_a_newer_configuration_is_sent(self, version, is_sent):
+        body = ask(f"/state?revision=9&version={version}")
+        found = read_state(json.loads(body)).configuration
+        self.assertEqual(found, CONFIGURATION if is_sent else None)
+
+    def test_another_path(self):
+        self.assertIsNone(ask("/other"))
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -134,7 +134,7 @@
             return None
         candidates = self.candidates(ask.service, now)
         if not candidates:
-            ask.on_place(Refusal(self.work_s(ask.service)))
+            ask.on_place(Refusal(self.work_s(ask.service), "no instance is known"))
             return None
         found = self._choose(candidates, ask, now)
         if found is not None:
@@ -209,7 +209,8 @@
             if not len(room):
                 continue
             for ticket in room.take_expired(now):
-                ticket.work.on_place(Refusal(self.work_s(service)))
+                why = f"waited {now - ticket.work.arrived_at:.2f} s"
+                ticket.work.on_place(Refusal(self.work_s(service), why))
             self._pump_room(service, room, now)
 
     def _pump_room(self, service: str, room: WaitingRoom, now: float) -> None:
--- a/dogwoodtack/placement/waiting.py
+++ b/dogwoodtack/placement/waiting.py
@@ -54,9 +54,15 @@
 
 
 class Refusal(NamedTuple):
-    """A request is turned away; it was not sent to any instance."""
+    """A request is turned away; it was not sent to any instance.
+
+    Attributes:
+        retry_after_s: when there will be room.
+        why: the inputs of the decision, for the log.
+    """
 
     retry_after_s: float
+    why: str
 
 
 class WaitingRoom:
@@ -88,10 +94,11 @@
         ahead = sum(1 for known in self._tickets if known.priority <= ticket.priority)
         wait_s = room.wait_s(ahead)
         allowed = max(0.0, ticket.start_by - now)
+        why = f"ahead {ahead}, slots {room.slots:.1f}, work {room.work_s:.2f} s"
         if self._tickets and wait_s > allowed:
-            return Refusal(retry_after(wait_s - allowed, chance))
+            return Refusal(retry_after(wait_s - allowed, chance), why)
         if ticket.give_up_at <= now:
-            return Refusal(retry_after(wait_s, chance))
+            return Refusal(retry_after(wait_s, chance), why)
         self._tickets.append(ticket)
         return None
 
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -303,11 +303,11 @@
         return lines()[0]
 
     @params(
-        ("error", 500, "reason=served", "i-0/0.", "/failed/"),
-        ("cut", 502, "reason=backend-cut", "i-0/0.", "/cut/"),
-        ("shed", 503, "reason=backend-shed", "i-0/0.", "/not-executed/"),
+        ("error", 500, "Its instance failed it", "reason=served", "/failed/"),
+        ("cut", 502, "it may have run", "reason=backend-cut", "/cut/"),
+        ("shed", 503, "unexecuted", "reason=backend-shed", "/not-executed/"),
     )
-    def test_the_log_tells_why_a_request_failed(self, behaviour, status, *words):
+    def test_the_log_tells_why_a_request_failed(self, behaviour, status, cause, *words):
         self.serve()
         self.backends[0].behaviour = behaviour
         answer, _ = self.call("POST", "/book/1", "00000000000000ad", b"x")
@@ -315,6 +315,16 @@
         line = self.line_of("00000000000000ad")
         for word in (*words, f"status={status}", "version=7", "route=r-once"):
             self.assertIn(word, line)
+        tool = [sys.executable, "-m", "dogwoodtack.cmdline", "trace"]
+        told = subprocess.run(
+            [*tool, "00000000000000ad", str(self.log)],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+        )
+        self.assertEqual(told.returncode, 0, told.stderr)
+        self.assertIn(cause, told.stdout)
+        self.assertIn("try at i-0", told.stdout)
 
     def test_metrics_count_requests(self):
         self.serve()
