Add a fault soak of our own

Change: soak/ runs three entry hosts before a store and instances behind loopback proxies; faults come in series and overlap (delay, reset, silence, one-way silence, bad answers, pause, kill, planned stop, store down, new versions, drains); callers keep connections; at most once, true refusals, whole own answers, versions that never go back, drains, planned stops and recovery are checked.

--- a/ci/check.py
+++ b/ci/check.py
@@ -14,7 +14,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 TIMEOUT_S = 3600
-PACKAGES = ("ci", "dogwoodtack", "dogwoodtack_standins", "lab", "tests")
+PACKAGES = ("ci", "dogwoodtack", "dogwoodtack_standins", "lab", "soak", "tests")
 
 
 class Verdict(NamedTuple):
--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -197,12 +197,17 @@
         self.delay_s = delay_s
         self.behaviour = "ok"
         self.ran: list[Ran] = []
-        self.arrived = 0
+        self.arrived_at: list[float] = []
         self._server = _Server(("127.0.0.1", 0), _InstanceHandler)
         self._server.owner = self
         self.address = Address(*self._server.server_address)
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
+    @property
+    def arrived(self) -> int:
+        """Return how many requests for this very instance came."""
+        return len(self.arrived_at)
+
     def close(self) -> None:
         """Stop."""
         self._server.shutdown()
@@ -222,10 +227,10 @@
         instance = self.server.owner
         body = self.read_body()
         request_id = self.headers.get(REQUEST_ID, "")
-        instance.arrived += 1
         if self.headers.get(EXPECTED) != instance.name:
             self.reply(421, b"", **{"X-Dogwoodtack-Instance-Id": instance.name})
             return
+        instance.arrived_at.append(time.monotonic())
         if instance.behaviour == "shed":
             self.reply(503, b"", **{NOT_EXECUTED: "1", REQUEST_ID: request_id})
             return
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak: real entry hosts before stand-ins, with faults from outside."""
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,145 @@
+"""Callers of a soak: they keep connections open and note what they see."""
+
+import http.client
+import random
+import threading
+import time
+from typing import NamedTuple
+
+from .world import HOST, HostProcess, Site
+
+__all__ = ["Call", "Caller", "VersionWatcher"]
+
+ANSWER_TIMEOUT_S = 4.0
+PAUSE_S = 0.02
+
+
+class Call(NamedTuple):
+    """One request, as its caller saw it.
+
+    Attributes:
+        status: of the answer; 0 where the connection ended without one, -1 where
+            no connection was made.
+        is_true: whether a success is the whole answer to this very request.
+    """
+
+    id: str
+    is_unsafe: bool
+    host: str
+    lifetime: int
+    sent_at: float
+    ended_at: float
+    status: int
+    is_true: bool
+
+
+class Caller(threading.Thread):
+    """Send requests one after the other, on a connection until it ends."""
+
+    def __init__(self, site: Site, seed: int, number: int) -> None:
+        super().__init__(daemon=True)
+        self._site = site
+        self._rng = random.Random(seed * 1000 + number)
+        self._number = number
+        self._conn: http.client.HTTPConnection | None = None
+        self._host: HostProcess | None = None
+        self._lifetime = 0
+        self.calls: list[Call] = []
+        self.is_stopping = False
+
+    def run(self) -> None:
+        """Call until told to stop."""
+        while not self.is_stopping:
+            self._call()
+            time.sleep(PAUSE_S)
+
+    def _connect(self) -> None:
+        self._host = self._rng.choice(self._site.hosts)
+        self._lifetime = self._host.lifetime
+        self._conn = http.client.HTTPConnection(
+            "127.0.0.1", self._host.port, timeout=ANSWER_TIMEOUT_S
+        )
+        self._conn.connect()
+
+    def _call(self) -> None:
+        is_unsafe = self._rng.random() < 0.6
+        request_id = f"{self._number:04x}{len(self.calls):012x}"
+        path = f"/{'book' if is_unsafe else 'look'}/{request_id}"
+        sent_at = time.monotonic()
+        status, is_true = -1, False
+        try:
+            if self._conn is None:
+                self._connect()
+            status = 0
+            status, is_true = self._exchange(is_unsafe, path, request_id)
+        except (OSError, http.client.HTTPException):
+            self._drop()
+        now = time.monotonic()
+        name = self._host.name if self._host else ""
+        self.calls.append(
+            Call(
+                request_id,
+                is_unsafe,
+                name,
+                self._lifetime,
+                sent_at,
+                now,
+                status,
+                is_true,
+            )
+        )
+
+    def _exchange(
+        self, is_unsafe: bool, path: str, request_id: str
+    ) -> tuple[int, bool]:
+        headers = {
+            "Host": HOST,
+            "X-Dogwoodtack-Request-Id": request_id,
+            "X-Dogwoodtack-Deadline-Ms": "3000",
+        }
+        method, body = ("POST", b"b") if is_unsafe else ("GET", None)
+        self._conn.request(method, path, body, headers)
+        answer = self._conn.getresponse()
+        data = answer.read()
+        signature = answer.getheader("X-Dogwoodtack-Response-Signature")
+        is_true = signature == f"signed-{request_id}" and path.encode() in data
+        if answer.will_close:
+            self._drop()
+        return answer.status, is_true
+
+    def _drop(self) -> None:
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
+
+
+class VersionWatcher(threading.Thread):
+    """Ask each host which configuration version is in force."""
+
+    def __init__(self, site: Site) -> None:
+        super().__init__(daemon=True)
+        self._site = site
+        self.seen: list[tuple[str, int, int]] = []
+        self.is_stopping = False
+
+    def run(self) -> None:
+        """Ask until told to stop."""
+        while not self.is_stopping:
+            for host in self._site.hosts:
+                for version in {self._site.version, max(1, self._site.version - 1)}:
+                    self._ask(host, version)
+            time.sleep(0.05)
+
+    def _ask(self, host: HostProcess, version: int) -> None:
+        lifetime = host.lifetime
+        conn = http.client.HTTPConnection("127.0.0.1", host.port, timeout=1.0)
+        try:
+            headers = {"Host": HOST, "X-Dogwoodtack-Request-Id": "f" * 16}
+            conn.request("GET", f"/v{version}/", headers=headers)
+            if conn.getresponse().status == 200 and lifetime == host.lifetime:
+                self.seen.append((host.name, lifetime, version))
+        except (OSError, http.client.HTTPException):
+            # A host that is down tells no version.
+            pass
+        finally:
+            conn.close()
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,102 @@
+"""A loopback proxy that delays, resets, silences or cuts connections."""
+
+import enum
+import socket
+import threading
+import time
+
+from dogwoodtack.misc import Address
+
+__all__ = ["Fault", "FaultProxy"]
+
+DELAY_S = 0.3
+POLL_S = 0.05
+READ_BYTES = 65536
+
+
+class Fault(enum.StrEnum):
+    """What the proxy does to bytes and connections."""
+
+    NONE = "none"
+    DELAYED = "delayed"
+    RESET = "reset"
+    ANSWERS_SILENCED = "answers-silenced"
+    SILENCED = "silenced"
+
+
+class FaultProxy:
+    """Stand between entry hosts and one instance."""
+
+    def __init__(self, target: Address) -> None:
+        self._target = target
+        self.fault = Fault.NONE
+        self._is_open = True
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.address = Address(*self._listener.getsockname())
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Take no more connections."""
+        self._is_open = False
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while self._is_open:
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._join, args=(near,), daemon=True).start()
+
+    def _join(self, near: socket.socket) -> None:
+        if self.fault is Fault.RESET:
+            self._reset(near)
+            return
+        try:
+            far = socket.create_connection(self._target, 2.0)
+        except OSError:
+            near.close()
+            return
+        for sock in (near, far):
+            sock.settimeout(POLL_S)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        answers = threading.Thread(target=self._pump, args=(far, near, True))
+        answers.daemon = True
+        answers.start()
+        self._pump(near, far, False)
+
+    def _pump(self, source: socket.socket, sink: socket.socket, answers: bool) -> None:
+        """Carry bytes one way until either end closes or the proxy resets both."""
+        held = b""
+        try:
+            while self.fault is not Fault.RESET:
+                try:
+                    data = source.recv(READ_BYTES)
+                except TimeoutError:
+                    data = None
+                if data == b"":
+                    break
+                held += data or b""
+                if held and not self._is_silent(answers):
+                    if self.fault is Fault.DELAYED:
+                        time.sleep(DELAY_S)
+                    sink.sendall(held)
+                    held = b""
+            else:
+                self._reset(source)
+        except OSError:
+            # The other pump, or the peer, has closed the connection.
+            pass
+        for sock in (source, sink):
+            sock.close()
+
+    def _is_silent(self, answers: bool) -> bool:
+        if self.fault is Fault.SILENCED:
+            return True
+        return answers and self.fault is Fault.ANSWERS_SILENCED
+
+    @staticmethod
+    def _reset(sock: socket.socket) -> None:
+        linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.close()
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,197 @@
+"""The site of a soak: a store, instances behind proxies, and entry hosts."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+from dogwoodtack_standins.site import InstanceStandIn, StoreStandIn
+from lab.fleet import free_ports
+
+from .proxy import FaultProxy
+
+__all__ = ["HOST", "HostProcess", "Site", "SiteInstance"]
+
+ROOT = Path(__file__).resolve().parent.parent
+HOST = "shop.example"
+SERVICE = "jobs"
+WORK_S = 0.04
+READY = "event=readiness ready=True"
+BOUNDS = ["drainS=2", "graceS=6", "retryBudgetRatio=0.2", "budgetSlack=56"]
+
+
+class SiteInstance:
+    """One instance with its proxy, and when it was told to leave."""
+
+    def __init__(self, name: str) -> None:
+        self.backend = InstanceStandIn(name, WORK_S)
+        self.proxy = FaultProxy(self.backend.address)
+        self.left_at: float | None = None
+
+    def entry(self, state: str) -> dict[str, Any]:
+        """Return its entry in the service directory, by the proxy's address."""
+        halves = self.backend.halves(SERVICE, state)
+        halves["spec"]["address"] = str(self.proxy.address)
+        return halves
+
+
+class HostProcess:
+    """One entry host: its process may be stopped, paused, killed and restarted."""
+
+    def __init__(self, name: str, store: StoreStandIn, folder: Path) -> None:
+        callers, self.ready_port, self.directory_port, low, high = free_ports(5)
+        self.name = name
+        self.port = callers
+        self.lifetime = 0
+        self.disturbed: list[tuple[float, str]] = []
+        self.lock = threading.Lock()
+        self._log = folder / f"{name}.log"
+        self._boot = folder / f"{name}.toml"
+        address = "127.0.0.1"
+        lines = [
+            f'node = "{name}"\nzone = "zone-a"',
+            f"internalPortRange = [{low},{high}]\nbounds = {json.dumps(BOUNDS)}",
+            f'[listen]\nfront = "{address}:{callers}"',
+            f'ready = "{address}:{self.ready_port}"',
+            f'directory = "{address}:{self.directory_port}"',
+            "[limits]\ncpuShare = 0.86\ncores = 1\nlinkMbps = 1000.0",
+            f'[platform]\naddress = "{store.address}"',
+        ]
+        self._boot.write_text("\n".join(lines))
+        self.start()
+
+    def start(self) -> None:
+        """Start a process, which knows nothing."""
+        self._log_mark = len(self.log_text()) if self._log.exists() else 0
+        env = {**os.environ, "DOGWOODTACK_SETTINGS": str(self._boot)}
+        out = open(self._log, "a")
+        self.process = subprocess.Popen(
+            [sys.executable, "entryhost.py"],
+            cwd=ROOT,
+            env=env,
+            stdout=out,
+            stderr=subprocess.STDOUT,
+        )
+        out.close()
+        self.lifetime += 1
+
+    def note(self, what: str) -> None:
+        """Remember that something was done to the process."""
+        self.disturbed.append((time.monotonic(), what))
+
+    def pause(self, seconds: float) -> None:
+        """Stop the process for a while, as a suspended machine."""
+        self.note("pause")
+        self.process.send_signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        self.process.send_signal(signal.SIGCONT)
+        self.note("resume")
+
+    def kill(self) -> None:
+        """Kill the process and start another."""
+        self.note("kill")
+        self.process.kill()
+        self.process.wait()
+        self.start()
+
+    @property
+    def is_serving(self) -> bool:
+        """Return whether the running process has said that it takes callers."""
+        return READY in self.log_text()[self._log_mark :]
+
+    def replace(self) -> int | None:
+        """Stop the process as planned and start another.
+
+        Returns:
+            the exit code; None for a process that did not serve yet, which the
+            signal may end before it is able to handle it.
+        """
+        was_serving = self.is_serving
+        self.note("term")
+        self.process.terminate()
+        try:
+            code = self.process.wait(7.0)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            code = self.process.wait()
+        self.note("gone")
+        self.start()
+        return code if was_serving else None
+
+    def log_text(self) -> str:
+        """Return what the host has written."""
+        return self._log.read_text()
+
+
+class Site:
+    """Everything of a soak but its callers and its faults."""
+
+    def __init__(self, hosts: int, instances: int) -> None:
+        self._folder = tempfile.TemporaryDirectory()
+        folder = Path(self._folder.name)
+        self.store = StoreStandIn()
+        self.version = 1
+        self.instances: list[SiteInstance] = []
+        for _ in range(instances):
+            self.add_instance()
+        self.set_version(1)
+        self.hosts = [
+            HostProcess(f"host-{n}", self.store, folder) for n in range(hosts)
+        ]
+
+    def close(self) -> None:
+        """End everything that was started here."""
+        for host in self.hosts:
+            host.process.kill()
+            host.process.wait()
+        for one in self.instances:
+            one.proxy.close()
+            one.backend.close()
+        self.store.close()
+        self._folder.cleanup()
+
+    def add_instance(self) -> None:
+        """Start an instance and list it."""
+        one = SiteInstance(f"i-{len(self.instances)}")
+        self.instances.append(one)
+        self.store.put("servers", one.backend.name, **one.entry("ready"))
+
+    def living(self) -> list[SiteInstance]:
+        """Return the instances that were not told to leave."""
+        return [one for one in self.instances if one.left_at is None]
+
+    def drain(self, one: SiteInstance) -> None:
+        """Let an instance say that it leaves."""
+        self.store.put("servers", one.backend.name, **one.entry("draining"))
+        one.left_at = time.monotonic()
+
+    def set_version(self, version: int) -> None:
+        """Write a configuration; each version has one route of its own."""
+        plain = {
+            "host": HOST,
+            "timeoutS": 2,
+            "targetLatencyS": 0.8,
+            "priority": 1,
+            "service": SERVICE,
+            "maxAttempts": 2,
+        }
+        routes = {
+            "look": {**plain, "pathPrefix": "/look/", "kind": "safe"},
+            "book": {**plain, "pathPrefix": "/book/", "kind": "unsafe"},
+            "own": {**plain, "pathPrefix": f"/v{version}/", "kind": "safe"},
+        }
+        rules = {"healthCheckPath": "/health", "maxConnections": 100}
+        spec = {
+            "version": f"{version:08x}",
+            "routes": routes,
+            "services": {SERVICE: rules},
+            "limits": {"idleTimeoutS": 15, "headerTimeoutS": 3},
+        }
+        self.store.put("config", "main", spec=spec)
+        self.version = version
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,18 @@
+"""Short seeded soaks; `python -m soak.soak --seeds=50` runs more."""
+
+import unittest
+
+from nose2.tools import params
+
+from soak.soak import run_soak
+
+# Seeds that failed once stay here, each with its cause.
+SEEDS = (1, 2)
+LENGTH_S = 8.0
+
+
+class SoakTest(unittest.TestCase):
+    @params(*SEEDS)
+    def test_promises_hold_under_faults(self, seed):
+        outcome = run_soak(seed, LENGTH_S)
+        self.assertEqual(outcome.broken, [], outcome.faults)
