Close a link that ended with its answer, and forget silent connections

And connections may go silent for good while new ones work; each idle one then cost a request its whole time. Change: an ended link is closed; when a reused connection is overdue, the idle ones to that address are closed.

--- a/dogwoodtack/backends/link.py
+++ b/dogwoodtack/backends/link.py
@@ -109,6 +109,7 @@
         self._method = b""
         self._rules = STRICT
         self._is_stray = False
+        self._has_ended = False
         self._mark_bytes = 0
         self.idle_since = reactor.clock.monotonic()
         self.used = False
@@ -216,6 +217,7 @@
         if self._owner is None:
             self.close()
             return
+        self._has_ended = True
         try:
             # An answer without a length ends here.
             self._h11.receive_data(b"")
@@ -312,7 +314,7 @@
             self._fail(ErrorKind.BACKEND_MALFORMED, "bytes after the answer's end")
             return
         owner, self._owner = self._owner, None
-        if stray:
+        if stray or self._has_ended:
             self._stream.close()
         else:
             self._make_reusable()
--- a/dogwoodtack/backends/pool.py
+++ b/dogwoodtack/backends/pool.py
@@ -76,6 +76,11 @@
         if len(idle) > MAX_IDLE_PER_ADDRESS:
             idle.popleft().close()
 
+    def forget(self, address: Address) -> None:
+        """Close what is idle to an address, as it may be dead without a word."""
+        for link in self._idle.pop(address, ()):
+            link.close()
+
     def retain(self, addresses: set[Address]) -> None:
         """Close what is idle to any other address, such as a removed back end."""
         for address in [known for known in self._idle if known not in addresses]:
--- a/dogwoodtack/backends/tests/test_pool.py
+++ b/dogwoodtack/backends/tests/test_pool.py
@@ -58,6 +58,12 @@
         self.assertEqual(taken is None, is_closed)
         self.assertEqual(self.link.is_open, not is_closed)
 
+    def test_what_may_be_dead_is_forgotten(self):
+        self.pool.release(self.link)
+        self.pool.forget(ADDRESS)
+        self.assertFalse(self.link.is_open)
+        self.assertIsNone(self.pool._take_idle(ADDRESS, 30.0))
+
     def test_too_old(self):
         self.pool.release(self.link)
         self.reactor.now = 2.0
--- a/dogwoodtack/entry/attempt.py
+++ b/dogwoodtack/entry/attempt.py
@@ -80,6 +80,11 @@
         """Return whether any byte of the request left this host."""
         return self._link is not None
 
+    @property
+    def is_reused(self) -> bool:
+        """Return whether the connection had carried an earlier request."""
+        return self._reused
+
     def start(self, req: SentRequest, give_up_at: float, max_idle_s: float) -> None:
         """Begin.
 
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -251,6 +251,9 @@
             sign = sign_of(Ending.TIMED_OUT)
             self._parts.placer.observe(attempt.instance.id, sign, self._now())
             self._parts.fleet.tell(attempt.instance.id, sign)
+            if attempt.is_reused:
+                # Old connections may have gone silent while new ones work.
+                self._parts.pool.forget(attempt.instance.address)
 
     def _on_hedge_time(self) -> None:
         """Send a look-up to a second instance while the first one is silent."""
