--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -176,7 +176,7 @@
         scouts = route.kind.is_idempotent and not self._sent and route.max_attempts > 1
         if scouts:
             budget = self._parts.placer.budget(self._service)
-            scouts = budget.left(now, self._parts.placer.sharers) > 1
+            scouts = budget.left(now, self._parts.placer.sharers, True) > 1
         want = Want(
             Manner.SCOUT if scouts else Manner.CAREFUL,
             self._parts.answer_kb.get(route.name, 1.0),
@@ -265,10 +265,10 @@
         placer = self._parts.placer
         now = self._now()
         budget = placer.budget(self._service)
-        if budget.left(now, placer.sharers) <= 0:
+        if budget.left(now, placer.sharers, True) <= 0:
             return
         if placer.place_now(self._ask(self._on_place), now):
-            budget.take(now, placer.sharers)
+            budget.take(now, placer.sharers, True)
 
     def _sent_or_live(self) -> int:
         return self._sent + len(self._live)
@@ -316,7 +316,7 @@
         if result.bytes_sent and result.ending is not Ending.ANSWERED:
             wants = may_repeat and has_tries and has_time
             has_budget = wants and placer.budget(self._service).take(
-                now, placer.sharers
+                now, placer.sharers, is_idempotent
             )
         return Turn(
             ending=result.ending,
--- a/dogwoodtack/placement/retries.py
+++ b/dogwoodtack/placement/retries.py
@@ -9,6 +9,9 @@
 # Other hosts' counts are not known exactly, so a part of the budget is kept back.
 RATIO_SHARE = 0.85
 SLACK_SHARE = 0.6
+# The last part of the budget is for requests that can only be sent again where they
+# were turned away unexecuted: they are the urgent ones, and have no other help.
+KEPT_SHARE = 0.25
 
 
 class RetryRules(NamedTuple):
@@ -41,22 +44,25 @@
         """Note a request of the service."""
         self._requests.append(now)
 
-    def left(self, now: float, hosts: int) -> int:
+    def left(self, now: float, hosts: int, is_idempotent: bool = False) -> int:
         """Return how many repeats this host may still send.
 
         Args:
             now: seconds on the monotonic clock.
             hosts: how many hosts share the slack; 0 if this host has no part in it.
+            is_idempotent: whether they are of requests that may run more than once.
         """
         self._trim(now)
         allowed = RATIO_SHARE * self._rules.ratio * len(self._requests)
         if hosts:
             allowed += SLACK_SHARE * self._rules.slack / hosts
+        if is_idempotent:
+            allowed *= 1.0 - KEPT_SHARE
         return math.floor(allowed) - len(self._repeats)
 
-    def take(self, now: float, hosts: int) -> bool:
+    def take(self, now: float, hosts: int, is_idempotent: bool = False) -> bool:
         """Spend one repeat if there is one left."""
-        if self.left(now, hosts) <= 0:
+        if self.left(now, hosts, is_idempotent) <= 0:
             return False
         self._repeats.append(now)
         return True
--- a/dogwoodtack/placement/tests/test_parts.py
+++ b/dogwoodtack/placement/tests/test_parts.py
@@ -94,6 +94,18 @@
                     repeats += 1
         self.assertLessEqual(repeats, 0.2 * (1112 + 23) + 56)
 
+    def test_look_ups_leave_a_part_for_unsafe_work(self):
+        """Load pattern: all instances shed, and look-ups fail as often."""
+        budget = RetryBudget(RetryRules(0.2, 10.0, 56.0))
+        for _ in range(200):
+            budget.count_request(100.0)
+        whole = budget.left(100.0, 3)
+        while budget.take(100.0, 3, is_idempotent=True):
+            pass
+        left = budget.left(100.0, 3)
+        self.assertGreaterEqual(left, 0.2 * whole)
+        self.assertLess(left, 0.4 * whole)
+
     def test_the_window_slides(self):
         budget = RetryBudget(RetryRules(0.2, 10.0, 0.0))
         for _ in range(100):
