Move what is sent of a request out of the exchange, and drop settings nobody uses

Cause: a newcomer's read: the exchange had over 480 lines, one set of endings stood twice, and drain_s and seeds were read without use. Change: names and places only; no decision changed.

--- a/dogwoodtack/entry/attempt.py
+++ b/dogwoodtack/entry/attempt.py
@@ -35,7 +35,7 @@
         ending: in a word.
         head: the answer's head, where a whole answer came.
         body: its whole body.
-        bytes_sent: whether any byte of the request left this host.
+        bytes_sent: whether the request may have left this host.
         reused: whether the connection had carried an earlier request.
         idle_s: how long the connection was idle before.
     """
@@ -77,7 +77,7 @@
 
     @property
     def bytes_sent(self) -> bool:
-        """Return whether any byte of the request left this host."""
+        """Return whether the request may have left this host."""
         return self._link is not None
 
     @property
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -3,12 +3,13 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from ..backends import Header, LinkPool
+from ..backends import LinkPool
 from ..door.conn import RequestHead, ServerConn
-from ..door.headers import answer_headers, drop_hop_by_hop
+from ..door.headers import answer_headers
 from ..errors import ErrorKind
 from ..fleet import Fleet
 from ..placement import (
+    NOT_RUN,
     Ask,
     Ending,
     Instance,
@@ -26,17 +27,13 @@
 from ..routing import Route, SplitDealer
 from .attempt import Attempt, AttemptResult, SentRequest
 from .replies import send_own
+from .request import MIN_ATTEMPT_S, sent_headers, time_left_s
 from .trail import RequestLine, Trail, Try
 from .trust import IdleTrust
 from .wire import WireHeaders, find_header
 
 __all__ = ["Exchange", "Parts", "RouteFinder"]
 
-DEFAULT_DEADLINE_S = 10.0
-# The least time in which an instance could still answer.
-MIN_ATTEMPT_S = 0.02
-# The answer has to be on its way a little before the caller's time is over.
-ANSWER_MARGIN_S = 0.03
 # Attempts that reached no instance or were turned away there are bounded too.
 MAX_ATTEMPTS = 6
 # A look-up without an answer after this part of its objective is sent again.
@@ -140,33 +137,18 @@
             return
         self._route = route
         self._service = self._parts.dealer.deal(route)
-        self._deadline = self._arrived_at + self._time_left(route)
+        names = self._parts.names
+        self._deadline = self._arrived_at + time_left_s(self._head, names, route)
         self._req = SentRequest(
             self._id,
             self._head.method.encode(),
             self._head.target.encode(),
-            self._sent_headers(),
+            sent_headers(self._head, names, bytes(self._body)),
             bytes(self._body),
         )
         self._parts.placer.budget(self._service).count_request(self._now())
         self._seek()
 
-    def _time_left(self, route: Route) -> float:
-        text = self._head.header(self._parts.names.deadline_ms) or ""
-        left_s = int(text) / 1000 if text.isdigit() else DEFAULT_DEADLINE_S
-        if route.timeout_s is not None:
-            left_s = min(left_s, route.timeout_s)
-        return max(MIN_ATTEMPT_S, left_s - ANSWER_MARGIN_S)
-
-    def _sent_headers(self) -> list[Header]:
-        own = self._parts.names.own() | {b"content-length", b"transfer-encoding"}
-        kept = drop_hop_by_hop(self._head.headers)
-        headers = [pair for pair in kept if pair[0] not in own]
-        has_body = bool(self._body) or self._head.method not in ("GET", "HEAD")
-        if has_body:
-            headers.append((b"content-length", str(len(self._body)).encode()))
-        return headers
-
     # Placing.
 
     def _ask(self, on_place: Callable[[Instance | Refusal], None]) -> Ask:
@@ -283,11 +265,7 @@
         is_safe = self._route.kind.is_idempotent
         if result.bytes_sent:
             self._sent += 1
-        if result.ending not in (
-            Ending.NOT_SENT,
-            Ending.NOT_EXECUTED,
-            Ending.MISDIRECTED,
-        ):
+        if result.ending not in NOT_RUN:
             self._may_have_run = True
         self._last = self._better(result)
         if self._live and result.ending is not Ending.ANSWERED:
@@ -308,7 +286,7 @@
         placer = self._parts.placer
         now = self._now()
         work_s = placer.work_s(self._service)
-        runs = sum(1 for one in self._tries if one.ending not in NOT_RUN_WORDS)
+        runs = sum(1 for one in self._tries if one.ending not in NOT_RUN)
         has_tries = runs < self._route.max_attempts and len(self._tries) < MAX_ATTEMPTS
         may_repeat = is_idempotent or not self._may_have_run
         has_time = now + work_s / 2 < self._deadline
@@ -457,6 +435,3 @@
             detail=self._detail,
         )
         self._parts.trail.add(line)
-
-
-NOT_RUN_WORDS = frozenset({Ending.NOT_SENT, Ending.NOT_EXECUTED, Ending.MISDIRECTED})
--- a/dogwoodtack/entry/settings.py
+++ b/dogwoodtack/entry/settings.py
@@ -12,13 +12,11 @@
     """Promised bounds that shape an entry host's own timing.
 
     Attributes:
-        drain_s: from a word that an instance leaves to its last new request.
         grace_s: from SIGTERM to the end of the process.
         max_answer_ttl_s: how long callers keep an address answer at most.
         retries: the retry budget that all hosts share.
     """
 
-    drain_s: float = 2.0
     grace_s: float = 6.0
     max_answer_ttl_s: float = 5.0
     retries: RetryRules = RetryRules()
@@ -34,7 +32,6 @@
         readiness: where the platform asks whether the host is ready.
         directory: where callers ask for addresses.
         peer_ports: first and last port that hosts may use among themselves.
-        seeds: IP numbers of hosts that may know others.
         store: the platform's store.
         cores: processor cores that the process gets, a fraction or more than one.
         link_mbps: the host's own link.
@@ -47,7 +44,6 @@
     readiness: Address
     directory: Address
     peer_ports: tuple[int, int]
-    seeds: tuple[str, ...]
     store: Address
     cores: float
     link_mbps: float
--- a/dogwoodtack/placement/__init__.py
+++ b/dogwoodtack/placement/__init__.py
@@ -7,12 +7,13 @@
 from .evidence import Evidence, Sign
 from .instances import Change, Instance, InstanceBook
 from .occupancy import Occupancy
-from .outcomes import Ending, Step, Turn, next_step, sign_of
+from .outcomes import NOT_RUN, Ending, Step, Turn, next_step, sign_of
 from .placer import Ask, Placer
 from .retries import RetryBudget, RetryRules
 from .waiting import Refusal, Room, Ticket, WaitingRoom
 
 __all__ = [
+    "NOT_RUN",
     "Ask",
     "Candidate",
     "Change",
--- a/dogwoodtack/placement/outcomes.py
+++ b/dogwoodtack/placement/outcomes.py
@@ -5,7 +5,7 @@
 
 from .evidence import Sign
 
-__all__ = ["Ending", "Step", "Turn", "next_step", "sign_of"]
+__all__ = ["NOT_RUN", "Ending", "Step", "Turn", "next_step", "sign_of"]
 
 
 class Ending(enum.StrEnum):
@@ -43,6 +43,7 @@
     Ending.TIMED_OUT: Sign.SILENT,
 }
 
+# After these the request has certainly not run at the instance.
 NOT_RUN = frozenset({Ending.NOT_EXECUTED, Ending.MISDIRECTED, Ending.NOT_SENT})
 
 
--- a/dogwoodtack/platform/settings.py
+++ b/dogwoodtack/platform/settings.py
@@ -48,7 +48,6 @@
             readiness=parse_address(listen["ready"]),
             directory=parse_address(listen["directory"]),
             peer_ports=(int(low), int(high)),
-            seeds=tuple(parse_address(seed).host for seed in fields.get("seeds", [])),
             store=_store_address(fields),
             # A core's share is given for each core.
             cores=float(limits["cpuShare"]) * float(limits["cores"]),
@@ -76,7 +75,6 @@
             continue
     plain = Bounds()
     return Bounds(
-        drain_s=given.get("drainS", plain.drain_s),
         grace_s=given.get("graceS", plain.grace_s),
         max_answer_ttl_s=given.get("ttl_max_s", plain.max_answer_ttl_s),
         retries=RetryRules(
--- a/dogwoodtack/platform/tests/test_wire.py
+++ b/dogwoodtack/platform/tests/test_wire.py
@@ -48,7 +48,7 @@
     "zone": "a",
     "internalPortRange": [7720, 7735],
     "seeds": ["10.1.0.10:8166"],
-    "bounds": ["drainS=2.5", "retryBudgetRatio=0.3", "closed=false"],
+    "bounds": ["graceS=7.5", "retryBudgetRatio=0.3", "closed=false"],
     "listen": {
         "front": "10.1.0.10:8161",
         "ready": "10.1.0.10:8167",
@@ -132,8 +132,7 @@
         found = read_entry_settings(SETTINGS)
         self.assertEqual(found.callers, Address("10.1.0.10", 8161))
         self.assertEqual(found.cores, 0.86)
-        self.assertEqual(found.seeds, ("10.1.0.10",))
-        self.assertEqual(found.bounds.drain_s, 2.5)
+        self.assertEqual(found.bounds.grace_s, 7.5)
         self.assertEqual(found.bounds.retries.ratio, 0.3)
         self.assertEqual(found.bounds.retries.slack, 56.0)
 
