--- a/ci/check.py
+++ b/ci/check.py
@@ -53,7 +53,8 @@
         code = subprocess.run(cmd, cwd=ROOT, timeout=TIMEOUT_S).returncode
         cases = list(ElementTree.parse(report).iter("testcase"))
     failed = [
-        f"{case.get('classname')}.{case.get('name')}"
+        # The name of a table's row goes on with its values on further lines.
+        f"{case.get('classname')}.{case.get('name').splitlines()[0]}"
         for case in cases
         if case.find("failure") is not None or case.find("error") is not None
     ]
