--- a/dogwoodtack/platform/wire.py
+++ b/dogwoodtack/platform/wire.py
@@ -86,7 +86,8 @@
             writer left it or a field is missing.
     """
     try:
-        # Which of spec, status and top level hold the two halves differs.
+        # An instance writes itself whole or as an object's spec with its status
+        # beside it; both forms are read.
         holder = item if "info" in item else (item.get("spec") or {})
         info = holder["info"]
         status = holder["status"] if "status" in holder else item["status"]
