Write logs without waiting for their reader

Cause: log lines went to a plain stream; a reader that stops reading blocks the whole host after 64 kB of pipe.

Ruled out: making the descriptor non-blocking, as it is shared with whoever started the process.

--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -15,7 +15,7 @@
 from ..errors import SettingsError, StoreError
 from ..feed import Feed, FeedEvents, RelayClient, Source, answer_relay
 from ..fleet import Beat, Fleet, HostRecord, Roster
-from ..logs import log_event
+from ..logs import LineSink, log_event
 from ..misc import Address
 from ..placement import Change, InstanceBook, Placer
 from ..reactor import Reactor
@@ -45,6 +45,7 @@
 # Without the list of hosts, ask for instances and configuration all the same.
 BLIND_START_S = 0.3
 SETTINGS_POLL_S = 1.0
+LOG_FLUSH_S = 1.0
 MAX_CALLER_CONNECTIONS = 2500
 # A link this fast carries what a whole core can handle.
 FULL_LINK_MBPS = 40.0
@@ -75,10 +76,13 @@
 
     channel = "entry-host"
 
-    def __init__(self, settings: EntrySettings, platform: PlatformParts) -> None:
+    def __init__(
+        self, settings: EntrySettings, platform: PlatformParts, sink: LineSink
+    ) -> None:
         super().__init__()
         self.settings = settings
         self._platform = platform
+        self._sink = sink
         self._is_stopping = False
         self._has_hup = False
         self._has_begun = False
@@ -160,6 +164,7 @@
         self.reactor.call_later(BLIND_START_S, self._begin_feed)
         self.fleet.begin()
         self._watch_settings()
+        self._flush_logs()
 
     def _begin_feed(self) -> None:
         if not self._has_begun:
@@ -286,8 +291,14 @@
             "instances_revision": revision,
             "store_age_s": age_s,
             "store_calls": self._store_client.calls_made,
+            "log_lines_dropped": self._sink.dropped,
         }
 
+    def _flush_logs(self) -> None:
+        """Write lines that a slow reader had no room for before."""
+        self._sink.flush()
+        self.reactor.call_later(LOG_FLUSH_S, self._flush_logs)
+
     # Settings, and the end.
 
     def _on_hup(self, signo: int, frame: Any) -> None:
--- a/dogwoodtack/platform/daemon.py
+++ b/dogwoodtack/platform/daemon.py
@@ -44,7 +44,7 @@
         for name, value in settings._asdict().items():
             print(f"{name} = {value}")
         return 0
-    set_up_logs(FLAGS.log_level, stream=sys.stdout, node=settings.name)
+    sink = set_up_logs(FLAGS.log_level, stream=sys.stdout, node=settings.name)
     parts = PlatformParts(
         names=HEADERS,
         make_source=make_source,
@@ -53,12 +53,13 @@
         load_settings=load_entry_settings,
         settings_path=os.environ.get(SETTINGS_VARIABLE),
     )
-    host = EntryHost(settings, parts)
+    host = EntryHost(settings, parts, sink)
     host.begin()
     gc.collect()
     gc.freeze()
     host.run()
     log_event("ended")
+    sink.flush()
     return 0
 
 
--- a/dogwoodtack/tests/test_logs.py
+++ b/dogwoodtack/tests/test_logs.py
@@ -1,11 +1,13 @@
 """Log values are quoted so that a line can be taken apart again."""
 
+import os
 import shlex
+import time
 import unittest
 
 from nose2.tools import params
 
-from dogwoodtack.logs import format_event
+from dogwoodtack.logs import LineSink, format_event
 
 
 class LogsTest(unittest.TestCase):
@@ -24,3 +26,51 @@
         line = format_event("e", key=value)
         self.assertEqual(line, expected)
         self.assertEqual(len(shlex.split(line)), 2)
+
+
+class LineSinkTest(unittest.TestCase):
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.sink = LineSink(self.writer, max_lines=50)
+
+    def read_all(self):
+        os.set_blocking(self.reader, False)
+        text = b""
+        while True:
+            try:
+                chunk = os.read(self.reader, 65536)
+            except BlockingIOError:
+                return text.decode()
+            if not chunk:
+                return text.decode()
+            text += chunk
+            self.sink.flush()
+
+    @params(80, 5000, 20000)
+    def test_a_reader_that_stops_costs_lines_and_no_time(self, size):
+        """A pipe nobody reads fills up; a plain write would wait for good."""
+        count = 2_000_000 // size
+        started = time.monotonic()
+        for number in range(count):
+            self.sink(f"{number} ".ljust(size - 1, "x") + "\n")
+        self.assertLess(time.monotonic() - started, 2.0)
+        self.assertGreater(self.sink.dropped, 0)
+        before = self.read_all().splitlines()
+        self.sink("after\n")
+        after = self.read_all().splitlines()
+        self.assertEqual(len(before) + self.sink.dropped, count)
+        self.assertEqual([len(line) for line in before], [size - 1] * len(before))
+        said = f"event=log-lines-dropped count={self.sink.dropped}"
+        self.assertEqual(after, [said, "after"])
+        os.close(self.writer)
+
+    def test_a_reader_that_is_gone_stops_nothing(self):
+        os.close(self.writer)
+        reader, writer = os.pipe()
+        sink = LineSink(writer)
+        os.close(reader)
+        sink("one\n")
+        sink("two\n")
+        self.assertEqual(sink.dropped, 2)
+        os.close(writer)
