Leave the last slots of other zones' instances to their own hosts

Word of other zones' load is a quarter of a second old, about one work time: all zones saw the same free slots and all took them.

Change: a quarter of an instance's slots, at least one, is left to its own zone's hosts. A slot that ends one request and begins the next is told in one sighting, so that it does not look free to peers in between.

--- a/dogwoodtack/fleet/fleet.py
+++ b/dogwoodtack/fleet/fleet.py
@@ -8,6 +8,7 @@
 from ..reactor import Reactor
 from .datagrams import Datagrams
 from .digests import ZoneContacts
+from .news import NewsBatch
 from .records import Beat, Digest, HostRecord, Message, News, Sighting
 from .roster import Roster
 
@@ -18,7 +19,6 @@
 SPEAKER_CHECK_S = 1.0
 # News of good outcomes wait this long for others; bad ones go at once.
 NEWS_DELAY_S = 0.01
-URGENT = frozenset({Sign.ERROR, Sign.BROKEN, Sign.SILENT, Sign.UNREACHABLE})
 
 # Returns configuration version, instances' revision, and the store's age in seconds.
 Knowledge = Callable[[], tuple[int, int, float]]
@@ -40,8 +40,7 @@
         self._placer = placer
         self._knowledge = knowledge
         self._on_beat = on_beat
-        self._sightings: dict[str, Sighting] = {}
-        self._is_flushing = False
+        self._news = NewsBatch()
         self._contacts = ZoneContacts(roster.me.zone)
         me = roster.me
         self._datagrams = Datagrams(reactor, me.peers, self._on_message)
@@ -133,22 +132,17 @@
     def tell(self, instance_id: str, sign: Sign | None) -> None:
         """Spread that a request of this host began or ended at an instance."""
         count = self._placer.occupancy.own.get(instance_id, 0)
-        known = self._sightings.get(instance_id)
-        if known is not None and known.sign is not None:
+        if self._news.add(Sighting(instance_id, count, sign)):
             self._flush()
-        self._sightings[instance_id] = Sighting(instance_id, count, sign)
-        if sign in URGENT:
-            self._flush()
-        elif not self._is_flushing:
-            self._is_flushing = True
+        elif not self._news.is_due:
+            self._news.is_due = True
             self._reactor.call_later(NEWS_DELAY_S, self._flush)
 
     def _flush(self) -> None:
-        self._is_flushing = False
-        if not self._sightings:
+        sightings = self._news.take()
+        if not sightings:
             return
-        news = News(self._roster.me.name, list(self._sightings.values()))
-        self._sightings = {}
+        news = News(self._roster.me.name, sightings)
         me = self._roster.me.name
         peers = [host.peers for host in self.serving() if host.name != me]
         self._datagrams.send(news, peers)
--- a/dogwoodtack/placement/choice.py
+++ b/dogwoodtack/placement/choice.py
@@ -1,6 +1,7 @@
 """Which instance gets a request: careful for work that runs once, curious else."""
 
 import enum
+import math
 import random
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -33,6 +34,10 @@
 # sick instances fail at once and have the only free slots when load is high.
 RECHECK_S = 0.8
 TIE_BREAK = 0.01
+# Word of other zones' load is a quarter of a second old, about one work time.  When
+# every zone is full, each would see the same slots as free and all would take them;
+# so this part of an instance's slots, at least one, is left to its own zone.
+KEPT_SLOTS_SHARE = 0.25
 
 
 class Manner(enum.StrEnum):
@@ -79,8 +84,10 @@
 
     @property
     def has_room(self) -> bool:
-        """Return whether a slot is free."""
-        return self.in_flight < self.instance.slots
+        """Return whether a slot is free for this host."""
+        slots = self.instance.slots
+        kept = 0 if self.is_local else math.ceil(KEPT_SLOTS_SHARE * slots)
+        return self.in_flight < slots - kept
 
 
 def choose(
--- a/dogwoodtack/placement/tests/test_parts.py
+++ b/dogwoodtack/placement/tests/test_parts.py
@@ -192,6 +192,12 @@
             [("i-1", {"sick": 0.9, "unheard_s": 5.0}), ("i-2", {"in_flight": 2})],
             "i-1",
         ),
+        (
+            "not the last slots of another zone's",
+            CAREFUL,
+            [("i-1", {"in_flight": 2}), ("i-2", {"in_flight": 1, "local": False})],
+            None,
+        ),
         (
             "no sick one that was just heard of",
             SCOUT,
