See a slow caller's progress by what has arrived, not by what the socket took

The socket takes a megabyte at once and has room again only after a third of it is gone, so a caller that reads on slowly through two stall times was cut as stalled. Beside 12 busy processes it failed in 2 of 4 runs, also with the test waiting for progress on the reader's side, which ruled out the test's own 10 ms windows.

Change: progress is what the other side's system has confirmed (written bytes less the socket's send queue).

--- a/dogwoodtack/door/conn.py
+++ b/dogwoodtack/door/conn.py
@@ -103,10 +103,9 @@
         """Return whether the answer's sender should wait."""
         return self._stream.is_full
 
-    @property
-    def written_bytes(self) -> int:
-        """Return how many bytes the socket has taken."""
-        return self._stream.written_bytes
+    def delivered_bytes(self) -> int:
+        """Return how many bytes have arrived at the caller's system."""
+        return self._stream.delivered_bytes()
 
     def has_left(self) -> bool:
         """Return whether the caller has closed, though it is not read yet."""
--- a/dogwoodtack/door/exchange.py
+++ b/dogwoodtack/door/exchange.py
@@ -428,7 +428,7 @@
 
     def _watch_caller_progress(self) -> None:
         """Keep a slow caller's attempt alive as long as the caller takes bytes."""
-        mark = self._conn.written_bytes
+        mark = self._conn.delivered_bytes()
         timeout_s = self._parts.stall_timeout_s
         self._attempt.rearm(timeout_s * 2)
         if self._is_watching:
@@ -440,7 +440,7 @@
         self._is_watching = False
         if self.is_done or self._attempt is None or not self._conn.is_full:
             return
-        if self._conn.written_bytes > mark:
+        if self._conn.delivered_bytes() > mark:
             self._watch_caller_progress()
             return
         self._stop_work(Unknown())
--- a/dogwoodtack/stream.py
+++ b/dogwoodtack/stream.py
@@ -1,6 +1,9 @@
 """A byte stream over one socket, with write buffering and backpressure."""
 
+import fcntl
 import socket
+import struct
+import termios
 from typing import Protocol
 
 from .reactor import Reactor
@@ -53,6 +56,20 @@
         """Return how many bytes wait to be written."""
         return len(self._buffer)
 
+    def delivered_bytes(self) -> int:
+        """Return how many bytes the other side's system has confirmed.
+
+        A slow reader is seen to read on by these before this side's socket, which
+        takes megabytes at a time, has room for more.
+        """
+        if self.closed:
+            return self.written_bytes
+        try:
+            answer = fcntl.ioctl(self._sock, termios.TIOCOUTQ, bytes(4))
+        except OSError:
+            return self.written_bytes
+        return self.written_bytes - struct.unpack("i", answer)[0]
+
     @property
     def is_full(self) -> bool:
         """Return whether writers should wait for `on_drained`."""
