Send a look-up that would be refused to an instance that is likely sick

Change: a look-up in its first attempt that the waiting room turns away goes to the least doubtful instance with a free slot; it may be sent again as usual. Work that may run once is refused as before.

Test: test_placer.FullTest, the row of the look-up failed before.

--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -196,7 +196,14 @@
         refusal = room.admit(ticket, pace, now, self._rng.random())
         if refusal is None:
             return ticket
-        ask.on_place(refusal)
+        found = None
+        if ask.want.manner is Manner.SCOUT:
+            # A look-up that fails there costs a repeat and no slot; some succeed.
+            found = choose(candidates, ask.want, self._rng, is_last_resort=True)
+        if found is None:
+            ask.on_place(refusal)
+        else:
+            self._grant(ask, found.instance)
         return None
 
     def _grant(self, ask: Ask, instance: Instance) -> None:
--- /dev/null
+++ b/dogwoodtack/placement/tests/test_placer.py
@@ -0,0 +1,79 @@
+"""Tests of who is placed, who waits and who is refused when nothing is free."""
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from dogwoodtack.misc import Address
+from dogwoodtack.placement import (
+    Ask,
+    Change,
+    Instance,
+    InstanceBook,
+    Manner,
+    Placer,
+    Refusal,
+    RetryRules,
+    Sign,
+    Want,
+)
+
+NOW = 100.0
+
+
+def make_placer(*names):
+    """Return a placer that knows instances of two slots each in its own zone."""
+    book = InstanceBook()
+    address = Address("h", 1)
+    listed = [Instance(name, "s", address, "a", 2, False, 0.0, 0) for name in names]
+    book.apply([Change(one.id, 1, one) for one in listed], 1)
+    return Placer(book, "a", random.Random(1), RetryRules())
+
+
+def place(placer, manner, now=NOW, start_in_s=0.4, give_up_in_s=0.5):
+    """Place a request and return the instance's name, the Refusal, or None."""
+    found = []
+    ask = Ask(
+        service="s",
+        want=Want(manner),
+        priority=1,
+        start_by=now + start_in_s,
+        give_up_at=now + give_up_in_s,
+        arrived_at=now,
+        on_place=found.append,
+    )
+    placer.place(ask, now)
+    if not found or isinstance(found[0], Refusal):
+        return found[0] if found else None
+    return found[0].id
+
+
+class FullTest(unittest.TestCase):
+    """Every sound slot is taken and work waits; a sick instance has free slots."""
+
+    def setUp(self):
+        self.placer = make_placer("i-sound", "i-sick")
+        for _ in range(4):
+            self.placer.observe("i-sick", Sign.ERROR, NOW)
+            self.placer.observe("i-sound", Sign.GOOD, NOW)
+        for _ in range(2):
+            self.assertEqual(place(self.placer, Manner.CAREFUL), "i-sound")
+        self.waits = 0
+        while place(self.placer, Manner.CAREFUL) is None:
+            self.waits += 1
+
+    @params((Manner.CAREFUL, Refusal), (Manner.SCOUT, str))
+    def test_only_look_ups_are_sent_to_the_sick_one(self, manner, expected):
+        self.assertGreater(self.waits, 0)
+        self.assertIsInstance(place(self.placer, manner), expected)
+
+    def test_what_waits_goes_to_the_slot_that_is_freed(self):
+        self.placer.finish("i-sound")
+        self.placer.pump(NOW + 0.01)
+        self.assertEqual(self.placer.waiting(), {"s": self.waits - 1})
+        self.assertEqual(self.placer.occupancy.on("i-sound"), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
