--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -89,11 +89,13 @@
         parts: Parts,
         conn: ServerConn,
         head: RequestHead,
+        max_body_bytes: int,
         on_done: Callable[["Exchange"], None],
     ) -> None:
         self._parts = parts
         self._conn = conn
         self._head = head
+        self._max_body_bytes = max_body_bytes
         self._on_done = on_done
         self._now = parts.reactor.clock.monotonic
         self._arrived_at = self._now()
@@ -121,9 +123,14 @@
 
     def on_body(self, data: bytes) -> None:
         """Keep a piece of the body, so that it can be sent again."""
+        if self.is_done:
+            return
+        if len(self._body) + len(data) > self._max_body_bytes:
+            self.on_fault(ErrorKind.BODY_TOO_LARGE, f"over {self._max_body_bytes} B")
+            return
         self._body += data
 
-    def start(self) -> None:
+    def on_body_end(self) -> None:
         """Begin, now that the request is whole."""
         if self.is_done:
             return
@@ -396,11 +403,15 @@
             status = send_own(self._conn, kind, id_header, retry_after_s)
         self._close(str(kind), status)
 
-    def on_fault(self, kind: ErrorKind) -> None:
+    def on_fault(self, kind: ErrorKind, detail: str) -> None:
         """Refuse a request that turned out malformed."""
         if not self.is_done:
+            self._detail = detail
             self._answer_own(kind)
 
+    def on_conn_drained(self) -> None:
+        """Do nothing: answers are handed over whole."""
+
     def on_caller_gone(self) -> None:
         """Stop what may be stopped; work that may run once goes on."""
         if self.is_done:
