Tell followers of instances that ended before their reader started

Change: a book notes the revision of its last whole list; a follower that knows less than that gets the whole state, marked so, and ends what it does not name. Words of the asked revision itself are sent again.

--- a/dogwoodtack/feed/feed.py
+++ b/dogwoodtack/feed/feed.py
@@ -80,6 +80,8 @@
         self._away_until = -1e9
         self._needs_list = True
         self._has_list = False
+        # Whether endings were not believed, as the store had just come back.
+        self._has_held = False
 
     @property
     def version(self) -> int:
@@ -111,9 +113,12 @@
     # Instances.
 
     def _step_instances(self) -> None:
-        if self._follows_peer():
+        if self._is_list_due():
+            self._needs_list = True
+        elif self._follows_peer():
             self._reactor.call_later(FOLLOW_CHECK_S, self._step_instances)
-        elif self._needs_list:
+            return
+        if self._needs_list:
             self._source.read_instances(self._on_instances)
         else:
             revision = self.book.revision
@@ -131,33 +136,35 @@
         self._take_instances(words)
         self._reactor.call_later(PAUSE_S, self._step_instances)
 
+    def _is_list_due(self) -> bool:
+        """Return whether endings that were held back have to be looked at now.
+
+        Peers tell only what is newer than what this host has seen, and what it held
+        back is not; so it asks the store itself, until it gets an answer.
+        """
+        now = self._reactor.clock.monotonic()
+        return self._has_held and now >= self._away_until
+
     def _take_instances(self, words: InstanceWords) -> None:
         changes = words.changes
         if words.is_whole:
-            present = {change.id for change in changes}
-            changes = changes + self.book.missing(present, words.revision)
+            changes = self._with_endings(changes, words.revision)
             self._needs_list = False
             self._has_list = True
-        now = self._reactor.clock.monotonic()
-        if now < self._away_until:
+            self._has_held = False
+        if self._reactor.clock.monotonic() < self._away_until:
             held = [change for change in changes if change.instance is None]
             if held:
                 log_event("instances-held", count=len(held), revision=words.revision)
                 changes = [change for change in changes if change.instance is not None]
-                delay_s = self._away_until - now
-                self._reactor.call_later(delay_s, self._ask_for_list)
+                self._has_held = True
         self._apply(changes, words.revision)
 
-    def _ask_for_list(self) -> None:
-        self._needs_list = True
-        if self._follows_peer():
-            self._source.read_instances(self._on_late_list)
-
-    def _on_late_list(
-        self, words: InstanceWords | None, exc: StoreError | None
-    ) -> None:
-        if words is not None:
-            self._take_instances(words)
+    def _with_endings(self, changes: list[Change], revision: int) -> list[Change]:
+        """Return a whole list's words with the ends of those it does not name."""
+        present = {change.id for change in changes}
+        self.book.note_whole(revision)
+        return changes + self.book.missing(present, revision)
 
     def _apply(self, changes: list[Change], revision: int) -> None:
         news = self.book.apply(changes, revision)
@@ -240,7 +247,10 @@
             return
         if state.is_complete:
             self._has_list = True
-        self._apply(state.changes, state.revision)
+        changes = state.changes
+        if state.is_whole:
+            changes = self._with_endings(changes, state.revision)
+        self._apply(changes, state.revision)
         self._take_configuration(state.configuration)
 
     # Contact with the store.
--- a/dogwoodtack/feed/relay.py
+++ b/dogwoodtack/feed/relay.py
@@ -32,12 +32,14 @@
     Attributes:
         changes: newer words about instances.
         revision: the revision they reach.
+        is_whole: whether an instance that is not named is gone.
         is_complete: whether the peer has seen a whole list of instances.
         configuration: a newer one, or None.
     """
 
     changes: list[Change]
     revision: int
+    is_whole: bool
     is_complete: bool
     configuration: Configuration | None
 
@@ -84,9 +86,13 @@
     revision = int(query.get("revision", ["0"])[0])
     version = int(query.get("version", ["0"])[0])
     newer = configuration is not None and configuration.version > version
+    # This host may not know what ended before its own first list.
+    is_whole = revision < book.whole_from
+    words = book.since(0 if is_whole else revision)
     fields = {
-        "instances": [_write_change(change) for change in book.since(revision)],
+        "instances": [_write_change(change) for change in words],
         "revision": book.revision,
+        "whole": is_whole,
         "complete": complete,
         "configuration": _write_configuration(configuration) if newer else None,
     }
@@ -134,6 +140,7 @@
     return RelayedState(
         [_read_change(change) for change in fields["instances"]],
         int(fields["revision"]),
+        bool(fields["whole"]),
         bool(fields["complete"]),
         None if configuration is None else _read_configuration(configuration),
     )
--- a/dogwoodtack/placement/instances.py
+++ b/dogwoodtack/placement/instances.py
@@ -50,6 +50,9 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        # Endings before this revision are not all known: a whole list names only
+        # what is there.
+        self.whole_from = 0
         self._words: dict[str, Change] = {}
         self._by_service: dict[str, list[Instance]] = {}
         self._zone_slots: Counter[str] = Counter()
@@ -85,8 +88,16 @@
                 self._zone_slots[change.instance.zone] += change.instance.slots
 
     def since(self, revision: int) -> list[Change]:
-        """Return every change that is newer than a revision."""
-        return [word for word in self._words.values() if word.revision > revision]
+        """Return every change from a revision on.
+
+        Those of the revision itself are among them: endings that were held back are
+        looked at again later, at times while the store still stands there.
+        """
+        return [word for word in self._words.values() if word.revision >= revision]
+
+    def note_whole(self, revision: int) -> None:
+        """Note that a whole list as of a revision has been taken in."""
+        self.whole_from = max(self.whole_from, revision)
 
     def missing(self, present: set[str], revision: int) -> list[Change]:
         """Return the ends of known instances that a whole list does not show."""
