Leave no slots to a zone without hosts, and never an instance's only slot

Cause, found while reading the diff: with one slot an instance the part that is left to its own zone was the whole of it, so a zone without instances of its own never placed anything (on such a request waits until it expires); and where a zone's hosts are gone, half of its instances' slots stayed unused.

Change: one slot is never left, and slots are left only while the zone's digests are heard.

Tests: OtherZoneTest (the single slot waits on the code before) and the table of kept slots.

--- a/dogwoodtack/placement/choice.py
+++ b/dogwoodtack/placement/choice.py
@@ -8,7 +8,7 @@
 
 from .instances import Instance
 
-__all__ = ["Candidate", "Manner", "Want", "choose"]
+__all__ = ["Candidate", "Manner", "Want", "choose", "kept_slots"]
 
 # Costs are in units of one failed request.
 # A request in another zone pays the way there and takes slots that its hosts count on.
@@ -36,7 +36,7 @@
 TIE_BREAK = 0.01
 # Word of other zones' load is a quarter of a second old, about one work time.  When
 # every zone is full, each would see the same slots as free and all would take them;
-# so this part of an instance's slots, at least one, is left to its own zone.
+# so this part of an instance's slots is left to its own zone.
 KEPT_SLOTS_SHARE = 0.25
 
 
@@ -75,6 +75,7 @@
         unheard_s: seconds since its last outcome.
         is_local: whether it is in this host's zone.
         was_good: whether its last outcome was a good one.
+        kept_slots: slots that are left to its own zone's hosts.
     """
 
     instance: Instance
@@ -83,6 +84,7 @@
     unheard_s: float
     is_local: bool
     was_good: bool = False
+    kept_slots: int = 0
 
     @property
     def may_be_back(self) -> bool:
@@ -97,9 +99,15 @@
     @property
     def has_room(self) -> bool:
         """Return whether a slot is free for this host."""
-        slots = self.instance.slots
-        kept = 0 if self.is_local else math.ceil(KEPT_SLOTS_SHARE * slots)
-        return self.in_flight < slots - kept
+        return self.in_flight < self.instance.slots - self.kept_slots
+
+
+def kept_slots(slots: int) -> int:
+    """Return how many of an instance's slots are left to its own zone's hosts.
+
+    It is one at least, but never all: other zones may have no other instance.
+    """
+    return min(slots - 1, math.ceil(KEPT_SLOTS_SHARE * slots))
 
 
 def choose(
--- a/dogwoodtack/placement/occupancy.py
+++ b/dogwoodtack/placement/occupancy.py
@@ -56,6 +56,10 @@
             self._peers.pop(host, None)
             self._zones.pop(host, None)
 
+    def hears(self, zone: str) -> bool:
+        """Return whether another zone's hosts were heard of lately."""
+        return zone in self._zones
+
     def on(self, instance_id: str) -> int:
         """Return how many requests an instance has."""
         others = sum(counts.get(instance_id, 0) for counts in self._peers.values())
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from .choice import Candidate, Manner, Want, choose
+from .choice import Candidate, Manner, Want, choose, kept_slots
 from .evidence import Evidence, Sign
 from .instances import Instance, InstanceBook
 from .occupancy import Occupancy
@@ -108,8 +108,11 @@
         """
         found = []
         for instance in self.book.of_service(service):
-            if instance.is_draining or (only_local and instance.zone != self._zone):
+            is_local = instance.zone == self._zone
+            if instance.is_draining or (only_local and not is_local):
                 continue
+            # Slots are left only to hosts that are there to use them.
+            has_hosts = not is_local and self.occupancy.hears(instance.zone)
             belief = self.evidence(instance.id, now)
             found.append(
                 Candidate(
@@ -117,8 +120,9 @@
                     self.occupancy.on(instance.id),
                     self.sick(instance.id, now),
                     now - belief.heard_at,
-                    instance.zone == self._zone,
+                    is_local,
                     belief.was_good,
+                    kept_slots(instance.slots) if has_hosts else 0,
                 )
             )
         return found
--- a/dogwoodtack/placement/tests/test_parts.py
+++ b/dogwoodtack/placement/tests/test_parts.py
@@ -22,6 +22,7 @@
     Want,
     choose,
 )
+from dogwoodtack.placement.choice import kept_slots
 from dogwoodtack.placement.waiting import LATE_LIMIT_S
 
 
@@ -190,11 +191,10 @@
         self.assertEqual(len(room), 0)
 
 
-def make_candidate(
-    name, in_flight=0, sick=0.02, unheard_s=0.1, local=True, was_good=False
-):
+def make_candidate(name, local=True, **facts):
     instance = make_instance(name, zone="a" if local else "b")
-    return Candidate(instance, in_flight, sick, unheard_s, local, was_good)
+    facts = {"in_flight": 0, "sick": 0.02, "unheard_s": 0.1, **facts}
+    return Candidate(instance=instance, is_local=local, **facts)
 
 
 CAREFUL = Want(Manner.CAREFUL)
@@ -228,9 +228,12 @@
             "i-1",
         ),
         (
-            "not the last slots of another zone's",
+            "not the slots that are left to another zone",
             CAREFUL,
-            [("i-1", {"in_flight": 2}), ("i-2", {"in_flight": 1, "local": False})],
+            [
+                ("i-1", {"in_flight": 2}),
+                ("i-2", {"in_flight": 1, "local": False, "kept_slots": 1}),
+            ],
             None,
         ),
         (
@@ -252,6 +255,10 @@
             found = choose(fit, want, random.Random(seed))
             self.assertEqual(found and found.instance.id, expected, why)
 
+    @params((1, 0), (2, 1), (3, 1), (6, 2), (16, 4))
+    def test_slots_left_to_the_own_zone(self, slots, kept):
+        self.assertEqual(kept_slots(slots), kept)
+
     def test_last_resort_takes_a_sick_one(self):
         fit = [make_candidate("i-1", sick=0.9)]
         found = choose(fit, CAREFUL, random.Random(1), is_last_resort=True)
--- a/dogwoodtack/placement/tests/test_placer.py
+++ b/dogwoodtack/placement/tests/test_placer.py
@@ -49,6 +49,37 @@
     return found[0].id
 
 
+class OtherZoneTest(unittest.TestCase):
+    """A host of zone b has only instances of zone a, with a slot taken at each."""
+
+    @params(
+        # slots of each instance, whether zone a's hosts are heard, requests placed
+        (2, True, 0),
+        (2, False, 1),
+        (6, True, 3),
+        (6, False, 5),
+    )
+    def test_slots_are_left_to_hosts_that_are_there(self, slots, heard, count):
+        book = InstanceBook()
+        one = Instance("i-1", "s", Address("h", 1), "a", slots, False, 0.0, 0)
+        book.apply([Change(one.id, 1, one)], 1)
+        placer = Placer(book, "b", random.Random(1), RetryRules())
+        if heard:
+            placer.on_zone("a", {"i-1": 1}, {}, NOW)
+        else:
+            placer.occupancy.on_peer("h-2", "i-1", 1, NOW)
+        names = [place(placer, Manner.CAREFUL) for _ in range(slots)]
+        self.assertEqual(names.count("i-1"), count)
+
+    def test_a_zone_without_instances_reaches_the_only_slot(self):
+        book = InstanceBook()
+        one = Instance("i-1", "s", Address("h", 1), "a", 1, False, 0.0, 0)
+        book.apply([Change(one.id, 1, one)], 1)
+        placer = Placer(book, "b", random.Random(1), RetryRules())
+        placer.on_zone("a", {}, {}, NOW)
+        self.assertEqual(place(placer, Manner.CAREFUL), "i-1")
+
+
 class FullTest(unittest.TestCase):
     """Every sound slot is taken and work waits; a sick instance has free slots."""
 
