Count a zone's part of all sound slots where its own are few

A zone with one instance, sick for the moment, refused all but one request while others had room.

Change: the zone counts on its own sound slots, or on its part of all if that is more.

--- a/dogwoodtack/fleet/tests/test_zones.py
+++ b/dogwoodtack/fleet/tests/test_zones.py
@@ -15,6 +15,16 @@
 # Twice as much as before for some seconds.
 PEAK = Load(per_s=(18.0, 17.0, 20.0), sickly=0.6, peak=2.2)
 
+# A small service: a zone's only instance is sick at times, and others have room.
+SMALL = Load(
+    instances=(2, 3, 1),
+    per_s=(8.0, 8.0, 9.0),
+    work_s=0.2,
+    objective_s=0.6,
+    give_up_s=4.0,
+    sickly=0.6,
+)
+
 
 class ZonesTest(unittest.TestCase):
     @params(1, 2, 3)
@@ -30,7 +40,15 @@
         self.assertLess(count["over_slots"], 0.2 * count["starts"])
         self.assertLess(count["other_zone"], 0.25 * count["starts"])
 
-    @params((FULL, 0.97, 1), (FULL, 0.97, 2), (PEAK, 0.95, 1), (PEAK, 0.95, 2))
+    @params(
+        (FULL, 0.97, 1),
+        (FULL, 0.97, 2),
+        (PEAK, 0.95, 1),
+        (PEAK, 0.95, 2),
+        (SMALL, 0.97, 3),
+        (SMALL, 0.97, 6),
+        (SMALL, 0.97, 8),
+    )
     def test_what_is_late_is_served_from_what_is_left(self, load, share, seed):
         """Instances turn sick and sound again, so that room comes and goes.
 
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -192,10 +192,7 @@
         ticket = Ticket(
             next(self._order), ask.priority, ask.start_by, ask.give_up_at, ask
         )
-        local = [one for one in candidates if one.is_local]
-        slots = sum(
-            one.instance.slots * (1.0 - one.sick) for one in local or candidates
-        )
+        slots = self._sound_slots(candidates)
         pace = Room(slots, self.rivals, self.work_s(ask.service))
         refusal = room.admit(ticket, pace, now, self._rng.random())
         if refusal is None:
@@ -210,6 +207,15 @@
             self._grant(ask, found.instance)
         return None
 
+    def _sound_slots(self, candidates: list[Candidate]) -> float:
+        """Return the slots that this zone's hosts can count on.
+
+        These are the zone's own, or its part of all where its own are few or sick.
+        """
+        sound = [one.instance.slots * (1.0 - one.sick) for one in candidates]
+        own = sum(slots for slots, one in zip(sound, candidates) if one.is_local)
+        return max(own, sum(sound) / max(1, len(self.book.zones())))
+
     def _grant(self, ask: Ask, instance: Instance) -> None:
         self.occupancy.begin(instance.id)
         ask.on_place(instance)
