--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -320,6 +320,8 @@
         placer.finish(attempt.instance.id)
         now = self._now()
         sign = None
+        if ending is Ending.MISDIRECTED:
+            placer.note_displaced(attempt.instance)
         if ending is not None:
             sign = sign_of(ending)
             if not (attempt.is_silence_noted and ending is Ending.TIMED_OUT):
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -74,6 +74,7 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._work_s: dict[str, float] = {}
         self._told: dict[str, tuple[float, float]] = {}
+        self._displaced: dict[str, Instance] = {}
         self._order = itertools.count()
 
     def budget(self, service: str) -> RetryBudget:
@@ -111,6 +112,8 @@
             is_local = instance.zone == self._zone
             if instance.is_draining or (only_local and not is_local):
                 continue
+            if self._displaced.get(instance.id) == instance:
+                continue
             # Slots are left only to hosts that are there to use them.
             has_hosts = not is_local and self.occupancy.hears(instance.zone)
             belief = self.evidence(instance.id, now)
@@ -284,6 +287,14 @@
         self.evidence(instance_id, now).observe(sign, now)
         return self.sick(instance_id, now)
 
+    def note_displaced(self, instance: Instance) -> None:
+        """Note that another instance answers at an instance's address.
+
+        It is gone, though the store may take some heartbeats to say so; another word
+        about it, such as a new address, brings it back.
+        """
+        self._displaced[instance.id] = instance
+
     def on_rumour(self, instance_id: str, sign: Sign, now: float) -> None:
         """Take in an outcome of a peer's; it tells nothing of this host's way."""
         sign = Sign.RUMOUR if sign in RUMOURS else sign
@@ -323,6 +334,7 @@
             self._evidence.pop(instance_id, None)
             self._paths.pop(instance_id, None)
             self._told.pop(instance_id, None)
+            self._displaced.pop(instance_id, None)
 
     def snapshot(self, now: float) -> dict[str, Any]:
         """Return each instance's standing, for operators."""
--- a/dogwoodtack/placement/tests/test_placer.py
+++ b/dogwoodtack/placement/tests/test_placer.py
@@ -49,6 +49,24 @@
     return found[0].id
 
 
+class DisplacedTest(unittest.TestCase):
+    """Another instance answers at the address of one that the store still lists."""
+
+    def setUp(self):
+        self.placer = make_placer("i-1", "i-2")
+        self.placer.note_displaced(self.placer.book.get("i-1"))
+
+    def test_nothing_is_sent_there(self):
+        for manner in (Manner.SCOUT, Manner.CAREFUL):
+            self.assertEqual(place(self.placer, manner, NOW + 2.0), "i-2")
+
+    def test_a_new_word_brings_it_back(self):
+        moved = self.placer.book.get("i-1")._replace(address=Address("h", 9))
+        self.placer.book.apply([Change("i-1", 2, moved)], 2)
+        names = [place(self.placer, Manner.SCOUT, NOW + 2.0) for _ in range(3)]
+        self.assertIn("i-1", names)
+
+
 class OtherZoneTest(unittest.TestCase):
     """A host of zone b has only instances of zone a, with a slot taken at each."""
 
--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -197,6 +197,7 @@
         self.delay_s = delay_s
         self.behaviour = "ok"
         self.ran: list[Ran] = []
+        self.misdirected = 0
         self.arrived_at: list[float] = []
         self._server = _Server(("127.0.0.1", 0), _InstanceHandler)
         self._server.owner = self
@@ -228,6 +229,7 @@
         body = self.read_body()
         request_id = self.headers.get(REQUEST_ID, "")
         if self.headers.get(EXPECTED) != instance.name:
+            instance.misdirected += 1
             self.reply(421, b"", **{"X-Dogwoodtack-Instance-Id": instance.name})
             return
         instance.arrived_at.append(time.monotonic())
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -217,6 +217,16 @@
             self.assertEqual(answer.status, 200)
         self.assertEqual(self.backends[0].ran, [])
 
+    def test_an_address_that_another_instance_took_is_tried_once(self):
+        """Look-ups try sick instances again; this one is gone for certain."""
+        self.serve()
+        self.backends[0].name = "i-new"
+        for turn in range(12):
+            answer, _ = self.call("GET", f"/look/{turn}", f"{turn:016x}")
+            self.assertEqual(answer.status, 200)
+            time.sleep(0.3)
+        self.assertEqual(self.backends[0].misdirected, 1)
+
 
 class ChangeTest(EntryHostTest):
     @params("draining", "gone", "history")
