Split what is believed of instances from where requests are placed

placer.py had grown to 370 lines with two jobs. beliefs.py keeps the evidence on each instance, the ways to it, other zones' word and who is displaced; the placer places, lets wait and refuses.

Ran: dogwoodtack.placement, dogwoodtack.fleet, tests.test_entry_host: 169 passed.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -238,7 +238,7 @@
         if attempt in self._live and attempt.bytes_sent:
             attempt.is_silence_noted = True
             sign = sign_of(Ending.TIMED_OUT)
-            self._parts.placer.observe(attempt.instance.id, sign, self._now())
+            self._parts.placer.beliefs.observe(attempt.instance.id, sign, self._now())
             self._parts.fleet.tell(attempt.instance.id, sign)
             if attempt.is_reused:
                 # Old connections may have gone silent while new ones work.
@@ -321,18 +321,18 @@
         now = self._now()
         sign = None
         if ending is Ending.MISDIRECTED:
-            placer.note_displaced(attempt.instance)
+            placer.beliefs.note_displaced(attempt.instance)
         if ending is not None:
             sign = sign_of(ending)
             if not (attempt.is_silence_noted and ending is Ending.TIMED_OUT):
-                placer.observe(attempt.instance.id, sign, now)
+                placer.beliefs.observe(attempt.instance.id, sign, now)
         self._parts.fleet.tell(attempt.instance.id, sign)
         self._parts.reactor.call_soon(placer.pump, now)
 
     def _note(self, attempt: Attempt, result: AttemptResult) -> None:
         now = self._now()
         spent_s = now - attempt.started_at
-        sick = self._parts.placer.sick(attempt.instance.id, now)
+        sick = self._parts.placer.beliefs.sick(attempt.instance.id, now)
         self._tries.append(
             Try(attempt.instance.id, sick, result.ending, spent_s * 1000)
         )
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -234,7 +234,7 @@
 
     def _on_instances(self, news: list[Change]) -> None:
         gone = [change.id for change in news if change.instance is None]
-        self.placer.forget_gone(gone)
+        self.placer.beliefs.forget(gone)
         self.pool.retain({one.address for one in self.book.all()})
         self._check_ready()
         self.fleet.tell_now()
--- a/dogwoodtack/fleet/fleet.py
+++ b/dogwoodtack/fleet/fleet.py
@@ -163,7 +163,7 @@
                 news.host_name, one.instance_id, one.in_flight, now
             )
             if one.sign is not None:
-                self._placer.on_rumour(one.instance_id, one.sign, now)
+                self._placer.beliefs.on_rumour(one.instance_id, one.sign, now)
 
     @_take.register
     def _(self, digest: Digest, now: float) -> None:
--- a/dogwoodtack/fleet/tests/zones.py
+++ b/dogwoodtack/fleet/tests/zones.py
@@ -168,7 +168,7 @@
         now = world.now
         sign = Sign.ERROR if is_failing else Sign.GOOD
         self.placer.finish(name)
-        self.placer.observe(name, sign, now)
+        self.placer.beliefs.observe(name, sign, now)
         self.tell(name, sign)
         if not is_failing:
             self.placer.note_work(SERVICE, now - begun)
@@ -201,7 +201,7 @@
         for one in sightings:
             self.placer.occupancy.on_peer(name, one.instance_id, one.in_flight, now)
             if one.sign is not None:
-                self.placer.on_rumour(one.instance_id, one.sign, now)
+                self.placer.beliefs.on_rumour(one.instance_id, one.sign, now)
         self.placer.pump(now)
 
     def digest(self):
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -3,10 +3,10 @@
 import itertools
 import random
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
+from .beliefs import Beliefs
 from .choice import Candidate, Manner, Want, choose, kept_slots
-from .evidence import Evidence, Sign
 from .instances import Instance, InstanceBook
 from .occupancy import Occupancy
 from .retries import RetryBudget, RetryRules
@@ -16,16 +16,10 @@
 
 WORK_GUESS_S = 0.3
 WORK_WEIGHT = 0.05
-# A host's way to an instance is seldom cut while others reach the instance.
-PATH_PRIOR = 0.02
-PATH_SIGNS = frozenset({Sign.SILENT, Sign.UNREACHABLE, Sign.BROKEN, Sign.GOOD})
-RUMOURS = frozenset({Sign.SILENT, Sign.UNREACHABLE})
 # Work is planned to take this many times its mean, so that most of it ends in time.
 PLANNED_WORKS = 1.3
 # At most this likely sick, an instance of the own zone is taken without more ado.
 SURELY_SOUND = 0.06
-# Another zone's word about its instances is believed this long.
-TOLD_S = 1.0
 # Work that runs once goes to an instance that is likely sick only if it would not be
 # served at all otherwise: within this many work times of its end.
 LAST_RESORT_WORKS = 1.5
@@ -63,18 +57,15 @@
     ) -> None:
         self.book = book
         self.occupancy = Occupancy()
+        self.beliefs = Beliefs()
         self.rivals = 1
         self.sharers = 1
         self._zone = zone
         self._rng = rng
         self._rules = rules
-        self._evidence: dict[str, Evidence] = {}
-        self._paths: dict[str, Evidence] = {}
         self._rooms: dict[str, WaitingRoom] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._work_s: dict[str, float] = {}
-        self._told: dict[str, tuple[float, float]] = {}
-        self._displaced: dict[str, Instance] = {}
         self._order = itertools.count()
 
     def budget(self, service: str) -> RetryBudget:
@@ -83,12 +74,6 @@
             self._budgets[service] = RetryBudget(self._rules)
         return self._budgets[service]
 
-    def evidence(self, instance_id: str, now: float) -> Evidence:
-        """Return what is believed of an instance."""
-        if instance_id not in self._evidence:
-            self._evidence[instance_id] = Evidence(now)
-        return self._evidence[instance_id]
-
     def work_s(self, service: str) -> float:
         """Return the mean time that a request of a service holds a slot."""
         return self._work_s.get(service, WORK_GUESS_S)
@@ -112,16 +97,16 @@
             is_local = instance.zone == self._zone
             if instance.is_draining or (only_local and not is_local):
                 continue
-            if self._displaced.get(instance.id) == instance:
+            if self.beliefs.is_displaced(instance):
                 continue
             # Slots are left only to hosts that are there to use them.
             has_hosts = not is_local and self.occupancy.hears(instance.zone)
-            belief = self.evidence(instance.id, now)
+            belief = self.beliefs.of(instance.id, now)
             found.append(
                 Candidate(
                     instance,
                     self.occupancy.on(instance.id),
-                    self.sick(instance.id, now),
+                    self.beliefs.sick(instance.id, now),
                     now - belief.heard_at,
                     is_local,
                     belief.was_good,
@@ -268,38 +253,6 @@
         """Note that a request of this host has left an instance."""
         self.occupancy.end(instance_id)
 
-    def sick(self, instance_id: str, now: float) -> float:
-        """Return how likely an instance fails this host: itself or the way to it."""
-        belief = self.evidence(instance_id, now)
-        told = self._told.get(instance_id)
-        if told is not None and now - told[1] <= TOLD_S and belief.heard_at < told[1]:
-            sound = 1.0 - told[0]
-        else:
-            sound = 1.0 - belief.sick(now)
-        path = self._paths.get(instance_id)
-        return 1.0 - sound * (1.0 - (path.sick(now) if path else PATH_PRIOR))
-
-    def observe(self, instance_id: str, sign: Sign, now: float) -> float:
-        """Take in an outcome of this host's and return the belief."""
-        if sign in PATH_SIGNS:
-            path = self._paths.setdefault(instance_id, Evidence(now, PATH_PRIOR))
-            path.observe(sign, now)
-        self.evidence(instance_id, now).observe(sign, now)
-        return self.sick(instance_id, now)
-
-    def note_displaced(self, instance: Instance) -> None:
-        """Note that another instance answers at an instance's address.
-
-        It is gone, though the store may take some heartbeats to say so; another word
-        about it, such as a new address, brings it back.
-        """
-        self._displaced[instance.id] = instance
-
-    def on_rumour(self, instance_id: str, sign: Sign, now: float) -> None:
-        """Take in an outcome of a peer's; it tells nothing of this host's way."""
-        sign = Sign.RUMOUR if sign in RUMOURS else sign
-        self.evidence(instance_id, now).observe(sign, now)
-
     def note_work(self, service: str, seconds: float) -> None:
         """Take in how long a request held its slot."""
         known = self._work_s.get(service, WORK_GUESS_S)
@@ -317,34 +270,9 @@
             now: seconds on the monotonic clock.
         """
         self.occupancy.on_zone(zone, in_flight, now)
-        for instance_id, percent in sick.items():
-            self._told[instance_id] = (percent / 100, now)
+        self.beliefs.on_zone(sick, now)
 
     def standings(self, now: float) -> dict[str, int]:
         """Return in percent how likely each instance of this zone is sick."""
-        return {
-            one.id: round(100 * self.evidence(one.id, now).sick(now))
-            for one in self.book.all()
-            if one.zone == self._zone
-        }
-
-    def forget_gone(self, gone: list[str]) -> None:
-        """Drop what was believed of instances that are gone."""
-        for instance_id in gone:
-            self._evidence.pop(instance_id, None)
-            self._paths.pop(instance_id, None)
-            self._told.pop(instance_id, None)
-            self._displaced.pop(instance_id, None)
-
-    def snapshot(self, now: float) -> dict[str, Any]:
-        """Return each instance's standing, for operators."""
-        return {
-            one.instance.id: {
-                "service": service,
-                "in_flight": one.in_flight,
-                "sick": round(one.sick, 3),
-                "unheard_s": round(min(one.unheard_s, 9999.0), 2),
-            }
-            for service in {instance.service for instance in self.book.all()}
-            for one in self.candidates(service, now)
-        }
+        own = [one.id for one in self.book.all() if one.zone == self._zone]
+        return self.beliefs.standings(own, now)
--- a/dogwoodtack/placement/tests/test_placer.py
+++ b/dogwoodtack/placement/tests/test_placer.py
@@ -54,7 +54,7 @@
 
     def setUp(self):
         self.placer = make_placer("i-1", "i-2")
-        self.placer.note_displaced(self.placer.book.get("i-1"))
+        self.placer.beliefs.note_displaced(self.placer.book.get("i-1"))
 
     def test_nothing_is_sent_there(self):
         for manner in (Manner.SCOUT, Manner.CAREFUL):
@@ -104,8 +104,8 @@
     def setUp(self):
         self.placer = make_placer("i-sound", "i-sick")
         for _ in range(4):
-            self.placer.observe("i-sick", Sign.ERROR, NOW)
-            self.placer.observe("i-sound", Sign.GOOD, NOW)
+            self.placer.beliefs.observe("i-sick", Sign.ERROR, NOW)
+            self.placer.beliefs.observe("i-sound", Sign.GOOD, NOW)
         for _ in range(2):
             self.assertEqual(place(self.placer, Manner.CAREFUL), "i-sound")
         self.waits = 0
--- a/dogwoodtack/placement/tests/test_replays.py
+++ b/dogwoodtack/placement/tests/test_replays.py
@@ -115,7 +115,7 @@
 
     def end(now, name, arrived, tries, is_failing, work_s):
         placer.finish(name)
-        placer.observe(name, Sign.ERROR if is_failing else Sign.GOOD, now)
+        placer.beliefs.observe(name, Sign.ERROR if is_failing else Sign.GOOD, now)
         if not is_failing:
             placer.note_work("s", work_s)
             counts["on_time" if now - arrived <= OBJECTIVE_S else "late"] += 1
