Pass on no whole list while entries that lapsed may still come back

Cause, found while reading the diff: since followers end what a whole list does not name, a reader that restarted during an outage took in the short list of a store that had just come back, and its followers dropped every instance whose entry had lapsed, though those are back within two seconds.

Change: a whole list that is read within that time is read again after it, also by a host that knew none of the missing ones, and only then counts as whole for followers.

Tests: test_lapsed_entries_are_kept_though_the_reader_restarts failed before; 1,500 drawn cases of the property test pass; tests.test_entry_host.ChangeTest passes.

--- a/dogwoodtack/feed/feed.py
+++ b/dogwoodtack/feed/feed.py
@@ -148,23 +148,35 @@
     def _take_instances(self, words: InstanceWords) -> None:
         changes = words.changes
         if words.is_whole:
-            changes = self._with_endings(changes, words.revision)
+            changes = changes + self._endings(changes, words.revision)
             self._needs_list = False
             self._has_list = True
             self._has_held = False
         if self._reactor.clock.monotonic() < self._away_until:
-            held = [change for change in changes if change.instance is None]
-            if held:
-                log_event("instances-held", count=len(held), revision=words.revision)
-                changes = [change for change in changes if change.instance is not None]
-                self._has_held = True
+            changes = self._hold_endings(changes, words)
+        elif words.is_whole:
+            self.book.note_whole(words.revision)
         self._apply(changes, words.revision)
 
-    def _with_endings(self, changes: list[Change], revision: int) -> list[Change]:
-        """Return a whole list's words with the ends of those it does not name."""
+    def _hold_endings(
+        self, changes: list[Change], words: InstanceWords
+    ) -> list[Change]:
+        """Return the changes that are believed although the store was just away.
+
+        A whole list has to be read again later in any case: it lacks entries that
+        lapsed meanwhile, and this host may be new and know none of them.
+        """
+        believed = [change for change in changes if change.instance is not None]
+        held = len(changes) - len(believed)
+        if held:
+            log_event("instances-held", count=held, revision=words.revision)
+        self._has_held = self._has_held or words.is_whole or held > 0
+        return believed
+
+    def _endings(self, changes: list[Change], revision: int) -> list[Change]:
+        """Return the ends of the instances that a whole list does not name."""
         present = {change.id for change in changes}
-        self.book.note_whole(revision)
-        return changes + self.book.missing(present, revision)
+        return self.book.missing(present, revision)
 
     def _apply(self, changes: list[Change], revision: int) -> None:
         news = self.book.apply(changes, revision)
@@ -249,7 +261,8 @@
             self._has_list = True
         changes = state.changes
         if state.is_whole:
-            changes = self._with_endings(changes, state.revision)
+            changes = changes + self._endings(changes, state.revision)
+            self.book.note_whole(state.revision)
         self._apply(changes, state.revision)
         self._take_configuration(state.configuration)
 
--- a/dogwoodtack/feed/tests/test_feed.py
+++ b/dogwoodtack/feed/tests/test_feed.py
@@ -262,14 +262,17 @@
         elif kind == "trouble":
             self.hosts[number % 2].source.trouble = 0.15 * (number % 6)
 
+    def run(self, seconds):
+        self.reactor.run_until(self.reactor.clock.now + seconds)
+
     def play(self, steps):
         pause_s = TROUBLED_S / (len(steps) + 1)
         for step in steps:
-            self.reactor.run_until(self.reactor.clock.now + pause_s)
+            self.run(pause_s)
             self.apply(step)
         for host in self.hosts:
             host.source.trouble = 0.0
-        self.reactor.run_until(self.reactor.clock.now + SETTLE_S)
+        self.run(SETTLE_S)
 
 
 STEPS = st.lists(
@@ -296,6 +299,34 @@
             truth = {one.id: one.is_draining for one in world.store.instances.values()}
             self.assertEqual(known, truth)
 
+    def test_lapsed_entries_are_kept_though_the_reader_restarts(self):
+        """The store is away for long, and its entries lapse, but are back soon."""
+        world = World(7)
+        world.run(2.0)
+        reader = (
+            0 if world.hosts[0].roster.reader(world.reactor.clock.now) is None else 1
+        )
+        follower = world.hosts[1 - reader]
+        self.assertEqual(len(follower.book.all()), 3)
+        follower.source.trouble = 1.0
+        world.hosts[reader].source.trouble = 1.0
+        world.run(2.0)
+        lapsed = sorted(world.store.instances)
+        for name in lapsed:
+            world.store.remove(name)
+        world.start(reader)
+        world.hosts[reader].source.trouble = 1.0
+        world.run(3.0)
+        for host in world.hosts:
+            host.source.trouble = 0.0
+        for tenth in range(80):
+            if tenth == 15:
+                for name in lapsed:
+                    world.store.put(name)
+            world.run(0.1)
+            self.assertEqual(len(follower.book.all()), 3, f"after {tenth / 10} s")
+        self.assertEqual(len(world.hosts[reader].book.all()), 3)
+
 
 if __name__ == "__main__":
     unittest.main()
