--- a/dogwoodtack/feed/tests/test_feed.py
+++ b/dogwoodtack/feed/tests/test_feed.py
@@ -1,14 +1,11 @@
 """Two hosts that follow one store through faults: nothing goes back or is lost."""
 
-import heapq
-import itertools
 import json
 import random
 import unittest
 
 from hypothesis import given, settings, strategies as st
 
-from dogwoodtack.clock import VirtualClock
 from dogwoodtack.errors import HistoryGone, StoreError
 from dogwoodtack.feed import ConfigurationWord, Feed, FeedEvents, InstanceWords
 from dogwoodtack.feed.relay import answer_relay, read_state
@@ -17,6 +14,7 @@
 from dogwoodtack.misc import Address
 from dogwoodtack.placement import Change, Instance, InstanceBook
 from dogwoodtack.routing import CallerLimits, Configuration
+from lab.virtual import VirtualLoop
 
 BEAT_S = 0.4
 # Some instances that each write about every second and a half.
@@ -27,25 +25,6 @@
 CALL_TIMEOUT_S = 1.0
 
 
-class VirtualReactor:
-    """Timers on a virtual clock."""
-
-    def __init__(self):
-        self.clock = VirtualClock(100.0)
-        self._heap = []
-        self._order = itertools.count()
-
-    def call_later(self, delay_s, fn, *args):
-        when = self.clock.now + max(0.0, delay_s)
-        heapq.heappush(self._heap, (when, next(self._order), fn, args))
-
-    def run_until(self, end):
-        while self._heap and self._heap[0][0] <= end:
-            self.clock.now, _, fn, args = heapq.heappop(self._heap)
-            fn(*args)
-        self.clock.now = end
-
-
 class Store:
     """The truth: every change of instances and configuration, by revision."""
 
@@ -222,7 +201,7 @@
 
     def __init__(self, seed):
         self.rng = random.Random(seed)
-        self.reactor = VirtualReactor()
+        self.reactor = VirtualLoop(100.0)
         self.store = Store()
         self.store.configure()
         for name in ("i-0", "i-1", "i-2"):
@@ -263,7 +242,7 @@
             self.hosts[number % 2].source.trouble = 0.15 * (number % 6)
 
     def run(self, seconds):
-        self.reactor.run_until(self.reactor.clock.now + seconds)
+        self.reactor.run_for(seconds)
 
     def play(self, steps):
         pause_s = TROUBLED_S / (len(steps) + 1)
