--- a/dogwoodtack/placement/choice.py
+++ b/dogwoodtack/placement/choice.py
@@ -105,7 +105,8 @@
 def kept_slots(slots: int) -> int:
     """Return how many of an instance's slots are left to its own zone's hosts.
 
-    It is one at least, but never all: other zones may have no other instance.
+    One is left where there are two or more, and never all of them: the hosts of
+    another zone may have no other instance.
     """
     return min(slots - 1, math.ceil(KEPT_SLOTS_SHARE * slots))
 
