--- a/dogwoodtack/feed/tests/test_feed.py
+++ b/dogwoodtack/feed/tests/test_feed.py
@@ -4,7 +4,7 @@
 import random
 import unittest
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import example, given, settings, strategies as st
 
 from dogwoodtack.errors import HistoryGone, StoreError
 from dogwoodtack.feed import ConfigurationWord, Feed, FeedEvents, InstanceWords
@@ -268,6 +268,8 @@
 class FeedTest(unittest.TestCase):
     @settings(max_examples=150, deadline=None, derandomize=True)
     @given(seed=st.integers(0, 10_000), steps=STEPS)
+    # The reader restarts after an instance ended, and never knew it.
+    @example(0, [("trouble", 9), ("remove", 0), ("restart", 1)])
     def test_nothing_goes_back_and_all_is_known_in_the_end(self, seed, steps):
         world = World(seed)
         world.play(steps)
