Deliver the end of a response to a slow caller

Cause: when a response had been handed to the write buffer, the connection's idle timer started and close() discarded the up to 256 kB that the caller had not read yet; a planned stop did the same through close_when_idle.

Change: while the write buffer holds bytes, a connection counts as idle only if its caller has read nothing for the idle timeout, and is then reset; close_when_idle flushes first.

Ruled out: a pause of the whole process (slices measured); the stall limit of the exchange (it had ended).

New tests, idle and stop, fail on the old connection.

--- a/dogwoodtack/frontend/conn.py
+++ b/dogwoodtack/frontend/conn.py
@@ -131,9 +131,16 @@
         self._is_last_response = True
 
     def close_when_idle(self) -> None:
-        """Close now if no request is in progress, else after its response."""
+        """Close now if no request is in progress, else after its response.
+
+        A response that has ended may still wait in the write buffer for its caller.
+        """
         self._is_last_response = True
-        if not self.in_request:
+        if self.in_request:
+            return
+        if self._stream.buffered_bytes:
+            self._stream.finish()
+        else:
             self.close()
 
     def pause(self) -> None:
@@ -312,7 +319,9 @@
     def _arm_head_timer(self, timeout_s: float | None = None) -> None:
         self._stop_head_timer()
         self._head_timer = self._reactor.call_later(
-            timeout_s or self._idle_timeout_s, self._on_head_timeout
+            timeout_s or self._idle_timeout_s,
+            self._on_head_timeout,
+            self.delivered_bytes(),
         )
 
     def _stop_head_timer(self) -> None:
@@ -320,8 +329,20 @@
             self._head_timer.cancel()
             self._head_timer = None
 
-    def _on_head_timeout(self) -> None:
-        """Close an idle connection; a request that has begun gets an error."""
+    def _on_head_timeout(self, delivered_before: int) -> None:
+        """Close an idle connection; a request that has begun gets an error.
+
+        A connection is not idle while its caller still reads the last response.
+
+        Args:
+            delivered_before: bytes delivered when the timer was set.
+        """
+        if self._stream.buffered_bytes:
+            if self.delivered_bytes() > delivered_before:
+                self._arm_head_timer()
+            else:
+                self.abort()
+            return
         if not self._h11.trailing_data[0]:
             self.close()
             return
--- a/dogwoodtack/frontend/tests/test_requests.py
+++ b/dogwoodtack/frontend/tests/test_requests.py
@@ -167,6 +167,62 @@
         self.assertTrue(harness.run_until(lambda: harness.frontend.in_flight == 0))
         self.assertGreaterEqual(len(peer.data), size)
 
+    def start_slow_download(self):
+        """Return a harness and a caller that has yet to read the end of its response.
+
+        The request has ended for the frontend: the rest is in its write buffer.
+        """
+        harness = self.start()
+        size = 12_000_000
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
+        harness.script(Reply(head + bytes(size)))
+        peer = harness.caller(get())
+        peer.stream.pause()
+        harness.run_until(lambda: harness.frontend.in_flight == 1)
+        while harness.frontend.in_flight:
+            peer.stream.resume()
+            harness.run_until(lambda: bool(peer.data), 0.1)
+            peer.stream.pause()
+            harness.run_for(0.005)
+        (conn,) = harness.frontend._conns
+        self.assertGreater(conn._stream.buffered_bytes, 0)
+        return harness, peer, size
+
+    def read_some(self, harness, peer, size):
+        """Let a caller read some more bytes and then pause."""
+        end = len(peer.data) + size
+
+        def pause_at_end(peer):
+            if len(peer.data) >= end:
+                peer.stream.pause()
+
+        peer.on_data = pause_at_end
+        peer.stream.resume()
+        harness.run_until(lambda: len(peer.data) >= end, STALL_S / 4)
+        peer.on_data = None
+
+    @params("idle", "stop")
+    def test_end_of_a_response_reaches_a_slow_caller(self, how):
+        """Neither the idle timeout nor a planned stop discards what is buffered."""
+        harness, peer, size = self.start_slow_download()
+        if how == "stop":
+            harness.frontend.stop_accepting()
+        for _ in range(4):
+            self.read_some(harness, peer, 130_000)
+            harness.run_for(STALL_S * 0.8)
+        peer.stream.resume()
+        harness.run_until(lambda: peer.ended or len(peer.data) >= size, STALL_S * 20)
+        self.assertGreaterEqual(len(peer.data), size)
+        self.assertTrue(harness.run_until(lambda: harness.frontend.connections == 0))
+
+    def test_caller_that_stops_reading_the_end_of_a_response_is_closed(self):
+        harness, peer, size = self.start_slow_download()
+        is_closed = harness.run_until(
+            lambda: harness.frontend.connections == 0, STALL_S * 4
+        )
+        self.assertTrue(is_closed)
+        self.assertLess(len(peer.data), size)
+
     def test_connection_over_the_limit_is_rejected(self):
         harness = self.start()
         connected = [harness.caller() for _ in range(MAX_CONNECTIONS)]
