Place no request again whose caller has left, and keep the probe of a draining instance

Change: such a request ends as caller-gone; only the first report sets the probe's time. The unused field _DrainState.source goes with it.

Ruled out: cancelling the attempt in flight (a release that has begun is meant to be whole, an open question to the users).

Before: test_request_of_a_caller_that_left_goes_to_no_further_instance with POST (2 arrivals where 1 is due) and the three cases of test_further_reports_do_not_put_the_probe_off fail. After: all pass.

--- a/dogwoodtack/draining/instances.py
+++ b/dogwoodtack/draining/instances.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
 
 from ..clock import Clock
 from ..logs import log_event
@@ -19,13 +18,6 @@
 PROBE_RETRY_S = 5.0
 
 
-class _DrainState(NamedTuple):
-    """When to probe a draining instance next, and who reported it."""
-
-    probe_at: float
-    source: DrainSource
-
-
 class DrainingInstances:
     """Tracks the draining instances of this entry host's services.
 
@@ -37,13 +29,14 @@
     def __init__(self, clock: Clock, notify: Callable[[DrainNotice], None]) -> None:
         self._clock = clock
         self._notify = notify
-        self._states: dict[DrainNotice, _DrainState] = {}
+        # When to probe each draining instance next.
+        self._probe_at: dict[DrainNotice, float] = {}
         self._listed: frozenset[str] = frozenset()
 
     def is_draining(self, service: str, instance: str) -> bool:
         """Return whether any source reports the instance as draining."""
         return (
-            instance in self._listed or DrainNotice(service, instance) in self._states
+            instance in self._listed or DrainNotice(service, instance) in self._probe_at
         )
 
     def record_drain_response(self, service: str, instance: str) -> None:
@@ -83,39 +76,34 @@
     def due_probes(self) -> list[DrainNotice]:
         """Return the instances to probe now; each is due again after PROBE_RETRY_S."""
         now = self._clock.monotonic()
-        due = [
-            notice for notice, state in self._states.items() if state.probe_at <= now
-        ]
+        due = [notice for notice, at in self._probe_at.items() if at <= now]
         for notice in due:
-            later = now + PROBE_RETRY_S
-            self._states[notice] = self._states[notice]._replace(probe_at=later)
+            self._probe_at[notice] = now + PROBE_RETRY_S
         return due
 
     def record_probe(self, notice: DrainNotice, accepts_requests: bool) -> None:
         """Apply a probe's result; only one that accepts requests ends the drain."""
-        if accepts_requests and self._states.pop(notice, None) is not None:
+        if accepts_requests and self._probe_at.pop(notice, None) is not None:
             log_event("back-end-back", service=notice.service, instance=notice.instance)
 
     def retain(self, known: set[DrainNotice]) -> None:
         """Drop the reports on instances that are in no service any more."""
-        for notice in [one for one in self._states if one not in known]:
-            del self._states[notice]
+        for notice in [one for one in self._probe_at if one not in known]:
+            del self._probe_at[notice]
 
     def _record(self, notice: DrainNotice, source: DrainSource) -> bool:
-        """Record a report and restart the probe delay.
+        """Record the first report on an instance; further ones change nothing.
 
         Returns:
             Whether no report on the instance was recorded before.
         """
-        is_new = notice not in self._states
-        self._states[notice] = _DrainState(
-            self._clock.monotonic() + FIRST_PROBE_DELAY_S, source
+        if notice in self._probe_at:
+            return False
+        self._probe_at[notice] = self._clock.monotonic() + FIRST_PROBE_DELAY_S
+        log_event(
+            "back-end-leaving",
+            service=notice.service,
+            instance=notice.instance,
+            source=source,
         )
-        if is_new:
-            log_event(
-                "back-end-leaving",
-                service=notice.service,
-                instance=notice.instance,
-                source=source,
-            )
-        return is_new
+        return True
--- a/dogwoodtack/draining/tests/test_instances.py
+++ b/dogwoodtack/draining/tests/test_instances.py
@@ -51,6 +51,14 @@
         self.draining.record_probe(NOTICE, accepts_requests)
         self.assertEqual(self.draining.is_draining(*NOTICE), is_draining)
 
+    @params("response", "notice", "listed")
+    def test_further_reports_do_not_put_the_probe_off(self, source):
+        """A report repeated within the delay would keep a healthy instance out."""
+        for _ in range(4):
+            self.reporters()[source]()
+            self.clock.advance(FIRST_PROBE_DELAY_S / 4)
+        self.assertEqual(self.draining.due_probes(), [NOTICE])
+
     def test_instance_dropped_from_the_host_list_is_not_draining(self):
         self.draining.apply_host_list(["jt-1"])
         self.draining.apply_host_list([])
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -327,6 +327,9 @@
         self._best_result = self._more_informative(result)
         if self._in_flight and result.outcome is not AttemptOutcome.ANSWERED:
             return
+        if self._is_caller_gone and result.outcome in NOT_RUN_OUTCOMES:
+            self._close("caller-gone", CALLER_GONE_STATUS)
+            return
         action = next_action(self._attempt_context(result, is_idempotent))
         if action is NextAction.RETRY:
             self._request_placement()
--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -272,11 +272,11 @@
 class InstanceStandIn:
     """An instance whose behaviour a test selects.
 
-    Behaviours: ok; error (a 500); shed (a 503 with the not-executed header); cut (a
-    truncated response); no-signature; unframed (no Content-Length, ended by closing);
-    stray (a second response follows, which must not be taken for the next request's);
-    late (a response to another request comes first); other-id (only a response to
-    another request comes).
+    Behaviours: ok; error (a 500); shed (a 503 with the not-executed header);
+    shed-late (the same after the delay); cut (a truncated response); no-signature;
+    unframed (no Content-Length, ended by closing); stray (a second response follows,
+    which must not be taken for the next request's); late (a response to another request
+    comes first); other-id (only a response to another request comes).
     """
 
     def __init__(self, name: str, delay_s: float = 0.0) -> None:
@@ -322,7 +322,9 @@
             self.reply(421, b"", **{"X-Dogwoodtack-Instance-Id": instance.name})
             return
         instance.arrived_at.append(time.monotonic())
-        if instance.behaviour == "shed":
+        if instance.behaviour == "shed-late":
+            time.sleep(instance.delay_s)
+        if instance.behaviour in ("shed", "shed-late"):
             self.reply(
                 503, b"", **{NOT_EXECUTED_HEADER: "1", REQUEST_ID_HEADER: request_id}
             )
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -232,6 +232,26 @@
             time.sleep(0.3)
         self.assertEqual(self.backends[0].misdirected, 1)
 
+    @params("POST", "GET")
+    def test_request_of_a_caller_that_left_goes_to_no_further_instance(self, method):
+        """The first instance says after the caller has left that it did not run it."""
+        self.serve()
+        for one in self.backends:
+            one.behaviour = "shed-late"
+            one.delay_s = 0.6
+        conn = http.client.HTTPConnection("127.0.0.1", self.ports[0], 10)
+        headers = {
+            "Host": HOST,
+            "X-Dogwoodtack-Request-Id": "00000000000000ae",
+            "X-Dogwoodtack-Deadline-Ms": "4000",
+        }
+        path = "/book/1" if method == "POST" else "/look/1"
+        conn.request(method, path, b"x" if method == "POST" else None, headers)
+        time.sleep(0.3)
+        conn.close()
+        time.sleep(1.5)
+        self.assertEqual(sum(one.arrived for one in self.backends), 1)
+
 
 class ChangeTest(EntryHostTest):
     @params("draining", "gone", "history")
