--- a/dogwoodtack/catalog/service.py
+++ b/dogwoodtack/catalog/service.py
@@ -86,11 +86,6 @@
     slow_s: float
     drains: tuple[str, ...] = ()
 
-    @property
-    def removable(self) -> int:
-        """Return how many instances may be out of rotation at once."""
-        return max(0, len(self.instances) - self.floor)
-
     def instance(self, name: str) -> Instance | None:
         """Return the instance with a name, or None."""
         for instance in self.instances:
--- a/dogwoodtack/feed/feed.py
+++ b/dogwoodtack/feed/feed.py
@@ -351,8 +351,8 @@
         self._observe_era(state.position.era)
         if not self._has_snapshot:
             # The peer may know instances that the store does not list again yet.
-            now = self._reactor.clock.monotonic()
-            self._recovering_until = now + state.recovery_left_s
+            peer_until = self._reactor.clock.monotonic() + state.recovery_left_s
+            self._recovering_until = max(self._recovering_until, peer_until)
         if state.is_peer_synced:
             self._has_snapshot = True
         changes = state.changes
--- a/dogwoodtack/membership/assignments.py
+++ b/dogwoodtack/membership/assignments.py
@@ -181,8 +181,3 @@
             if any(_may_enter(service, ranking, one) for one in change.added):
                 return True
         return False
-
-    def is_assigned_here(self, service: Service) -> bool:
-        """Return whether this entry host is assigned to a service."""
-        name = self._membership.local_member.name
-        return any(member.name == name for member in self.for_service(service))
--- a/dogwoodtack/membership/gossip.py
+++ b/dogwoodtack/membership/gossip.py
@@ -105,14 +105,12 @@
         self._dead_at: dict[str, float] = {}
         self._last_called_at: float | None = None
         self._round = 0
-        self._round_due = 0.0
         self._repaired_at = -REPAIR_INTERVAL_S
 
     # Start, leaving and periodic rounds.
 
     def begin(self) -> None:
         """Start to exchange with the seeds and the members they know."""
-        self._round_due = self._now()
         for seed in self._rng.sample(self._seeds, min(3, len(self._seeds))):
             self._exchange(seed, None)
         self._reactor.call_later(self._rng.uniform(0, ROUND_INTERVAL_S), self._on_round)
