Log and count the rate limits that instances name

Hosts now read it from each response and log when it is first named, changes or ends, with the request that showed it, and count limited instances in rate_limited_instances. A response to a request sent before the limit was named doesn't end it, as it may be older. Placement does not use the limit yet.

--- a/dogwoodtack/entry/attempt.py
+++ b/dogwoodtack/entry/attempt.py
@@ -14,7 +14,7 @@
 from ..errors import WireError
 from ..placement import AttemptOutcome, Instance
 from ..reactor import Reactor, Timer
-from .wire import HeaderNames
+from .wire import HeaderNames, parse_rate_limit
 
 __all__ = ["Attempt", "AttemptResult", "OutgoingRequest"]
 
@@ -45,6 +45,8 @@
         bytes_sent: whether the request may have left this host.
         reused: whether the connection had carried an earlier request.
         idle_s: seconds for which the connection was idle before.
+        rate_limit_per_s: rate limit that the instance's head names, even if its body
+            was not complete; None if it names none.
     """
 
     outcome: AttemptOutcome
@@ -53,6 +55,7 @@
     bytes_sent: bool
     reused: bool
     idle_s: float
+    rate_limit_per_s: float | None = None
 
 
 class Attempt:
@@ -202,6 +205,11 @@
             else AttemptOutcome.ANSWERED
         )
 
+    def _rate_limit_per_s(self) -> float | None:
+        if self._head is None:
+            return None
+        return parse_rate_limit(self._head.header(self._header_names.rate_limit))
+
     def on_fail(self, exc: WireError) -> None:
         """End the attempt, as no complete response will come."""
         self._finish(AttemptOutcome.CUT)
@@ -235,5 +243,6 @@
             self.bytes_sent,
             self._reused,
             self._idle_s,
+            self._rate_limit_per_s(),
         )
         on_end(self, result)
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -8,6 +8,7 @@
 from ..fleet import Fleet
 from ..frontend.conn import RequestHead, ServerConn
 from ..frontend.headers import response_headers
+from ..logs import log_event
 from ..placement import (
     NOT_RUN_OUTCOMES,
     AttemptContext,
@@ -315,6 +316,7 @@
     # Attempts.
 
     def _on_attempt_end(self, attempt: Attempt, result: AttemptResult) -> None:
+        self._record_rate_limit(attempt, result)
         self._close_attempt(attempt, result.outcome)
         self._record_attempt(attempt, result)
         if self.is_done:
@@ -419,6 +421,23 @@
         elif result.reused and result.outcome is AttemptOutcome.ANSWERED:
             self._deps.idle_limit.record_reused(self._service)
 
+    def _record_rate_limit(self, attempt: Attempt, result: AttemptResult) -> None:
+        """Record the rate limit that a response names, or that it names none."""
+        per_s = result.rate_limit_per_s
+        if result.outcome is AttemptOutcome.MISDIRECTED:
+            return
+        if result.head is None and per_s is None:
+            return
+        limits = self._deps.placer.rate_limits
+        instance_id = attempt.instance.id
+        if limits.on_response(instance_id, per_s, attempt.started_at, self._now()):
+            log_event(
+                "instance-rate-limit",
+                instance=instance_id,
+                per_s="none" if per_s is None else per_s,
+                request=self._request_id.decode("latin-1"),
+            )
+
     # Responding.
 
     def _finish(self, action: NextAction, result: AttemptResult) -> None:
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -195,7 +195,7 @@
 
     def _on_instances(self, changes: list[InstanceChange]) -> None:
         removed = [change.id for change in changes if change.instance is None]
-        self.placer.health.forget(removed)
+        self.placer.forget(removed)
         self.pool.retain({instance.address for instance in self.registry.all()})
         self._check_ready()
         self.fleet.send_heartbeat()
@@ -260,6 +260,7 @@
         return {
             "in_flight": self.frontend.in_flight,
             "caller_connections": self.frontend.connections,
+            "rate_limited_instances": len(self.placer.rate_limits),
             "waiting": sum(self.placer.queue_lengths().values()),
             "configuration_version": version,
             "store_era": position.era,
--- a/dogwoodtack/entry/wire.py
+++ b/dogwoodtack/entry/wire.py
@@ -1,10 +1,19 @@
 """Header names shared by callers, hosts and instances, and discovery queries."""
 
+import math
 from typing import NamedTuple
 
 from ..backends import Header
+from ..logs import log_event
 
-__all__ = ["AddressQuery", "DirectoryQuery", "HeaderNames", "ReadinessQuery"]
+__all__ = [
+    "AddressQuery",
+    "DirectoryQuery",
+    "HeaderNames",
+    "ReadinessQuery",
+    "find_header",
+    "parse_rate_limit",
+]
 
 
 class HeaderNames(NamedTuple):
@@ -17,6 +26,8 @@
         expected_instance: the only instance that may run the request.
         not_executed: on a response: the request was not run.
         instance_id: on a response: the instance that sent it.
+        rate_limit: on a response: the requests per second that the instance takes
+            from all hosts together; there is no limit without it.
     """
 
     request_id: bytes
@@ -25,6 +36,7 @@
     expected_instance: bytes
     not_executed: bytes
     instance_id: bytes
+    rate_limit: bytes
 
     def set_by_host(self) -> frozenset[bytes]:
         """Return the request headers that a host sets itself."""
@@ -50,6 +62,20 @@
 DirectoryQuery = ReadinessQuery | AddressQuery
 
 
+def parse_rate_limit(value: bytes | None) -> float | None:
+    """Return the rate limit in a header's value, or None if there is none."""
+    if value is None:
+        return None
+    try:
+        per_s = float(value)
+    except ValueError:
+        per_s = math.nan
+    if not 0.0 <= per_s < math.inf:
+        log_event("rate-limit-unusable", level="WARNING", value=value[:40])
+        return None
+    return per_s
+
+
 def find_header(headers: list[Header], name: bytes) -> bytes | None:
     """Return the first value of a header named in lower case, or None."""
     for key, value in headers:
--- a/dogwoodtack/placement/__init__.py
+++ b/dogwoodtack/placement/__init__.py
@@ -15,6 +15,7 @@
     observation_for,
 )
 from .placer import PlacementRequest, Placer
+from .rate_limits import RateLimit, RateLimits
 from .retry_budget import RetryBudget, RetryRules
 from .selection import Candidate, Requirements, SelectionMode, select_candidate
 from .wait_queue import Capacity, QueuedRequest, Rejection, WaitQueue
@@ -36,6 +37,8 @@
     "PlacementRequest",
     "Placer",
     "QueuedRequest",
+    "RateLimit",
+    "RateLimits",
     "Rejection",
     "Requirements",
     "RetryBudget",
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -2,12 +2,13 @@
 
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 from .health_tracker import HealthTracker
 from .instances import Instance, InstanceRegistry
 from .occupancy import Occupancy
+from .rate_limits import RateLimits
 from .retry_budget import RetryBudget, RetryRules
 from .selection import (
     Candidate,
@@ -69,6 +70,7 @@
         registry: the known instances.
         occupancy: requests in flight on them.
         health: health estimates of them.
+        rate_limits: rate limits that they name.
         competing_hosts: hosts that use the same slots, at least 1.
         retry_budget_hosts: hosts that share the slack of the retry budget, 0 if this
             host has no part in it.
@@ -84,6 +86,7 @@
         self.registry = registry
         self.occupancy = Occupancy()
         self.health = HealthTracker()
+        self.rate_limits = RateLimits()
         self.competing_hosts = 1
         self.retry_budget_hosts = 1
         self._zone = zone
@@ -312,6 +315,12 @@
         """Return the number of queued requests by service."""
         return {service: len(queue) for service, queue in self._queues.items()}
 
+    def forget(self, instance_ids: Collection[str]) -> None:
+        """Drop what is known of instances that are gone."""
+        self.health.forget(instance_ids)
+        for instance_id in instance_ids:
+            self.rate_limits.forget(instance_id)
+
     def release(self, instance_id: str) -> None:
         """Release the slot of a request of this host that has ended."""
         self.occupancy.decrement(instance_id)
--- a/dogwoodtack/platform/headers.py
+++ b/dogwoodtack/platform/headers.py
@@ -11,4 +11,5 @@
     expected_instance=b"x-dogwoodtack-expected-instance",
     not_executed=b"x-dogwoodtack-not-executed",
     instance_id=b"x-dogwoodtack-instance-id",
+    rate_limit=b"server-limit",
 )
--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -18,6 +18,7 @@
 EXPECTED_INSTANCE_HEADER = "X-Dogwoodtack-Expected-Instance"
 SIGNATURE_HEADER = "X-Dogwoodtack-Response-Signature"
 NOT_EXECUTED_HEADER = "X-Dogwoodtack-Not-Executed"
+RATE_LIMIT_HEADER = "Server-Limit"
 PAGE_SIZE = 50
 FIRST_REVISION = 10
 
@@ -277,12 +278,17 @@
     unframed (no Content-Length, ended by closing); stray (a second response follows,
     which must not be taken for the next request's); late (a response to another request
     comes first); other-id (only a response to another request comes).
+
+    Attributes:
+        rate_limit: requests per second that its responses name as their limit; None
+            if they name none.
     """
 
     def __init__(self, name: str, delay_s: float = 0.0) -> None:
         self.name = name
         self.delay_s = delay_s
         self.behaviour = "ok"
+        self.rate_limit: float | None = None
         self.ran: list[ExecutedRequest] = []
         self._sequence = 0
         self.misdirected = 0
@@ -313,6 +319,12 @@
 
 
 class _InstanceHandler(_Handler):
+    def end_headers(self) -> None:
+        """Add the rate limit to every response."""
+        if self.server.owner.rate_limit is not None:
+            self.send_header(RATE_LIMIT_HEADER, str(self.server.owner.rate_limit))
+        super().end_headers()
+
     def _handle_request(self) -> None:
         instance = self.server.owner
         body = self.read_body()
