Add the failing test of a rate limit that all hosts together exceed

Three hosts, four instances and ten callers as real processes; the first instance names a limit of 0.3, 1.2 or 6 a second from its first response on.

--- /dev/null
+++ b/tests/test_rate_limit.py
@@ -0,0 +1,61 @@
+"""Entry hosts before an instance that names a rate limit for all of them together."""
+
+import time
+import unittest
+
+from nose2.tools import params
+
+from soak.callers import Caller
+from soak.site import Site
+
+READY_TIMEOUT_S = 20.0
+# The users' bound: from STABLE_S after the limit was first named, no span of WINDOW_S
+# has more requests than the limit allows times FACTOR, and SLACK further ones.
+STABLE_S = 3.0
+WINDOW_S = 4.0
+FACTOR = 1.5
+SLACK = 5
+TRAFFIC_S = 12.0
+CALLERS = 10
+
+
+def most_in_a_window(times):
+    """Return the largest number of times in a span of WINDOW_S."""
+    counts = (sum(1 for t in times if s <= t < s + WINDOW_S) for s in times)
+    return max(counts, default=0)
+
+
+class RateLimitTest(unittest.TestCase):
+    def setUp(self):
+        self.site = Site(hosts=3, instances=4)
+        self.addCleanup(self.site.close)
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while not all(host.is_serving for host in self.site.hosts):
+            self.assertLess(time.monotonic(), deadline)
+            time.sleep(0.05)
+
+    def run_traffic(self, seconds):
+        callers = [Caller(self.site, 1, number) for number in range(CALLERS)]
+        for caller in callers:
+            caller.start()
+        time.sleep(seconds)
+        for caller in callers:
+            caller.is_stopping = True
+        for caller in callers:
+            caller.join(10.0)
+        return [call for caller in callers for call in caller.calls]
+
+    @params(0.3, 1.2, 6.0)
+    def test_all_hosts_together_keep_to_a_rate_limit(self, limit):
+        limited = self.site.instances[0].backend
+        limited.rate_limit = limit
+        calls = self.run_traffic(TRAFFIC_S)
+        begin = limited.arrived_at[0] + STABLE_S
+        times = [at for at in limited.arrived_at if at >= begin]
+        self.assertLessEqual(most_in_a_window(times), FACTOR * WINDOW_S * limit + SLACK)
+        served = sum(1 for call in calls if call.status == 200)
+        self.assertGreater(served, 0.99 * len(calls))
+
+
+if __name__ == "__main__":
+    unittest.main()
