Keep to the rate limits of instances, over all hosts together

Callers saw nothing; two instances in need got about four times the rate that they named (12 requests in 4 s at a limit of 1 a second; 11 allowed).

Cause: no host took the limit into account. Class of fault: a signal in an answer that concerns all hosts is dropped by the host that gets it, and a host's own view is no bound on what the fleet sends.

Change: a limit learned from any response, also of a failed request, is reported with the next message to peers, in heartbeats and to other zones. A limited instance is used by at most three serving hosts of its own zone, chosen by rendezvous hashing, and by zones without an instance of the service, each with an equal share. Every send is reported at once, as a cumulative count, and charged to the token buckets of the others, so that a lost report is made up for. Retries and hedges are placements and count too. A limit ends with a response to a request that was sent after it was last named, or when nobody has seen it for 10 s and three requests.

Ruled out: a bucket of the whole limit, or of a share, in each host (the former breaks it at once, the latter by its bursts at small limits).

--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -257,10 +257,11 @@
 
     def _state_gauges(self) -> dict[str, float]:
         version, position, age_s = self.feed.sync_status()
+        now = self.reactor.clock.monotonic()
         return {
             "in_flight": self.frontend.in_flight,
             "caller_connections": self.frontend.connections,
-            "rate_limited_instances": len(self.placer.rate_limits),
+            "rate_limited_instances": self.placer.rate_limits.count(now),
             "waiting": sum(self.placer.queue_lengths().values()),
             "configuration_version": version,
             "store_era": position.era,
--- a/dogwoodtack/fleet/fleet.py
+++ b/dogwoodtack/fleet/fleet.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable
 from functools import singledispatchmethod
 
+from ..logs import log_event
 from ..misc import Address
-from ..placement import Observation, Placer
+from ..placement import Observation, Placer, RateLimitReport
 from ..position import START_POSITION, StorePosition
 from ..reactor import Reactor
 from .datagrams import Datagrams
@@ -100,6 +101,7 @@
             age_s,
             self._heartbeat_interval_s(),
             dict(self._placer.occupancy.own),
+            self._placer.rate_limits.reports(self._reactor.clock.monotonic()),
         )
 
     def _run_heartbeat(self) -> None:
@@ -111,7 +113,7 @@
         self._placer.dispatch_queued(now)
 
     def count_competing_hosts(self) -> None:
-        """Update the placer's number of hosts that share slots and the retry budget.
+        """Update which hosts share slots, rate limits and the retry budget.
 
         A host that no callers are directed to receives only occasional requests and
         gets no part of the retry budget's slack.
@@ -123,6 +125,11 @@
         self._placer.retry_budget_hosts = (
             len(serving) * max(1, len(zones)) if is_serving else 0
         )
+        self._placer.rate_limits.set_hosts(
+            self._peer_table.local_host.name,
+            [host.name for host in serving],
+            self._peer_table.zones,
+        )
 
     def _run_zone_report(self) -> None:
         """Send a report to the other zones if the local host is the gateway."""
@@ -139,6 +146,7 @@
             self._placer.occupancy.own_zone_counts(),
             self._placer.unhealthy_percentages(now),
             is_forwarded=False,
+            rate_limits=self._placer.rate_limits.reports(now),
         )
         self._datagrams.send(
             report, self._gateways.addresses(self._peer_table.known_hosts(), now)
@@ -165,7 +173,9 @@
                 or ends without showing anything.
         """
         count = self._placer.occupancy.own.get(instance_id, 0)
-        if self._batch.add(InstanceReport(instance_id, count, observation)):
+        is_urgent = self._batch.add(InstanceReport(instance_id, count, observation))
+        now = self._reactor.clock.monotonic()
+        if is_urgent or self._placer.rate_limits.is_limited(instance_id, now):
             self._flush_batch()
         elif not self._batch.is_due:
             self._batch.is_due = True
@@ -175,7 +185,10 @@
         reports = self._batch.pop_all()
         if not reports:
             return
-        message = PeerReport(self._peer_table.local_host.name, reports)
+        rate_limits = self._placer.rate_limits.reports(
+            self._reactor.clock.monotonic(), {one.instance_id for one in reports}
+        )
+        message = PeerReport(self._peer_table.local_host.name, reports, rate_limits)
         local_name = self._peer_table.local_host.name
         peers = [
             host.peer_address
@@ -203,12 +216,27 @@
                 self._placer.health.add_peer_report(
                     report.instance_id, report.observation, now
                 )
+        self._apply_rate_limits(message.host_name, message.rate_limits, now)
+
+    def _apply_rate_limits(
+        self, host_name: str | None, reports: list[RateLimitReport], now: float
+    ) -> None:
+        limits = self._placer.rate_limits
+        for report in limits.on_reports(host_name, reports, now):
+            log_event(
+                "instance-rate-limit",
+                instance=report.instance_id,
+                per_s="none" if report.per_s is None else report.per_s,
+                reported_by=host_name or "another zone",
+                age_s=report.age_s,
+            )
 
     @_handle.register
     def _(self, report: ZoneReport, now: float) -> None:
         self._placer.apply_zone_report(
             report.zone, report.in_flight, report.unhealthy_percent, now
         )
+        self._apply_rate_limits(None, report.rate_limits, now)
         if report.is_forwarded:
             return
         self._gateways.on_report(report.zone, report.gateway, now)
@@ -236,4 +264,5 @@
         self._placer.occupancy.set_peer_counts(
             heartbeat.host.name, heartbeat.in_flight, now
         )
+        self._apply_rate_limits(heartbeat.host.name, heartbeat.rate_limits, now)
         self._on_heartbeat(heartbeat)
--- a/dogwoodtack/fleet/peers.py
+++ b/dogwoodtack/fleet/peers.py
@@ -45,12 +45,18 @@
 
 
 class PeerTable:
-    """Track the known hosts, and by heartbeats which of the local zone are alive."""
+    """Track the known hosts, and by heartbeats which of the local zone are alive.
+
+    Attributes:
+        local_host: this host.
+        zones: the zones that have hosts.
+    """
 
     def __init__(self, local_host: HostRecord) -> None:
         self.local_host = local_host
         self._is_ready = False
         self._known: dict[str, HostRecord] = {}
+        self.zones = {local_host.zone}
         self._peers: dict[str, Peer] = {}
         self._ready_list: list[HostRecord] = []
         self._ready_list_at = -math.inf
@@ -72,6 +78,7 @@
         """
         if record.name != self.local_host.name:
             self._known[record.name] = record
+            self.zones.add(record.zone)
 
     def on_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Record a heartbeat from a host.
--- a/dogwoodtack/fleet/records.py
+++ b/dogwoodtack/fleet/records.py
@@ -6,7 +6,7 @@
 
 from ..logs import log_event
 from ..misc import Address, parse_address
-from ..placement import Observation
+from ..placement import Observation, RateLimitReport
 from ..position import StorePosition, decode_position
 
 __all__ = [
@@ -53,6 +53,7 @@
         store_age_s: seconds since the store last responded to the sender.
         interval_s: seconds until the sender's next heartbeat.
         in_flight: the sender's in-flight requests per instance.
+        rate_limits: what the sender knows of instances' rate limits.
     """
 
     host: HostRecord
@@ -62,6 +63,7 @@
     store_age_s: float
     interval_s: float
     in_flight: dict[str, int]
+    rate_limits: list[RateLimitReport]
 
 
 class InstanceReport(NamedTuple):
@@ -80,10 +82,17 @@
 
 
 class PeerReport(NamedTuple):
-    """Starts and outcomes of a host's requests, sent as they happen."""
+    """Starts and outcomes of a host's requests, sent as they happen.
+
+    Attributes:
+        host_name: the sender.
+        instances: the sender's requests, by instance.
+        rate_limits: what the sender knows of rate limits of these instances.
+    """
 
     host_name: str
     instances: list[InstanceReport]
+    rate_limits: list[RateLimitReport]
 
 
 class ZoneReport(NamedTuple):
@@ -96,6 +105,7 @@
         unhealthy_percent: probability, in percent, that an instance is unhealthy,
             per instance, as estimated by the zone.
         is_forwarded: whether a host of the receiving zone has forwarded it.
+        rate_limits: what the zone knows of instances' rate limits.
     """
 
     zone: str
@@ -103,6 +113,7 @@
     in_flight: dict[str, int]
     unhealthy_percent: dict[str, int]
     is_forwarded: bool
+    rate_limits: list[RateLimitReport]
 
 
 Message = Heartbeat | PeerReport | ZoneReport
@@ -147,7 +158,8 @@
         [report.instance_id, report.in_flight, report.observation or ""]
         for report in message.instances
     ]
-    return {"news": message.host_name, "of": reports}
+    fields = {"news": message.host_name, "of": reports}
+    return fields | _rate_limit_fields(message.rate_limits)
 
 
 @_message_fields.register
@@ -161,7 +173,7 @@
         "age": round(message.store_age_s, 3),
         "next": message.interval_s,
         "load": message.in_flight,
-    }
+    } | _rate_limit_fields(message.rate_limits)
 
 
 @_message_fields.register
@@ -172,7 +184,16 @@
         "load": message.in_flight,
         "sick": message.unhealthy_percent,
         "on": int(message.is_forwarded),
-    }
+    } | _rate_limit_fields(message.rate_limits)
+
+
+def _rate_limit_fields(reports: list[RateLimitReport]) -> dict[str, Any]:
+    """Return the field of rate limits, which is left out if there are none."""
+    rows = [
+        [report.instance_id, report.per_s, round(report.age_s, 3), report.sent]
+        for report in reports
+    ]
+    return {"limits": rows} if rows else {}
 
 
 def encode_message(message: Message) -> bytes:
@@ -201,7 +222,7 @@
         )
         for name, count, observation in fields["of"]
     ]
-    return PeerReport(str(fields["news"]), reports)
+    return PeerReport(str(fields["news"]), reports, _decode_rate_limits(fields))
 
 
 def _decode_heartbeat(fields: dict[str, Any]) -> Heartbeat | None:
@@ -216,6 +237,7 @@
         float(fields["age"]),
         float(fields["next"]),
         _decode_counts(fields["load"]),
+        _decode_rate_limits(fields),
     )
 
 
@@ -226,8 +248,19 @@
         _decode_counts(fields["load"]),
         _decode_counts(fields["sick"]),
         bool(fields["on"]),
+        _decode_rate_limits(fields),
     )
 
 
+def _decode_rate_limits(fields: dict[str, Any]) -> list[RateLimitReport]:
+    """Return the reports in a message; hosts of earlier builds send none."""
+    return [
+        RateLimitReport(
+            str(name), None if per_s is None else float(per_s), float(age_s), int(sent)
+        )
+        for name, per_s, age_s, sent in fields.get("limits", [])
+    ]
+
+
 def _decode_counts(fields: dict[str, Any]) -> dict[str, int]:
     return {str(name): int(count) for name, count in fields.items()}
--- a/dogwoodtack/fleet/tests/test_peers.py
+++ b/dogwoodtack/fleet/tests/test_peers.py
@@ -16,7 +16,7 @@
 
 
 def make_heartbeat(host, ready=True, age_s=0.1, interval_s=0.4):
-    return Heartbeat(host, ready, 7, StorePosition(2, 5), age_s, interval_s, {})
+    return Heartbeat(host, ready, 7, StorePosition(2, 5), age_s, interval_s, {}, [])
 
 
 def make_peer_table(capacities, zone="a", now=100.0, **heartbeat):
--- a/dogwoodtack/fleet/tests/test_records.py
+++ b/dogwoodtack/fleet/tests/test_records.py
@@ -10,7 +10,7 @@
 from dogwoodtack.fleet.records import ZoneReport, decode_message, encode_message
 from dogwoodtack.fleet.tests.test_peers import make_heartbeat, make_host
 from dogwoodtack.misc import Address
-from dogwoodtack.placement import Observation
+from dogwoodtack.placement import Observation, RateLimitReport
 from dogwoodtack.position import StorePosition
 
 
@@ -24,9 +24,20 @@
                     InstanceReport("i-1", 2, Observation.ERROR),
                     InstanceReport("i-2", 0, None),
                 ],
+                [],
+            ),
+        ),
+        (ZoneReport("a", Address("10.0.0.1", 2), {"i-1": 3}, {"i-1": 85}, True, []),),
+        (
+            PeerReport(
+                "h-1",
+                [InstanceReport("i-1", 2, None)],
+                [
+                    RateLimitReport("i-1", 1.2, 0.25, 7),
+                    RateLimitReport("i-2", None, 0.5, 3),
+                ],
             ),
         ),
-        (ZoneReport("a", Address("10.0.0.1", 2), {"i-1": 3}, {"i-1": 85}, True),),
     )
     def test_message_round_trip(self, message):
         self.assertEqual(decode_message(encode_message(message)), message)
@@ -39,6 +50,8 @@
         b"{}",
         b'{"news":"h","of":[["i",1]]}',
         b'{"news":"h","of":[["i",1,"odd"]]}',
+        b'{"news":"h","of":[],"limits":[["i",1.2,0.1]]}',
+        b'{"news":"h","of":[],"limits":[["i","much",0.1,1]]}',
         b'{"beat":{"name":"h"},"ready":true}',
         b'{"zone":"a","from":"nowhere","load":{},"sick":{},"on":0}',
     )
--- a/dogwoodtack/fleet/tests/test_zones.py
+++ b/dogwoodtack/fleet/tests/test_zones.py
@@ -1,10 +1,17 @@
 """Replays of loads on several zones: what the hosts' joint placement must keep."""
 
+import itertools
 import unittest
 
 from nose2.tools import params
 
-from dogwoodtack.fleet.tests.zones import Load, replay_zones
+from dogwoodtack.fleet.tests.zones import (
+    START,
+    Load,
+    World,
+    most_arrivals,
+    replay_zones,
+)
 
 LIGHT = Load(requests_per_s=(14.0, 13.0, 15.0))
 # A third of the instances' time is lost to faults; the load takes slightly less than
@@ -29,6 +36,66 @@
 )
 
 
+# All zones have more work than the instances that aren't limited can take.
+LIMITED = Load(
+    instances=(5, 4, 4),
+    requests_per_s=(24.0, 24.0, 24.0),
+    faulty_ratio=0.1,
+    duration_s=15.0,
+)
+# Zones b and c have no instance of the service.
+ONE_ZONE = Load(
+    instances=(4, 0, 0),
+    requests_per_s=(6.0, 6.0, 6.0),
+    faulty_ratio=0.0,
+    limited_ratio=1.0,
+    duration_s=15.0,
+)
+# From LIMIT_STABLE_S on, no window has more than LIMIT_FACTOR times what the limit
+# allows, and LIMIT_SLACK further requests.
+LIMIT_STABLE_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+
+
+class RateLimitTest(unittest.TestCase):
+    """Instances in need name a limit for all hosts together."""
+
+    @params(
+        *itertools.product(
+            (LIMITED, LIMITED._replace(lost_ratio=0.3), ONE_ZONE),
+            (0.3, 1.2, 6.0),
+            (1, 2, 3),
+        )
+    )
+    def test_all_hosts_together_keep_to_it(self, load, limit, seed):
+        world = World(load._replace(rate_limit_per_s=limit), seed)
+        world.run()
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * limit + LIMIT_SLACK
+        for one in world.servers.values():
+            if one.rate_limit_per_s is not None:
+                begin = START + LIMIT_STABLE_S
+                most = most_arrivals(one, LIMIT_WINDOW_S, begin)
+                self.assertLessEqual(most, allowed, one.name)
+
+    @params(1, 2, 3)
+    def test_work_that_waits_uses_most_of_it(self, seed):
+        world = World(LIMITED._replace(rate_limit_per_s=1.2), seed)
+        world.run()
+        limited = [one for one in world.servers.values() if one.rate_limit_per_s]
+        arrivals = sum(len(one.arrivals) for one in limited)
+        share = arrivals / (1.2 * LIMITED.duration_s * len(limited))
+        self.assertGreater(share, 0.7)
+
+    @params(1, 2, 3)
+    def test_zones_without_own_instances_have_a_part_of_it(self, seed):
+        load = ONE_ZONE._replace(rate_limit_per_s=3.0)
+        world = World(load, seed)
+        count = world.run()
+        self.assertGreater(count["other_zone"], 0.5 * count["attempts"])
+
+
 class ZonesTest(unittest.TestCase):
     @params(1, 2, 3)
     def test_light_load_is_served_locally_and_on_time(self, seed):
--- a/dogwoodtack/fleet/tests/zones.py
+++ b/dogwoodtack/fleet/tests/zones.py
@@ -13,6 +13,7 @@
 
 from dogwoodtack.fleet import InstanceReport
 from dogwoodtack.fleet.fleet import REPORT_DELAY_S, ZONE_REPORT_INTERVAL_S
+from dogwoodtack.fleet.peers import HEARTBEAT_INTERVAL_S
 from dogwoodtack.fleet.report_batch import ReportBatch
 from dogwoodtack.misc import Address
 from dogwoodtack.placement import (
@@ -55,6 +56,9 @@
         abandon_after_s: time after which a response is worthless.
         duration_s: how long requests arrive.
         peak_factor: factor on `requests_per_s` in the middle third of the replay.
+        rate_limit_per_s: limit that some instances name; None if none does.
+        limited_ratio: share of the instances that name it.
+        lost_ratio: share of the messages between hosts that are lost.
     """
 
     instances: tuple[int, ...] = (9, 7, 6)
@@ -67,6 +71,9 @@
     abandon_after_s: float = 2.5
     duration_s: float = 30.0
     peak_factor: float = 1.0
+    rate_limit_per_s: float | None = None
+    limited_ratio: float = 0.4
+    lost_ratio: float = 0.0
 
 
 class Server:
@@ -80,6 +87,8 @@
         self.busy = 0
         self.is_unhealthy = False
         self.unhealthy_s = 0.0
+        self.arrivals = []
+        self.rate_limit_per_s = None
         if is_faulty:
             world.at(
                 START + world.rng.uniform(0.0, UNHEALTHY_PERIOD_S),
@@ -98,6 +107,10 @@
         pause_s = self.world.rng.uniform(0.5, 1.5) * UNHEALTHY_PERIOD_S / 2
         self.world.at(self.world.now + pause_s, self.become_unhealthy)
 
+    def receive(self, on_end):
+        self.arrivals.append(self.world.now)
+        self.accept(on_end)
+
     def accept(self, on_end):
         if self.busy >= self.world.load.slots:
             self.queue.append(on_end)
@@ -133,6 +146,11 @@
         self.placer = Placer(registry, zone, world.rng, RetryRules())
         self.placer.competing_hosts = world.load.hosts
         self.placer.retry_budget_hosts = world.load.hosts * len(world.load.instances)
+        self.placer.rate_limits.set_hosts(
+            self.name,
+            [f"h-{zone}{number}" for number in range(world.load.hosts)],
+            world.zones,
+        )
         self.batch = ReportBatch()
 
     def request(self, arrived_at, requirements, attempts_left):
@@ -174,7 +192,7 @@
                 is_failing,
             )
 
-        server.accept(on_end)
+        server.receive(on_end)
 
     def on_end(
         self, name, started_at, arrived_at, requirements, attempts_left, is_failing
@@ -184,6 +202,8 @@
         observation = Observation.ERROR if is_failing else Observation.SUCCESS
         self.placer.release(name)
         self.placer.health.observe(name, observation, now)
+        per_s = world.servers[name].rate_limit_per_s
+        self.placer.rate_limits.on_response(name, per_s, started_at, now)
         self.report(name, observation)
         if not is_failing:
             self.placer.record_service_time(SERVICE, now - started_at)
@@ -202,7 +222,8 @@
 
     def report(self, name, observation):
         count = self.placer.occupancy.own.get(name, 0)
-        if self.batch.add(InstanceReport(name, count, observation)):
+        is_urgent = self.batch.add(InstanceReport(name, count, observation))
+        if is_urgent or self.placer.rate_limits.is_limited(name, self.world.now):
             self.flush()
         elif not self.batch.is_due:
             self.batch.is_due = True
@@ -210,13 +231,34 @@
 
     def flush(self):
         reports = self.batch.pop_all()
+        names = {report.instance_id for report in reports}
+        limits = self.placer.rate_limits.reports(self.world.now, names)
         when = self.world.now + IN_ZONE_DELAY_S
-        for peer in self.world.hosts:
-            if peer.zone == self.zone and peer is not self and reports:
-                self.world.at(when, peer.on_peer_report, self.name, reports)
+        for peer in self.zone_peers():
+            if reports and not self.world.is_lost():
+                self.world.at(when, peer.on_peer_report, self.name, reports, limits)
+
+    def zone_peers(self):
+        return [
+            host
+            for host in self.world.hosts
+            if host.zone == self.zone and host is not self
+        ]
 
-    def on_peer_report(self, name, reports):
+    def send_heartbeat(self):
+        """Send the part of a heartbeat that concerns rate limits."""
         now = self.world.now
+        limits = self.placer.rate_limits.reports(now)
+        for peer in self.zone_peers():
+            if not self.world.is_lost():
+                self.world.at(
+                    now + IN_ZONE_DELAY_S, peer.on_peer_report, self.name, [], limits
+                )
+        self.world.at(now + HEARTBEAT_INTERVAL_S, self.send_heartbeat)
+
+    def on_peer_report(self, name, reports, limits):
+        now = self.world.now
+        self.placer.rate_limits.on_reports(name, limits, now)
         for one in reports:
             self.placer.occupancy.set_peer_count(
                 name, one.instance_id, one.in_flight, now
@@ -233,15 +275,17 @@
         summary = (
             self.placer.occupancy.own_zone_counts(),
             self.placer.unhealthy_percentages(now),
+            self.placer.rate_limits.reports(now),
         )
         for host in self.world.hosts:
-            if host.zone != self.zone:
+            if host.zone != self.zone and not self.world.is_lost():
                 self.world.at(
                     now + CROSS_ZONE_DELAY_S, host.on_zone_report, self.zone, *summary
                 )
         self.world.at(now + ZONE_REPORT_INTERVAL_S, self.report_zone)
 
-    def on_zone_report(self, zone, in_flight, unhealthy_percent):
+    def on_zone_report(self, zone, in_flight, unhealthy_percent, limits):
+        self.placer.rate_limits.on_reports(None, limits, self.world.now)
         self.placer.apply_zone_report(
             zone, in_flight, unhealthy_percent, self.world.now
         )
@@ -262,7 +306,7 @@
         self.count = Counter()
         self._order = itertools.count()
         self._events = []
-        zones = "abcdefgh"[: len(load.instances)]
+        zones = self.zones = "abcdefgh"[: len(load.instances)]
         servers = [
             Server(self, zone, number, self.rng.random() < load.faulty_ratio)
             for zone, count in zip(zones, load.instances)
@@ -283,6 +327,20 @@
             )
         for host in self.hosts:
             self.at(START + self.rng.uniform(0.0, DISPATCH_INTERVAL_S), host.dispatch)
+        if load.rate_limit_per_s is not None:
+            self._set_rate_limits(servers)
+
+    def _set_rate_limits(self, servers):
+        load = self.load
+        for one in servers[:: round(1 / load.limited_ratio)]:
+            one.rate_limit_per_s = load.rate_limit_per_s
+        for number, host in enumerate(self.hosts):
+            offset_s = HEARTBEAT_INTERVAL_S * number / len(self.hosts)
+            self.at(START + offset_s, host.send_heartbeat)
+
+    def is_lost(self):
+        """Return whether the next message between hosts is lost."""
+        return bool(self.load.lost_ratio) and self.rng.random() < self.load.lost_ratio
 
     def _make_registry(self):
         address = Address("h", 1)
@@ -334,6 +392,15 @@
         return self.count
 
 
+def most_arrivals(server, window_s, since):
+    """Return the most arrivals at a server in any window from a time on."""
+    times = [at for at in server.arrivals if at >= since]
+    return max(
+        (sum(1 for at in times if start <= at < start + window_s) for start in times),
+        default=0,
+    )
+
+
 def replay_zones(load, seed):
     """Replay a load and return the counts by name."""
     return World(load, seed).run()
--- a/dogwoodtack/placement/__init__.py
+++ b/dogwoodtack/placement/__init__.py
@@ -15,7 +15,7 @@
     observation_for,
 )
 from .placer import PlacementRequest, Placer
-from .rate_limits import RateLimit, RateLimits
+from .rate_limits import RateAllowance, RateLimitReport, RateLimits
 from .retry_budget import RetryBudget, RetryRules
 from .selection import Candidate, Requirements, SelectionMode, select_candidate
 from .wait_queue import Capacity, QueuedRequest, Rejection, WaitQueue
@@ -37,7 +37,8 @@
     "PlacementRequest",
     "Placer",
     "QueuedRequest",
-    "RateLimit",
+    "RateAllowance",
+    "RateLimitReport",
     "RateLimits",
     "Rejection",
     "Requirements",
--- a/dogwoodtack/placement/instances.py
+++ b/dogwoodtack/placement/instances.py
@@ -80,6 +80,7 @@
         self._changes: dict[str, InstanceChange] = {}
         self._by_service: dict[str, list[Instance]] = {}
         self._zone_slots: Counter[str] = Counter()
+        self._service_zones: dict[str, set[str]] = {}
 
     def apply(
         self, changes: Iterable[InstanceChange], position: StorePosition
@@ -118,11 +119,16 @@
     def _rebuild_index(self) -> None:
         self._by_service = {}
         self._zone_slots = Counter()
+        self._service_zones = {}
         for change in self._changes.values():
-            if change.instance is not None:
-                service = change.instance.service
-                self._by_service.setdefault(service, []).append(change.instance)
-                self._zone_slots[change.instance.zone] += change.instance.slots
+            instance = change.instance
+            if instance is None:
+                continue
+            self._by_service.setdefault(instance.service, []).append(instance)
+            self._zone_slots[instance.zone] += instance.slots
+            if not instance.is_draining:
+                zones = self._service_zones.setdefault(instance.service, set())
+                zones.add(instance.zone)
 
     def changes_since(self, position: StorePosition) -> list[InstanceChange]:
         """Return every change from a position on, the position itself included.
@@ -164,6 +170,10 @@
         """Return the instances of a service, draining ones included."""
         return self._by_service.get(service, [])
 
+    def zones_of(self, service: str) -> set[str]:
+        """Return the zones that have instances of a service that aren't draining."""
+        return self._service_zones.get(service, set())
+
     def slots_in(self, zone: str) -> int:
         """Return the number of slots of a zone's instances."""
         return self._zone_slots[zone]
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -86,7 +86,7 @@
         self.registry = registry
         self.occupancy = Occupancy()
         self.health = HealthTracker()
-        self.rate_limits = RateLimits()
+        self.rate_limits = RateLimits(zone)
         self.competing_hosts = 1
         self.retry_budget_hosts = 1
         self._zone = zone
@@ -126,12 +126,16 @@
             only_local: whether to leave out instances of other zones.
         """
         found = []
+        service_zones = self.registry.zones_of(service)
         for instance in self.registry.for_service(service):
             is_local = instance.zone == self._zone
             if instance.is_draining or (only_local and not is_local):
                 continue
             if self.health.is_replaced(instance):
                 continue
+            allowance = self.rate_limits.allowance(instance, service_zones, now)
+            if allowance is not None and not allowance.per_s:
+                continue
             # Slots are reserved only for a zone whose hosts are there to use them.
             zone_has_hosts = not is_local and self.occupancy.has_recent_report(
                 instance.zone
@@ -146,6 +150,7 @@
                     is_local,
                     estimate.last_succeeded,
                     reserved_slots(instance.slots) if zone_has_hosts else 0,
+                    allowance,
                 )
             )
         return found
@@ -158,7 +163,7 @@
         """
         local = self._select_local(req, now)
         if local is not None:
-            self._assign(req, local.instance)
+            self._assign(req, local.instance, now)
             return None
         candidates = self.candidates(req.service, now)
         if not candidates:
@@ -168,7 +173,7 @@
             return None
         found = self._select(candidates, req, now)
         if found is not None:
-            self._assign(req, found.instance)
+            self._assign(req, found.instance, now)
             return None
         return self._enqueue(req, candidates, now)
 
@@ -199,7 +204,7 @@
         )
         if found is None:
             return False
-        self._assign(req, found.instance)
+        self._assign(req, found.instance, now)
         return True
 
     def _select(
@@ -234,7 +239,7 @@
         queued = QueuedRequest(
             next(self._sequence), req.priority, req.start_by, req.abandon_at, req
         )
-        slots = self._healthy_slots(candidates)
+        slots = self._healthy_slots(req.service, candidates)
         capacity = Capacity(
             slots, self.competing_hosts, self.service_time_s(req.service)
         )
@@ -251,25 +256,28 @@
         if found is None:
             req.on_decision(rejection)
         else:
-            self._assign(req, found.instance)
+            self._assign(req, found.instance, now)
         return None
 
-    def _healthy_slots(self, candidates: list[Candidate]) -> float:
+    def _healthy_slots(self, service: str, candidates: list[Candidate]) -> float:
         """Return the slots, weighted by health, that this zone's hosts can count on.
 
         These are the zone's own slots, or its share of all slots if that is more
         because its own are few or unhealthy.
         """
+        service_time_s = self.service_time_s(service)
         healthy_slots = [
-            one.instance.slots * (1.0 - one.unhealthy_probability) for one in candidates
+            one.usable_slots(service_time_s) * (1.0 - one.unhealthy_probability)
+            for one in candidates
         ]
         own = sum(
             slots for slots, one in zip(healthy_slots, candidates) if one.is_local
         )
         return max(own, sum(healthy_slots) / max(1, len(self.registry.zones())))
 
-    def _assign(self, req: PlacementRequest, instance: Instance) -> None:
+    def _assign(self, req: PlacementRequest, instance: Instance, now: float) -> None:
         self.occupancy.increment(instance.id)
+        self.rate_limits.record_send(instance.id, now)
         req.on_decision(instance)
 
     def cancel(self, queued: QueuedRequest) -> None:
@@ -308,7 +316,7 @@
             if found is None:
                 unplaceable.add(needs)
             elif queue.remove(queued):
-                self._assign(req, found.instance)
+                self._assign(req, found.instance, now)
                 candidates = self.candidates(service, now)
 
     def queue_lengths(self) -> dict[str, int]:
--- a/dogwoodtack/placement/selection.py
+++ b/dogwoodtack/placement/selection.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from .instances import Instance
+from .rate_limits import RateAllowance
 
 __all__ = [
     "Candidate",
@@ -91,6 +92,7 @@
         is_local: whether it is in this host's zone.
         last_succeeded: whether its last observation was a success.
         reserved_slots: slots that are reserved for its own zone's hosts.
+        rate_allowance: what this host may send there; None if it is not limited.
     """
 
     instance: Instance
@@ -100,6 +102,7 @@
     is_local: bool
     last_succeeded: bool = False
     reserved_slots: int = 0
+    rate_allowance: RateAllowance | None = None
 
     @property
     def may_have_recovered(self) -> bool:
@@ -114,8 +117,20 @@
     @property
     def has_free_slot(self) -> bool:
         """Return whether this host may use a free slot."""
+        if self.rate_allowance is not None and not self.rate_allowance.may_send:
+            return False
         return self.in_flight < self.instance.slots - self.reserved_slots
 
+    def usable_slots(self, service_time_s: float) -> float:
+        """Return its slots, or fewer if its rate limit keeps them from being in use.
+
+        Args:
+            service_time_s: mean time that a request holds a slot, in seconds.
+        """
+        if self.rate_allowance is None:
+            return self.instance.slots
+        return min(self.instance.slots, self.rate_allowance.per_s * service_time_s)
+
 
 def reserved_slots(slots: int) -> int:
     """Return how many of an instance's slots are reserved for its own zone's hosts.
