Log and count how a host reaches the instances as a whole

Reachability, a pure decision with a table of outcomes as its test, says from the outcomes of new connections whether several instances in a row were not reached and none in between; hosts log when that changes (instance-paths) and count it. Nothing acts on it yet.

--- a/dogwoodtack/entry/attempt.py
+++ b/dogwoodtack/entry/attempt.py
@@ -66,6 +66,8 @@
         pool: connections to instances.
         header_names: header names on the wire.
         instance: where the request is sent.
+        on_connect: called with the instance and whether it accepted the connection, if
+            a new one is needed.
         on_end: called once with the attempt and its result, unless it is cancelled.
     """
 
@@ -75,6 +77,7 @@
         pool: ConnectionPool,
         header_names: HeaderNames,
         instance: Instance,
+        on_connect: Callable[[Instance, bool], None],
         on_end: Callable[["Attempt", AttemptResult], None],
     ) -> None:
         self.instance = instance
@@ -83,6 +86,7 @@
         self._reactor = reactor
         self._pool = pool
         self._header_names = header_names
+        self._on_connect = on_connect
         self._on_end: Callable[[Attempt, AttemptResult], None] | None = on_end
         self._conn: BackendConnection | None = None
         self._req: OutgoingRequest | None = None
@@ -133,6 +137,8 @@
     def _on_connection(
         self, conn: BackendConnection | None, exc: WireError | None
     ) -> None:
+        if conn is None or not conn.was_used:
+            self._on_connect(self.instance, conn is not None)
         if self._on_end is None:
             if conn is not None:
                 self._pool.release(conn)
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -28,6 +28,7 @@
 from ..routing import Route, TrafficSplitter
 from .attempt import Attempt, AttemptResult, OutgoingRequest
 from .idle_limit import IdleLimit
+from .paths import PathMonitor
 from .replies import send_error
 from .request import MIN_ATTEMPT_S, forwarded_headers, time_limit_s
 from .request_log import AttemptRecord, RequestLog, RequestLogEntry
@@ -73,6 +74,7 @@
         placer: chooses an instance for each attempt.
         fleet: receives what attempts show of their instances.
         pool: connections to instances.
+        paths: whether this host reaches the instances.
         header_names: header names on the wire.
         find_route: returns the route for a host and target, and the version of
             the configuration; version 0 means that none is known yet.
@@ -87,6 +89,7 @@
     placer: Placer
     fleet: Fleet
     pool: ConnectionPool
+    paths: PathMonitor
     header_names: HeaderNames
     find_route: RouteFinder
     splitter: TrafficSplitter
@@ -249,7 +252,12 @@
             self._first_dispatch_at = now
         self._tried_instances.add(instance.id)
         attempt = Attempt(
-            deps.reactor, deps.pool, deps.header_names, instance, self._on_attempt_end
+            deps.reactor,
+            deps.pool,
+            deps.header_names,
+            instance,
+            deps.paths.on_connect,
+            self._on_attempt_end,
         )
         call_later = deps.reactor.call_later
         service_time_s = deps.placer.service_time_s(self._service)
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -24,6 +24,7 @@
 from .frontend import EntryFrontend
 from .host_records import HostRecords
 from .idle_limit import IdleLimit
+from .paths import PathMonitor
 from .request_log import RequestLog
 from .responder import Responder, SimpleResponse
 from .settings import EntrySettings
@@ -154,11 +155,13 @@
     def _build_frontend(self) -> None:
         cfg = self.settings
         self.pool = ConnectionPool(self.reactor, DIAL_TIMEOUT_S)
+        self.paths = PathMonitor(self.registry)
         deps = ExchangeDependencies(
             reactor=self.reactor,
             placer=self.placer,
             fleet=self.fleet,
             pool=self.pool,
+            paths=self.paths,
             header_names=self._adapter.header_names,
             find_route=self._find_route,
             splitter=TrafficSplitter(self.rng.random()),
@@ -261,6 +264,8 @@
         return {
             "in_flight": self.frontend.in_flight,
             "caller_connections": self.frontend.connections,
+            "instance_paths_lost": float(self.paths.is_cut_off),
+            "instances_unreached": self.paths.unreached,
             "rate_limited_instances": self.placer.rate_limits.count(now),
             "waiting": sum(self.placer.queue_lengths().values()),
             "configuration_version": version,
--- a/dogwoodtack/placement/__init__.py
+++ b/dogwoodtack/placement/__init__.py
@@ -16,6 +16,7 @@
 )
 from .placer import PlacementRequest, Placer
 from .rate_limits import RateAllowance, RateLimitReport, RateLimits
+from .reachability import Reachability
 from .retry_budget import RetryBudget, RetryRules
 from .selection import Candidate, Requirements, SelectionMode, select_candidate
 from .wait_queue import Capacity, QueuedRequest, Rejection, WaitQueue
@@ -40,6 +41,7 @@
     "RateAllowance",
     "RateLimitReport",
     "RateLimits",
+    "Reachability",
     "Rejection",
     "Requirements",
     "RetryBudget",
