Add the failing test of hosts that lose their paths to all instances

Real entry hosts whose connections to instances hang, are reset or are refused while a file says so; callers, the store and other hosts reach them. The soak's site takes zones and a program for this.

--- a/soak/site.py
+++ b/soak/site.py
@@ -23,6 +23,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "shop.example"
 SERVICE = "jobs"
+PROGRAM = "entryhost.py"
+ZONES = ("zone-a",)
 WORK_S = 0.04
 READY = "event=readiness ready=True"
 # Instances and the operator write again this long after the store has come back from a
@@ -58,24 +60,32 @@
     Attributes:
         generation: number of times that the process was started.
         disturbances: monotonic time and kind of every pause, stop and kill.
+        settings_path: its settings file.
     """
 
     def __init__(
-        self, name: str, store: Address, folder: Path, checkout: Path = ROOT
+        self,
+        name: str,
+        store: Address,
+        folder: Path,
+        checkout: Path = ROOT,
+        zone: str = ZONES[0],
+        program: str = PROGRAM,
     ) -> None:
         caller_port, self.ready_port, self.directory_port, low, high = free_ports(5)
         self.name = name
         self.checkout = checkout
+        self._program = program
         self.port = caller_port
         self.relay_port = high
         self.generation = 0
         self.disturbances: list[tuple[float, str]] = []
         self.lock = threading.Lock()
         self._log_path = folder / f"{name}.log"
-        self._settings_path = folder / f"{name}.toml"
+        self.settings_path = folder / f"{name}.toml"
         address = "127.0.0.1"
         lines = [
-            f'node = "{name}"\nzone = "zone-a"',
+            f'node = "{name}"\nzone = "{zone}"',
             f"internalPortRange = [{low},{high}]\nbounds = {json.dumps(BOUNDS)}",
             f'[listen]\nfront = "{address}:{caller_port}"',
             f'ready = "{address}:{self.ready_port}"',
@@ -83,16 +93,20 @@
             "[limits]\ncpuShare = 0.86\ncores = 1\nlinkMbps = 1000.0",
             f'[platform]\naddress = "{store}"',
         ]
-        self._settings_path.write_text("\n".join(lines))
+        self.settings_path.write_text("\n".join(lines))
         self.start()
 
     def start(self) -> None:
         """Start a new process without any state."""
         self._log_start = len(self.log_text()) if self._log_path.exists() else 0
-        env = {**os.environ, "DOGWOODTACK_SETTINGS": str(self._settings_path)}
+        env = {
+            **os.environ,
+            "DOGWOODTACK_SETTINGS": str(self.settings_path),
+            "PYTHONPATH": str(self.checkout),
+        }
         log_file = open(self._log_path, "a")
         self.process = subprocess.Popen(
-            [sys.executable, "entryhost.py"],
+            [sys.executable, self._program],
             cwd=self.checkout,
             env=env,
             stdout=log_file,
@@ -156,13 +170,20 @@
         hosts: number of entry hosts to start.
         instances: number of instances to start.
         checkouts: checkouts whose code the entry hosts run, assigned in rotation.
+        zones: zones of the entry hosts, assigned in rotation.
+        program: program that the entry hosts run.
 
     Attributes:
         store_proxies: for each host, the proxy between it and the store.
     """
 
     def __init__(
-        self, hosts: int, instances: int, checkouts: Sequence[Path] = (ROOT,)
+        self,
+        hosts: int,
+        instances: int,
+        checkouts: Sequence[Path] = (ROOT,),
+        zones: Sequence[str] = ZONES,
+        program: str = PROGRAM,
     ) -> None:
         self._folder = tempfile.TemporaryDirectory()
         folder = Path(self._folder.name)
@@ -181,6 +202,8 @@
                 self.store_proxies[n].address,
                 folder,
                 checkouts[n % len(checkouts)],
+                zones[n % len(zones)],
+                program,
             )
             for n in range(hosts)
         ]
--- /dev/null
+++ b/tests/test_cut_paths.py
@@ -0,0 +1,107 @@
+"""Entry hosts that lose their paths to all instances, while callers reach them."""
+
+import json
+import time
+import unittest
+
+from nose2.tools import params
+
+from soak.callers import Caller
+from soak.site import Site
+
+READY_TIMEOUT_S = 20.0
+# The users' bound: from STABLE_S after the cut began, no more than SLACK and one in
+# FAILED_SHARE of all first tries fail at the hosts that are cut off.
+STABLE_S = 3.0
+MEASURED_S = 5.0
+SLACK = 10
+FAILED_SHARE = 50
+CALLERS = 10
+
+
+class CutPathsTest(unittest.TestCase):
+    def start_site(self, hosts, zones):
+        self.site = Site(hosts, 5, zones=zones, program="tests/cut_host.py")
+        self.addCleanup(self.site.close)
+        self.wait_until(
+            lambda: all(host.is_serving for host in self.site.hosts), READY_TIMEOUT_S
+        )
+
+    def wait_until(self, check, timeout_s):
+        deadline = time.monotonic() + timeout_s
+        while not check():
+            self.assertLess(time.monotonic(), deadline, self.logs())
+            time.sleep(0.05)
+
+    def logs(self):
+        lines = "\n".join(host.log_text() for host in self.site.hosts).splitlines()
+        return "\n".join(line for line in lines if "event=request" not in line)
+
+    def cut(self, hosts, mode):
+        ports = [one.proxy.address.port for one in self.site.instances]
+        for host in hosts:
+            path = host.settings_path.with_suffix(".cut")
+            path.with_suffix(".new").write_text(
+                json.dumps({"mode": mode, "ports": ports})
+            )
+            path.with_suffix(".new").rename(path)
+
+    def heal(self, hosts):
+        for host in hosts:
+            host.settings_path.with_suffix(".cut").unlink()
+
+    @params(
+        # mode of the cut, hosts, zones, how many of the hosts are cut off
+        ("hang", 3, ("zone-a",), 1),
+        ("hang", 3, ("zone-a",), 2),
+        ("reset", 3, ("zone-a",), 2),
+        ("refuse-new", 3, ("zone-a",), 2),
+        ("hang", 4, ("zone-a", "zone-a", "zone-b", "zone-b"), 2),
+    )
+    def test_callers_of_hosts_that_are_cut_off_are_served(
+        self, mode, hosts, zones, cut_count
+    ):
+        self.start_site(hosts, zones)
+        callers = [Caller(self.site, 1, number) for number in range(CALLERS)]
+        for caller in callers:
+            caller.start()
+        time.sleep(2.0)
+        cut_hosts = self.site.hosts[:cut_count]
+        self.cut(cut_hosts, mode)
+        time.sleep(STABLE_S)
+        begin = time.monotonic()
+        time.sleep(MEASURED_S)
+        end = time.monotonic()
+        self.heal(cut_hosts)
+        time.sleep(STABLE_S)
+        for caller in callers:
+            caller.is_stopping = True
+        for caller in callers:
+            caller.join(10.0)
+        names = {host.name for host in cut_hosts}
+        calls = [call for caller in callers for call in caller.calls]
+        measured = [call for call in calls if begin <= call.sent_at < end]
+        failed = [c for c in measured if c.host in names and c.status != 200]
+        allowed = SLACK + len(measured) / FAILED_SHARE
+        self.assertLessEqual(len(failed), allowed, self.logs())
+        served = [c for c in measured if c.host in names and c.status == 200]
+        self.assertGreater(len(served), len(failed))
+        self.check_at_most_once(calls)
+        for host in cut_hosts:
+            changes = [
+                line
+                for line in host.log_text().splitlines()
+                if "event=instance-paths" in line
+            ]
+            if changes:
+                self.assertIn("lost=False", changes[-1], self.logs())
+
+    def check_at_most_once(self, calls):
+        runs = [r.request_id for one in self.site.instances for r in one.backend.ran]
+        for call in calls:
+            if call.is_non_idempotent:
+                self.assertLessEqual(runs.count(call.id), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
