--- a/dogwoodtack/entry/attempt.py
+++ b/dogwoodtack/entry/attempt.py
@@ -1,4 +1,4 @@
-"""One attempt of a request at one instance: connect, send, collect the response."""
+"""One attempt of a request: connect, send, collect the response."""
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -12,11 +12,12 @@
     ResponseRules,
 )
 from ..errors import WireError
+from ..misc import Address
 from ..placement import AttemptOutcome, Instance
 from ..reactor import Reactor, Timer
 from .wire import HeaderNames, parse_rate_limit
 
-__all__ = ["Attempt", "AttemptResult", "OutgoingRequest"]
+__all__ = ["Attempt", "AttemptResult", "AttemptTarget", "OutgoingRequest"]
 
 HTTP_MISDIRECTED = 421
 HTTP_SERVER_ERROR = 500
@@ -35,6 +36,22 @@
     body: bytes
 
 
+class AttemptTarget(NamedTuple):
+    """Where an attempt sends the request.
+
+    Attributes:
+        name: id of the instance or name of the entry host.
+        address: where to connect.
+        headers: headers that are sent only there.
+        instance: the instance; None for an entry host.
+    """
+
+    name: str
+    address: Address
+    headers: list[Header]
+    instance: Instance | None
+
+
 class AttemptResult(NamedTuple):
     """How an attempt ended.
 
@@ -59,15 +76,15 @@
 
 
 class Attempt:
-    """Send a request to an instance and collect the response.
+    """Send a request to an instance or another entry host and collect the response.
 
     Args:
         reactor: event loop and clock.
-        pool: connections to instances.
+        pool: connections to the target.
         header_names: header names on the wire.
-        instance: where the request is sent.
-        on_connect: called with the instance and whether it accepted the connection, if
-            a new one is needed.
+        target: where the request is sent.
+        on_connect: called with whether the target accepted the connection, if a new
+            one is needed.
         on_end: called once with the attempt and its result, unless it is cancelled.
     """
 
@@ -76,11 +93,11 @@
         reactor: Reactor,
         pool: ConnectionPool,
         header_names: HeaderNames,
-        instance: Instance,
-        on_connect: Callable[[Instance, bool], None],
+        target: AttemptTarget,
+        on_connect: Callable[[bool], None],
         on_end: Callable[["Attempt", AttemptResult], None],
     ) -> None:
-        self.instance = instance
+        self.target = target
         self.started_at = reactor.clock.monotonic()
         self.is_silence_reported = False
         self._reactor = reactor
@@ -120,7 +137,7 @@
         wait_s = deadline - self._reactor.clock.monotonic()
         self._timer = self._reactor.call_later(wait_s, self._on_timeout)
         self._pool.acquire(
-            self.instance.address, self._on_connection, max_idle_s=max_idle_s
+            self.target.address, self._on_connection, max_idle_s=max_idle_s
         )
 
     def cancel(self) -> None:
@@ -138,7 +155,7 @@
         self, conn: BackendConnection | None, exc: WireError | None
     ) -> None:
         if conn is None or not conn.was_used:
-            self._on_connect(self.instance, conn is not None)
+            self._on_connect(conn is not None)
         if self._on_end is None:
             if conn is not None:
                 self._pool.release(conn)
@@ -168,8 +185,8 @@
         left_ms = max(1, int((self._deadline - now) * 1000))
         return [
             *self._req.headers,
+            *self.target.headers,
             (self._header_names.deadline_ms, str(left_ms).encode()),
-            (self._header_names.expected_instance, self.instance.id.encode()),
         ]
 
     def _belongs_to_request(self, head: ResponseHead) -> bool:
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -1,5 +1,6 @@
 """One request of a caller, from its head to its response."""
 
+import functools
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -11,10 +12,12 @@
 from ..logs import log_event
 from ..placement import (
     NOT_RUN_OUTCOMES,
+    PATH_FAILURES,
     AttemptContext,
     AttemptOutcome,
     Instance,
     NextAction,
+    Observation,
     PlacementRequest,
     Placer,
     QueuedRequest,
@@ -26,13 +29,19 @@
 )
 from ..reactor import Reactor, Timer
 from ..routing import Route, TrafficSplitter
-from .attempt import Attempt, AttemptResult, OutgoingRequest
+from .attempt import Attempt, AttemptResult, AttemptTarget, OutgoingRequest
 from .idle_limit import IdleLimit
 from .paths import PathMonitor
 from .replies import send_error
-from .request import MIN_ATTEMPT_S, forwarded_headers, time_limit_s
+from .request import (
+    ATTEMPTS_LEFT_HEADER,
+    MIN_ATTEMPT_S,
+    attempts_left,
+    forwarded_headers,
+    time_limit_s,
+)
 from .request_log import AttemptRecord, RequestLog, RequestLogEntry
-from .wire import HeaderNames, find_header
+from .wire import HeaderNames, find_header, parse_retry_after
 
 __all__ = ["Exchange", "ExchangeDependencies", "RouteFinder"]
 
@@ -48,6 +57,10 @@
 OVERDUE_SERVICE_TIME_FACTOR = 3.5
 # Stays well below the idle timeouts after which instances close connections.
 MAX_REUSE_IDLE_S = 7.0
+# Hosts that a request is handed over to, one after the other.
+MAX_HANDOVERS = 2
+# Other hosts close idle connections as callers' are closed, at times after few seconds.
+MAX_HOST_IDLE_S = 1.0
 CALLER_GONE_STATUS = 499
 # From this host, these statuses state that a request was not executed. Those of an
 # instance are no such proof without its not-executed header and are not forwarded.
@@ -74,6 +87,7 @@
         placer: chooses an instance for each attempt.
         fleet: receives what attempts show of their instances.
         pool: connections to instances.
+        host_pool: connections to other entry hosts.
         paths: whether this host reaches the instances.
         header_names: header names on the wire.
         find_route: returns the route for a host and target, and the version of
@@ -89,6 +103,7 @@
     placer: Placer
     fleet: Fleet
     pool: ConnectionPool
+    host_pool: ConnectionPool
     paths: PathMonitor
     header_names: HeaderNames
     find_route: RouteFinder
@@ -107,6 +122,8 @@
         head: the request's head.
         max_body_bytes: longest request body that is accepted.
         on_done: called once with this exchange when it has ended.
+        is_handed_over: whether another entry host has handed over the request, so that
+            it is not handed over again.
     """
 
     def __init__(
@@ -116,12 +133,14 @@
         head: RequestHead,
         max_body_bytes: int,
         on_done: Callable[["Exchange"], None],
+        is_handed_over: bool = False,
     ) -> None:
         self._deps = deps
         self._conn = conn
         self._head = head
         self._max_body_bytes = max_body_bytes
         self._on_done = on_done
+        self._is_handed_over = is_handed_over
         self._now = deps.reactor.clock.monotonic
         self._arrived_at = self._now()
         self._body = bytearray()
@@ -134,6 +153,9 @@
         self._in_flight: dict[Attempt, list[Timer]] = {}
         self._attempt_records: list[AttemptRecord] = []
         self._tried_instances: set[str] = set()
+        self._tried_hosts: set[str] = set()
+        self._max_attempts = 1
+        self._is_counted = False
         self._sent_attempts = 0
         self._may_have_run = False
         self._best_result: AttemptResult | None = None
@@ -170,6 +192,11 @@
             self._send_error(ErrorKind.NO_ROUTE)
             return
         self._route = route
+        self._max_attempts = (
+            attempts_left(self._head, route)
+            if self._is_handed_over
+            else route.max_attempts
+        )
         self._service = self._deps.splitter.next_service(route)
         header_names = self._deps.header_names
         self._deadline = self._arrived_at + time_limit_s(
@@ -182,7 +209,6 @@
             forwarded_headers(self._head, header_names, bytes(self._body)),
             bytes(self._body),
         )
-        self._deps.placer.budget(self._service).record_request(self._now())
         self._request_placement()
 
     # Placement.
@@ -196,7 +222,7 @@
         is_exploratory = (
             route.kind.is_idempotent
             and not self._sent_attempts
-            and route.max_attempts > 1
+            and self._max_attempts > 1
         )
         if is_exploratory:
             budget = self._deps.placer.budget(self._service)
@@ -221,6 +247,24 @@
         )
 
     def _request_placement(self) -> None:
+        """Place the request, or hand it over if this host reaches no instance."""
+        if self._attempt_records:
+            # Probes that are under way tell within milliseconds, or that it is cut off.
+            self._deps.paths.when_settled(self._place_or_hand_over)
+        else:
+            self._place_or_hand_over()
+
+    def _place_or_hand_over(self) -> None:
+        if self.is_done or self._hand_over():
+            return
+        is_cut_off = self._deps.paths.is_cut_off
+        if is_cut_off and (self._is_handed_over or self._tried_hosts):
+            # The host that handed it over knows others.
+            self._abandon(ErrorKind.BACKEND_REFUSED)
+            return
+        if not self._is_counted:
+            self._is_counted = True
+            self._deps.placer.budget(self._service).record_request(self._now())
         request = self._placement_request(self._on_placement)
         self._queued_request = self._deps.placer.place(request, self._now())
 
@@ -237,7 +281,7 @@
         self._dispatch(placed)
 
     def _on_placement_rejected(self, rejection: Rejection) -> None:
-        if self.is_done or self._in_flight:
+        if self.is_done or self._in_flight or self._hand_over():
             return
         self._detail = rejection.detail
         if self._best_result is not None:
@@ -251,12 +295,13 @@
         if self._first_dispatch_at is None:
             self._first_dispatch_at = now
         self._tried_instances.add(instance.id)
+        expected_instance = (deps.header_names.expected_instance, instance.id.encode())
         attempt = Attempt(
             deps.reactor,
             deps.pool,
             deps.header_names,
-            instance,
-            deps.paths.on_connect,
+            AttemptTarget(instance.id, instance.address, [expected_instance], instance),
+            functools.partial(deps.paths.on_connect, instance),
             self._on_attempt_end,
         )
         call_later = deps.reactor.call_later
@@ -274,6 +319,45 @@
             max_idle_s = deps.idle_limit.limit_s(self._service)
         attempt.start(self._req, self._deadline, max_idle_s)
 
+    def _hand_over(self) -> bool:
+        """Send the request to a host that reaches instances; return whether it was.
+
+        That host makes all further attempts; it rejects a request that has not run.
+        """
+        deps = self._deps
+        if (
+            not deps.paths.is_cut_off
+            or self._is_handed_over
+            or len(self._tried_hosts) >= MAX_HANDOVERS
+            or self._now() >= self._deadline - MIN_ATTEMPT_S
+        ):
+            return False
+        host = deps.fleet.handover_host(self._tried_hosts)
+        if host is None:
+            return False
+        self._tried_hosts.add(host.name)
+        left = max(1, self._max_attempts - self._runs())
+        attempt = Attempt(
+            deps.reactor,
+            deps.host_pool,
+            deps.header_names,
+            AttemptTarget(
+                host.name,
+                host.handover_address,
+                [(ATTEMPTS_LEFT_HEADER, str(left).encode())],
+                None,
+            ),
+            lambda is_reached: None,
+            self._on_attempt_end,
+        )
+        service_time_s = deps.placer.service_time_s(self._service)
+        hedge_delay_s = self._hedge_delay_s(service_time_s)
+        self._in_flight[attempt] = [
+            deps.reactor.call_later(hedge_delay_s, self._on_hedge_timer)
+        ]
+        attempt.start(self._req, self._deadline, MAX_HOST_IDLE_S)
+        return True
+
     def _hedge_delay_s(self, service_time_s: float) -> float:
         return max(
             HEDGE_OBJECTIVE_FACTOR * self._route.objective_s,
@@ -283,15 +367,27 @@
     def _on_overdue(self, attempt: Attempt) -> None:
         """Report an instance as timed out before the request's deadline."""
         if attempt in self._in_flight and attempt.bytes_sent:
+            self._deps.paths.check()
             attempt.is_silence_reported = True
-            observation = observation_for(AttemptOutcome.TIMED_OUT)
-            self._deps.placer.health.observe(
-                attempt.instance.id, observation, self._now()
-            )
-            self._deps.fleet.report_instance(attempt.instance.id, observation)
+            instance_id = attempt.target.name
+            observation = self._observe(instance_id, AttemptOutcome.TIMED_OUT)
+            self._deps.fleet.report_instance(instance_id, observation)
             if attempt.is_reused:
                 # Established connections may be dead while new ones still work.
-                self._deps.pool.close_idle(attempt.instance.address)
+                self._deps.pool.close_idle(attempt.target.address)
+
+    def _observe(self, instance_id: str, outcome: AttemptOutcome) -> Observation | None:
+        """Record what an outcome shows of an instance and return what peers are told.
+
+        What may only show that this host's paths are lost is not told.
+        """
+        observation = observation_for(outcome)
+        is_path_suspect = self._deps.paths.is_suspect
+        health = self._deps.placer.health
+        health.observe(instance_id, observation, self._now(), is_path_suspect)
+        if is_path_suspect and observation in PATH_FAILURES:
+            return None
+        return observation
 
     def _on_hedge_timer(self) -> None:
         """Hedge an idempotent request: send it to a second instance as well.
@@ -307,7 +403,7 @@
         route = self._route
         if (
             not route.kind.is_idempotent
-            or self._sent_or_in_flight() >= route.max_attempts
+            or self._sent_or_in_flight() >= self._max_attempts
         ):
             return
         placer = self._deps.placer
@@ -315,7 +411,9 @@
         budget = placer.budget(self._service)
         if budget.remaining(now, placer.retry_budget_hosts, True) <= 0:
             return
-        if placer.try_place(self._placement_request(self._on_placement), now):
+        if self._hand_over() or placer.try_place(
+            self._placement_request(self._on_placement), now
+        ):
             budget.try_spend(now, placer.retry_budget_hosts, True)
 
     def _sent_or_in_flight(self) -> int:
@@ -360,14 +458,9 @@
         placer = self._deps.placer
         now = self._now()
         service_time_s = placer.service_time_s(self._service)
-        runs = sum(
-            1
-            for record in self._attempt_records
-            if record.outcome not in NOT_RUN_OUTCOMES
-        )
+        runs = self._runs()
         has_attempts_left = (
-            runs < self._route.max_attempts
-            and len(self._attempt_records) < MAX_ATTEMPTS
+            runs < self._max_attempts and len(self._attempt_records) < MAX_ATTEMPTS
         )
         may_retry = is_idempotent or not self._may_have_run
         has_time = now + service_time_s / 2 < self._deadline
@@ -381,44 +474,59 @@
             outcome=result.outcome,
             is_idempotent=is_idempotent,
             may_have_run=self._may_have_run,
-            attempts=runs if has_attempts_left else self._route.max_attempts,
-            max_attempts=self._route.max_attempts,
+            attempts=runs if has_attempts_left else self._max_attempts,
+            max_attempts=self._max_attempts,
             has_retry_budget=has_retry_budget,
             has_time=has_time,
         )
 
+    def _runs(self) -> int:
+        """Return how many attempts that have ended may have run the request."""
+        return sum(
+            1
+            for record in self._attempt_records
+            if record.outcome not in NOT_RUN_OUTCOMES
+        )
+
     def _close_attempt(self, attempt: Attempt, outcome: AttemptOutcome | None) -> None:
         for timer in self._in_flight.pop(attempt, ()):
             timer.cancel()
+        instance = attempt.target.instance
+        if instance is None:
+            return
         placer = self._deps.placer
-        placer.release(attempt.instance.id)
+        placer.release(instance.id)
         now = self._now()
         observation = None
         if outcome is AttemptOutcome.MISDIRECTED:
-            placer.health.record_replaced(attempt.instance)
-        if outcome is not None:
-            observation = observation_for(outcome)
-            if not (
-                attempt.is_silence_reported and outcome is AttemptOutcome.TIMED_OUT
-            ):
-                placer.health.observe(attempt.instance.id, observation, now)
-        self._deps.fleet.report_instance(attempt.instance.id, observation)
+            placer.health.record_replaced(instance)
+        is_reported = (
+            attempt.is_silence_reported and outcome is AttemptOutcome.TIMED_OUT
+        )
+        if outcome is not None and not is_reported:
+            observation = self._observe(instance.id, outcome)
+        self._deps.fleet.report_instance(instance.id, observation)
         self._deps.reactor.call_soon(placer.dispatch_queued, now)
 
     def _record_attempt(self, attempt: Attempt, result: AttemptResult) -> None:
         now = self._now()
         spent_s = now - attempt.started_at
-        unhealthy_probability = self._deps.placer.health.unhealthy_probability(
-            attempt.instance.id, now
-        )
+        instance = attempt.target.instance
+        unhealthy_probability = None
+        if instance is not None:
+            unhealthy_probability = self._deps.placer.health.unhealthy_probability(
+                instance.id, now
+            )
         self._attempt_records.append(
             AttemptRecord(
-                attempt.instance.id,
+                attempt.target.name,
                 unhealthy_probability,
                 result.outcome,
                 spent_s * 1000,
             )
         )
+        if instance is None:
+            return
         if result.outcome is AttemptOutcome.ANSWERED:
             self._deps.placer.record_service_time(self._service, spent_s)
             known = self._deps.response_kb.get(self._route.name, 1.0)
@@ -432,16 +540,16 @@
     def _record_rate_limit(self, attempt: Attempt, result: AttemptResult) -> None:
         """Record the rate limit that a response names, or that it names none."""
         per_s = result.rate_limit_per_s
-        if result.outcome is AttemptOutcome.MISDIRECTED:
+        instance = attempt.target.instance
+        if instance is None or result.outcome is AttemptOutcome.MISDIRECTED:
             return
         if result.head is None and per_s is None:
             return
         limits = self._deps.placer.rate_limits
-        instance_id = attempt.instance.id
-        if limits.on_response(instance_id, per_s, attempt.started_at, self._now()):
+        if limits.on_response(instance.id, per_s, attempt.started_at, self._now()):
             log_event(
                 "instance-rate-limit",
-                instance=instance_id,
+                instance=instance.id,
                 per_s="none" if per_s is None else per_s,
                 request=self._request_id.decode("latin-1"),
             )
@@ -465,6 +573,8 @@
             return
         if not self._may_have_run:
             retry_after_s = self._deps.placer.service_time_s(self._service)
+            if result.head is not None:
+                retry_after_s = parse_retry_after(result.head, retry_after_s)
             self._send_error(KIND_BY_OUTCOME[result.outcome], retry_after_s)
             return
         kind = KIND_BY_OUTCOME[result.outcome]
@@ -505,12 +615,12 @@
         status = CALLER_GONE_STATUS
         if not self._is_caller_gone:
             header_names = self._deps.header_names
-            request_id_header = (
-                (header_names.request_id, self._request_id)
-                if self._request_id
-                else None
-            )
-            status = send_error(self._conn, kind, request_id_header, retry_after_s)
+            headers = []
+            if self._request_id:
+                headers.append((header_names.request_id, self._request_id))
+            if self._is_handed_over and not self._may_have_run:
+                headers.append((header_names.not_executed, b"1"))
+            status = send_error(self._conn, kind, headers, retry_after_s)
         self._close(str(kind), status)
 
     def on_request_error(self, kind: ErrorKind, detail: str) -> None:
--- a/dogwoodtack/entry/explain.py
+++ b/dogwoodtack/entry/explain.py
@@ -87,6 +87,8 @@
 
 def _attempt_text(attempt: str) -> str:
     instance, probability, ending, ms = attempt.rsplit("/", 3)
+    if probability == "-":
+        return f"handed over to entry host {instance}: {ending} after {ms} ms"
     health = (
         "likely unhealthy"
         if float(probability) > UNHEALTHY_THRESHOLD
--- a/dogwoodtack/entry/frontend.py
+++ b/dogwoodtack/entry/frontend.py
@@ -21,6 +21,8 @@
         address: where callers connect.
         limits: returns the limits in force.
         max_connections: most connections of callers at a time.
+        is_handover: whether the callers are other entry hosts, which hand over
+            requests that they can't serve.
     """
 
     def __init__(
@@ -29,8 +31,10 @@
         address: Address,
         limits: Callable[[], CallerLimits],
         max_connections: int,
+        is_handover: bool = False,
     ) -> None:
         self._deps = deps
+        self._is_handover = is_handover
         self._caller_limits = limits
         super().__init__(deps.reactor, address, max_connections)
 
@@ -46,10 +50,17 @@
         )
 
     def _send_error(self, conn: ServerConn, kind: ErrorKind, detail: str) -> None:
-        send_error(conn, kind, None)
+        send_error(conn, kind)
 
     def on_request(self, conn: ServerConn, head: RequestHead) -> None:
         """Start an exchange, which waits for the complete body."""
         max_bytes = self._caller_limits().max_body_bytes
-        exchange = Exchange(self._deps, conn, head, max_bytes, self._exchanges.discard)
+        exchange = Exchange(
+            self._deps,
+            conn,
+            head,
+            max_bytes,
+            self._exchanges.discard,
+            self._is_handover,
+        )
         self._add_exchange(conn, exchange)
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -155,12 +155,15 @@
     def _build_frontend(self) -> None:
         cfg = self.settings
         self.pool = ConnectionPool(self.reactor, DIAL_TIMEOUT_S)
-        self.paths = PathMonitor(self.registry)
+        self.paths = PathMonitor(
+            self.reactor, self.registry, self.rng, self._on_paths_changed
+        )
         deps = ExchangeDependencies(
             reactor=self.reactor,
             placer=self.placer,
             fleet=self.fleet,
             pool=self.pool,
+            host_pool=ConnectionPool(self.reactor, DIAL_TIMEOUT_S),
             paths=self.paths,
             header_names=self._adapter.header_names,
             find_route=self._find_route,
@@ -172,6 +175,14 @@
         self.frontend = EntryFrontend(
             deps, cfg.callers, self._caller_limits, MAX_CALLER_CONNECTIONS
         )
+        self.handover_frontend = EntryFrontend(
+            deps,
+            self.local_host.handover_address,
+            self._caller_limits,
+            MAX_CALLER_CONNECTIONS,
+            is_handover=True,
+        )
+        self._frontends = (self.frontend, self.handover_frontend)
         Responder(self.reactor, cfg.readiness, self._handle_query)
         if cfg.directory != cfg.readiness:
             Responder(self.reactor, cfg.directory, self._handle_query)
@@ -207,6 +218,16 @@
     def _on_store_restored(self) -> None:
         self.host_records.on_store_restored()
 
+    def _on_paths_changed(self) -> None:
+        """Tell the other hosts, and place again what waits."""
+        self.peer_table.reaches_instances = not self.paths.is_cut_off
+        self.fleet.count_competing_hosts()
+        self.fleet.send_heartbeat()
+        if self.paths.is_cut_off:
+            self.placer.reject_queued("no instance is reached")
+        else:
+            self.placer.health.forget_paths()
+
     def _check_ready(self) -> None:
         is_ready = self.feed.is_synced and not self._is_stopping
         if is_ready != self.peer_table.is_ready:
@@ -232,10 +253,9 @@
         return None
 
     def _address_response(self) -> SimpleResponse:
-        hosts = self.fleet.serving_hosts()
-        if not hosts:
+        addresses = self.fleet.directory_addresses()
+        if not addresses:
             return SimpleResponse(503)
-        addresses = [host.caller_address for host in hosts]
         self.rng.shuffle(addresses)
         ttl_s = min(ADDRESS_TTL_S, self.settings.bounds.max_answer_ttl_s)
         return SimpleResponse(200, self._adapter.encode_addresses(addresses, ttl_s))
@@ -262,8 +282,9 @@
         version, position, age_s = self.feed.sync_status()
         now = self.reactor.clock.monotonic()
         return {
-            "in_flight": self.frontend.in_flight,
+            "in_flight": self._in_flight(),
             "caller_connections": self.frontend.connections,
+            "handover_connections": self.handover_frontend.connections,
             "instance_paths_lost": float(self.paths.is_cut_off),
             "instances_unreached": self.paths.unreached,
             "rate_limited_instances": self.placer.rate_limits.count(now),
@@ -329,22 +350,28 @@
         self._is_stopping = True
         self._check_ready()
         self.fleet.send_heartbeat()
-        self.frontend.announce_stop()
+        for frontend in self._frontends:
+            frontend.announce_stop()
         grace_s = self.settings.bounds.grace_s - GRACE_MARGIN_S
-        log_event("leaving", in_flight=self.frontend.in_flight, grace_s=grace_s)
+        log_event("leaving", in_flight=self._in_flight(), grace_s=grace_s)
         self.reactor.call_later(min(DRAIN_DELAY_S, grace_s / 2), self._drain)
         self.reactor.call_later(grace_s, self._exit, "grace-over")
 
     def _drain(self) -> None:
-        self.frontend.stop_accepting()
+        for frontend in self._frontends:
+            frontend.stop_accepting()
         self._poll_drained()
 
+    def _in_flight(self) -> int:
+        return sum(frontend.in_flight for frontend in self._frontends)
+
     def _poll_drained(self) -> None:
-        if self.frontend.in_flight == 0 and self.frontend.connections == 0:
+        connections = sum(frontend.connections for frontend in self._frontends)
+        if self._in_flight() == 0 and connections == 0:
             self._exit("drained")
             return
         self.reactor.call_later(DRAIN_POLL_S, self._poll_drained)
 
     def _exit(self, reason: str) -> None:
-        log_event("stopped", reason=reason, cut=self.frontend.in_flight)
+        log_event("stopped", reason=reason, cut=self._in_flight())
         self.stop()
--- a/dogwoodtack/entry/replies.py
+++ b/dogwoodtack/entry/replies.py
@@ -1,5 +1,7 @@
 """Error responses that an entry host generates itself."""
 
+from collections.abc import Iterable
+
 from ..backends import Header
 from ..errors import ErrorKind, answer_for
 from ..frontend.conn import ServerConn
@@ -23,7 +25,7 @@
 def send_error(
     conn: ServerConn,
     kind: ErrorKind,
-    request_id_header: Header | None,
+    extra_headers: Iterable[Header] = (),
     retry_after_s: float | None = None,
 ) -> int:
     """Send the response for an error kind.
@@ -31,7 +33,7 @@
     Args:
         conn: the caller's connection.
         kind: the error.
-        request_id_header: the request's id header to echo, or None.
+        extra_headers: further headers, such as the request's id.
         retry_after_s: seconds after which to retry, for a request that did not run.
 
     Returns:
@@ -44,8 +46,7 @@
         (b"content-type", b"text/plain; charset=utf-8"),
         (b"content-length", str(len(body)).encode()),
     ]
-    if request_id_header is not None:
-        headers.append(request_id_header)
+    headers.extend(extra_headers)
     if retry_after_s is not None:
         headers.append((b"retry-after", f"{retry_after_s:.2f}".encode()))
     conn.send_head(status, headers)
--- a/dogwoodtack/entry/request.py
+++ b/dogwoodtack/entry/request.py
@@ -6,7 +6,16 @@
 from ..routing import Route
 from .wire import HeaderNames
 
-__all__ = ["MIN_ATTEMPT_S", "forwarded_headers", "time_limit_s"]
+__all__ = [
+    "ATTEMPTS_LEFT_HEADER",
+    "MIN_ATTEMPT_S",
+    "attempts_left",
+    "forwarded_headers",
+    "time_limit_s",
+]
+
+# On a request that another entry host hands over: how many instances may still run it.
+ATTEMPTS_LEFT_HEADER = b"x-dogwoodtack-attempts-left"
 
 DEFAULT_TIME_LIMIT_S = 10.0
 # The shortest time in which an instance could still respond.
@@ -30,6 +39,18 @@
     return max(MIN_ATTEMPT_S, limit_s - RESPONSE_MARGIN_S)
 
 
+def attempts_left(head: RequestHead, route: Route) -> int:
+    """Return how many instances may run a request that was handed over.
+
+    Args:
+        head: the request of the other entry host.
+        route: the matched route.
+    """
+    text = head.header(ATTEMPTS_LEFT_HEADER) or ""
+    left = int(text) if text.isdigit() else 1
+    return max(1, min(left, route.max_attempts))
+
+
 def forwarded_headers(
     head: RequestHead, header_names: HeaderNames, body: bytes
 ) -> list[Header]:
@@ -40,7 +61,11 @@
         header_names: header names on the wire; those that a host sets are left out.
         body: the complete body, whose length is sent.
     """
-    excluded = header_names.set_by_host() | {b"content-length", b"transfer-encoding"}
+    excluded = header_names.set_by_host() | {
+        b"content-length",
+        b"transfer-encoding",
+        ATTEMPTS_LEFT_HEADER,
+    }
     kept = drop_hop_by_hop(head.headers)
     headers = [pair for pair in kept if pair[0] not in excluded]
     if body or head.method not in ("GET", "HEAD"):
--- a/dogwoodtack/entry/request_log.py
+++ b/dogwoodtack/entry/request_log.py
@@ -22,22 +22,22 @@
     """One attempt of a request.
 
     Attributes:
-        instance: id of the instance.
-        unhealthy_probability: estimate for the instance after the attempt.
+        target: id of the instance, or name of the entry host that took over.
+        unhealthy_probability: estimate for the instance after the attempt; None for an
+            entry host.
         outcome: how the attempt ended.
         ms: duration in milliseconds.
     """
 
-    instance: str
-    unhealthy_probability: float
+    target: str
+    unhealthy_probability: float | None
     outcome: str
     ms: float
 
     def __str__(self) -> str:
-        return (
-            f"{self.instance}/{self.unhealthy_probability:.2f}"
-            f"/{self.outcome}/{self.ms:.0f}"
-        )
+        probability = self.unhealthy_probability
+        estimate = "-" if probability is None else f"{probability:.2f}"
+        return f"{self.target}/{estimate}/{self.outcome}/{self.ms:.0f}"
 
 
 class RequestLogEntry(NamedTuple):
--- a/dogwoodtack/entry/tests/test_explain_and_idle_limit.py
+++ b/dogwoodtack/entry/tests/test_explain_and_idle_limit.py
@@ -49,6 +49,10 @@
         self.assertIn("likely unhealthy", attempts[0])
         self.assertIn("likely healthy", attempts[1])
 
+    def test_handover_is_described(self):
+        attempts = explain_request([make_line(tries="h-2/-/answered/9")], "00ad").tries
+        self.assertIn("handed over to entry host h-2: answered", attempts[0])
+
     def test_unknown_request_has_no_explanation(self):
         self.assertIsNone(explain_request([make_line()], "00af"))
 
--- a/dogwoodtack/entry/wire.py
+++ b/dogwoodtack/entry/wire.py
@@ -3,7 +3,7 @@
 import math
 from typing import NamedTuple
 
-from ..backends import Header
+from ..backends import Header, ResponseHead
 from ..logs import log_event
 
 __all__ = [
@@ -13,6 +13,7 @@
     "ReadinessQuery",
     "find_header",
     "parse_rate_limit",
+    "parse_retry_after",
 ]
 
 
@@ -76,6 +77,15 @@
     return per_s
 
 
+def parse_retry_after(head: ResponseHead, default_s: float) -> float:
+    """Return the seconds of a response's Retry-After header, or a default."""
+    try:
+        seconds = float(head.header(b"retry-after") or default_s)
+    except ValueError:
+        return default_s
+    return seconds if 0.0 <= seconds < math.inf else default_s
+
+
 def find_header(headers: list[Header], name: bytes) -> bytes | None:
     """Return the first value of a header named in lower case, or None."""
     for key, value in headers:
--- a/dogwoodtack/feed/tests/test_feed.py
+++ b/dogwoodtack/feed/tests/test_feed.py
@@ -297,7 +297,15 @@
         self.world.reactor.call_later(HEARTBEAT_INTERVAL_S, self.send_heartbeat)
         version, position, age_s = self.feed.sync_status()
         heartbeat = Heartbeat(
-            self.record, True, version, position, age_s, HEARTBEAT_INTERVAL_S, {}, []
+            self.record,
+            True,
+            version,
+            position,
+            age_s,
+            HEARTBEAT_INTERVAL_S,
+            {},
+            [],
+            True,
         )
         for host in self.world.hosts:
             if host is None or host is self:
--- a/dogwoodtack/fleet/__init__.py
+++ b/dogwoodtack/fleet/__init__.py
@@ -7,6 +7,7 @@
     HostRecord,
     InstanceReport,
     PeerReport,
+    ServingHost,
     decode_host,
     encode_host,
 )
@@ -20,6 +21,7 @@
     "Peer",
     "PeerReport",
     "PeerTable",
+    "ServingHost",
     "decode_host",
     "encode_host",
 ]
--- a/dogwoodtack/fleet/fleet.py
+++ b/dogwoodtack/fleet/fleet.py
@@ -1,6 +1,6 @@
 """Exchange of heartbeats and reports with the other entry hosts."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from functools import singledispatchmethod
 
 from ..logs import log_event
@@ -17,6 +17,8 @@
     InstanceReport,
     Message,
     PeerReport,
+    ServingHost,
+    ZoneHosts,
     ZoneReport,
 )
 from .report_batch import ReportBatch
@@ -27,6 +29,8 @@
 # more than it helps.
 ZONE_REPORT_INTERVAL_S = 0.25
 GATEWAY_CHECK_S = 1.0
+# The serving hosts of a zone are sent to other zones with one in so many reports.
+REPORTS_PER_HOST_LIST = 4
 # Reports of successes wait this long for others to share a datagram; reports of
 # failures are sent at once.
 REPORT_DELAY_S = 0.01
@@ -61,6 +65,8 @@
         self._get_sync_status = get_sync_status
         self._on_heartbeat = on_heartbeat
         self._batch = ReportBatch()
+        self._handovers = 0
+        self._zone_reports = 0
         self._gateways = ZoneGateways(peer_table.local_host.zone)
         local_host = peer_table.local_host
         self._datagrams = Datagrams(reactor, local_host.peer_address, self._on_message)
@@ -75,10 +81,37 @@
         self._datagrams.send(self._local_heartbeat(), addresses)
 
     def serving_hosts(self) -> list[HostRecord]:
-        """Return the hosts that the zone's callers are directed to, by rank."""
+        """Return the hosts that carry the zone's requests, by rank."""
         now = self._reactor.clock.monotonic()
         return self._peer_table.serving_hosts(self._zone_slots(), now)
 
+    def directory_addresses(self) -> list[Address]:
+        """Return where the zone's callers are directed to."""
+        now = self._reactor.clock.monotonic()
+        hosts = self._peer_table.directory_hosts(self._zone_slots(), now)
+        return [host.caller_address for host in hosts]
+
+    def handover_host(
+        self, exclude: Collection[str]
+    ) -> HostRecord | ServingHost | None:
+        """Return a host that takes over a request, by turns, or None.
+
+        Args:
+            exclude: names of hosts that have had the request.
+        """
+        now = self._reactor.clock.monotonic()
+        local_name = self._peer_table.local_host.name
+        for hosts in (self.serving_hosts(), self._peer_table.serving_elsewhere(now)):
+            found = [
+                host
+                for host in hosts
+                if host.name not in exclude and host.name != local_name
+            ]
+            if found:
+                self._handovers += 1
+                return found[self._handovers % len(found)]
+        return None
+
     def _zone_slots(self) -> int:
         return self._placer.registry.slots_in(self._peer_table.local_host.zone)
 
@@ -102,6 +135,7 @@
             self._heartbeat_interval_s(),
             dict(self._placer.occupancy.own),
             self._placer.rate_limits.reports(self._reactor.clock.monotonic()),
+            self._peer_table.reaches_instances,
         )
 
     def _run_heartbeat(self) -> None:
@@ -147,21 +181,32 @@
             self._placer.unhealthy_percentages(now),
             is_forwarded=False,
             rate_limits=self._placer.rate_limits.reports(now),
+            hosts=self._reported_hosts(),
         )
         self._datagrams.send(
             report, self._gateways.addresses(self._peer_table.known_hosts(), now)
         )
 
+    def _reported_hosts(self) -> ZoneHosts | None:
+        """Return what the next zone report says of hosts, None in most reports."""
+        self._zone_reports += 1
+        if self._zone_reports % REPORTS_PER_HOST_LIST != 1:
+            return None
+        serving = [
+            ServingHost(host.name, host.caller_address, host.handover_address)
+            for host in self.serving_hosts()
+        ]
+        return ZoneHosts(serving, sorted(self._peer_table.zones))
+
     def send_heartbeat(self) -> None:
         """Send a heartbeat to all known hosts of the zone."""
-        zone = self._peer_table.local_host.zone
-        peers = [
-            host.peer_address
-            for host in self._peer_table.known_hosts()
-            if host.zone == zone
-        ]
+        peers = [host.peer_address for host in self._zone_hosts()]
         self._datagrams.send(self._local_heartbeat(), peers)
 
+    def _zone_hosts(self) -> list[HostRecord]:
+        zone = self._peer_table.local_host.zone
+        return [host for host in self._peer_table.known_hosts() if host.zone == zone]
+
     def report_instance(
         self, instance_id: str, observation: Observation | None
     ) -> None:
@@ -237,13 +282,15 @@
             report.zone, report.in_flight, report.unhealthy_percent, now
         )
         self._apply_rate_limits(None, report.rate_limits, now)
+        if report.hosts is not None:
+            self._peer_table.on_zone_hosts(report.zone, report.hosts, now)
         if report.is_forwarded:
             return
         self._gateways.on_report(report.zone, report.gateway, now)
         local_host = self._peer_table.local_host
-        peers = [
-            host.peer_address for host in self.serving_hosts() if host != local_host
-        ]
+        # All hosts of the zone need to know who serves elsewhere: here none may soon.
+        hosts = self._zone_hosts() if report.hosts else self.serving_hosts()
+        peers = [host.peer_address for host in hosts if host != local_host]
         self._datagrams.send(report._replace(is_forwarded=True), peers)
 
     @_handle.register
--- a/dogwoodtack/fleet/peers.py
+++ b/dogwoodtack/fleet/peers.py
@@ -5,7 +5,7 @@
 import math
 from typing import NamedTuple
 
-from .records import Heartbeat, HostRecord
+from .records import Heartbeat, HostRecord, ServingHost, ZoneHosts
 
 __all__ = ["Peer", "PeerTable"]
 
@@ -18,6 +18,8 @@
 RESERVE_HOSTS = 3
 # The cached list of ready hosts is rebuilt at most this often unless readiness changes.
 READY_LIST_TTL_S = 0.1
+# Three missed lists of a zone's serving hosts, and a margin for network delay.
+ZONE_SERVING_TTL_S = 3.3
 # A host that reads the store hears from it at least this often; older store data is
 # not trusted.
 MAX_STORE_AGE_S = 1.3
@@ -55,11 +57,15 @@
     def __init__(self, local_host: HostRecord) -> None:
         self.local_host = local_host
         self._is_ready = False
+        self._reaches_instances = True
         self._known: dict[str, HostRecord] = {}
         self.zones = {local_host.zone}
         self._peers: dict[str, Peer] = {}
         self._ready_list: list[HostRecord] = []
+        self._reaching_list: list[HostRecord] = []
         self._ready_list_at = -math.inf
+        # Serving hosts of other zones, and when each zone reported them.
+        self._zone_serving: dict[str, tuple[list[ServingHost], float]] = {}
 
     @property
     def is_ready(self) -> bool:
@@ -71,6 +77,16 @@
         self._is_ready = value
         self._ready_list_at = -math.inf
 
+    @property
+    def reaches_instances(self) -> bool:
+        """Return whether the local host has paths to the instances."""
+        return self._reaches_instances
+
+    @reaches_instances.setter
+    def reaches_instances(self, value: bool) -> None:
+        self._reaches_instances = value
+        self._ready_list_at = -math.inf
+
     def add_record(self, record: HostRecord) -> None:
         """Add a host's record from the store.
 
@@ -93,7 +109,7 @@
             and heartbeat.host.name != self.local_host.name
         ):
             known = self._peers.get(heartbeat.host.name)
-            if known is None or known.heartbeat.is_ready != heartbeat.is_ready:
+            if known is None or _standing(known.heartbeat) != _standing(heartbeat):
                 self._ready_list_at = -math.inf
             self._peers[heartbeat.host.name] = Peer(heartbeat, now)
 
@@ -110,14 +126,46 @@
         ]
 
     def serving_hosts(self, slots: int, now: float) -> list[HostRecord]:
-        """Return the hosts that the zone's callers are directed to, by rank.
+        """Return the hosts that carry the zone's requests, by rank.
+
+        There is none if no host of the zone reaches the instances.
 
         Args:
             slots: total slots of the zone's instances.
             now: seconds on the monotonic clock.
         """
-        ready = self._ready_hosts(now)
-        return ready[: _serving_count(ready, slots)]
+        self._update_ready_lists(now)
+        reaching = self._reaching_list
+        return reaching[: _serving_count(reaching, slots)]
+
+    def directory_hosts(
+        self, slots: int, now: float
+    ) -> list[HostRecord] | list[ServingHost]:
+        """Return the hosts that the zone's callers are directed to.
+
+        These are the serving hosts.  If there is none, they are those of the other
+        zones, and if these are unknown, ready hosts of the zone.
+
+        Args:
+            slots: total slots of the zone's instances.
+            now: seconds on the monotonic clock.
+        """
+        hosts = self.serving_hosts(slots, now) or self.serving_elsewhere(now)
+        return hosts or self._ready_list[: _serving_count(self._ready_list, slots)]
+
+    def on_zone_hosts(self, zone: str, hosts: ZoneHosts, now: float) -> None:
+        """Record what another zone reports of hosts."""
+        self._zone_serving[zone] = (hosts.serving, now)
+        self.zones.update(hosts.zones)
+
+    def serving_elsewhere(self, now: float) -> list[ServingHost]:
+        """Return the serving hosts of the other zones."""
+        return [
+            host
+            for hosts, at in self._zone_serving.values()
+            if now - at <= ZONE_SERVING_TTL_S
+            for host in hosts
+        ]
 
     def heartbeat_interval_s(self, slots: int, now: float) -> float:
         """Return the seconds between heartbeats of the local host.
@@ -126,27 +174,33 @@
             slots: total slots of the zone's instances.
             now: seconds on the monotonic clock.
         """
-        ready = self._ready_hosts(now)
-        front = ready[: _serving_count(ready, slots) + RESERVE_HOSTS]
+        self._update_ready_lists(now)
+        reaching = self._reaching_list
+        front = reaching[: _serving_count(reaching, slots) + RESERVE_HOSTS]
+        is_disturbed = not (self.is_ready and self.reaches_instances)
         return (
             HEARTBEAT_INTERVAL_S
-            if self.local_host in front or not self.is_ready
+            if self.local_host in front or is_disturbed
             else RESERVE_HEARTBEAT_INTERVAL_S
         )
 
-    def _ready_hosts(self, now: float) -> list[HostRecord]:
-        """Return the zone's live hosts that accept callers, by rank."""
-        if now - self._ready_list_at > READY_LIST_TTL_S:
-            ready = [
-                peer.heartbeat.host
-                for peer in self.live_peers(now)
-                if peer.heartbeat.is_ready
-            ]
-            if self.is_ready:
-                ready.append(self.local_host)
-            self._ready_list = sorted(ready, key=_rank)
-            self._ready_list_at = now
-        return self._ready_list
+    def _update_ready_lists(self, now: float) -> None:
+        """List the zone's live hosts that accept callers, by rank.
+
+        Those that also reach the instances have a list of their own.
+        """
+        if now - self._ready_list_at <= READY_LIST_TTL_S:
+            return
+        ready = {
+            peer.heartbeat.host: peer.heartbeat.reaches_instances
+            for peer in self.live_peers(now)
+            if peer.heartbeat.is_ready
+        }
+        if self.is_ready:
+            ready[self.local_host] = self.reaches_instances
+        self._ready_list = sorted(ready, key=_rank)
+        self._reaching_list = [host for host in self._ready_list if ready[host]]
+        self._ready_list_at = now
 
     def store_reader(self, now: float) -> Peer | None:
         """Return the peer that reads the store on behalf of the local host.
@@ -179,6 +233,11 @@
         return all(_rank(self.local_host) < other for other in others)
 
 
+def _standing(heartbeat: Heartbeat) -> tuple[bool, bool]:
+    """Return what decides whether a live host may serve."""
+    return heartbeat.is_ready, heartbeat.reaches_instances
+
+
 def _serving_count(ready: list[HostRecord], slots: int) -> int:
     """Return how many of the ready hosts, by rank, carry the zone's requests."""
     served_slots = 0.0
--- a/dogwoodtack/fleet/records.py
+++ b/dogwoodtack/fleet/records.py
@@ -13,6 +13,8 @@
     "Heartbeat",
     "ZoneReport",
     "HostRecord",
+    "ServingHost",
+    "ZoneHosts",
     "PeerReport",
     "InstanceReport",
     "decode_host",
@@ -41,6 +43,11 @@
     relay_address: Address
     capacity: float
 
+    @property
+    def handover_address(self) -> Address:
+        """Return where it accepts requests that other hosts hand over."""
+        return self.peer_address
+
 
 class Heartbeat(NamedTuple):
     """Periodic message from a host to the hosts of its zone.
@@ -54,6 +61,7 @@
         interval_s: seconds until the sender's next heartbeat.
         in_flight: the sender's in-flight requests per instance.
         rate_limits: what the sender knows of instances' rate limits.
+        reaches_instances: whether the sender has paths to the instances.
     """
 
     host: HostRecord
@@ -64,6 +72,7 @@
     interval_s: float
     in_flight: dict[str, int]
     rate_limits: list[RateLimitReport]
+    reaches_instances: bool
 
 
 class InstanceReport(NamedTuple):
@@ -95,6 +104,32 @@
     rate_limits: list[RateLimitReport]
 
 
+class ServingHost(NamedTuple):
+    """A serving host, as other zones know it.
+
+    Attributes:
+        name: the host's name.
+        caller_address: where it accepts callers' connections.
+        handover_address: where it accepts requests that other hosts hand over.
+    """
+
+    name: str
+    caller_address: Address
+    handover_address: Address
+
+
+class ZoneHosts(NamedTuple):
+    """What a zone reports of hosts.
+
+    Attributes:
+        serving: the zone's serving hosts, by rank.
+        zones: the zones that are known to have hosts.
+    """
+
+    serving: list[ServingHost]
+    zones: list[str]
+
+
 class ZoneReport(NamedTuple):
     """Load and health of instances as seen by one zone, sent to another zone.
 
@@ -106,6 +141,7 @@
             per instance, as estimated by the zone.
         is_forwarded: whether a host of the receiving zone has forwarded it.
         rate_limits: what the zone knows of instances' rate limits.
+        hosts: the zone's serving hosts; None in most reports.
     """
 
     zone: str
@@ -114,6 +150,7 @@
     unhealthy_percent: dict[str, int]
     is_forwarded: bool
     rate_limits: list[RateLimitReport]
+    hosts: ZoneHosts | None
 
 
 Message = Heartbeat | PeerReport | ZoneReport
@@ -173,6 +210,7 @@
         "age": round(message.store_age_s, 3),
         "next": message.interval_s,
         "load": message.in_flight,
+        "paths": message.reaches_instances,
     } | _rate_limit_fields(message.rate_limits)
 
 
@@ -184,7 +222,14 @@
         "load": message.in_flight,
         "sick": message.unhealthy_percent,
         "on": int(message.is_forwarded),
-    } | _rate_limit_fields(message.rate_limits)
+    } | (_rate_limit_fields(message.rate_limits) | _zone_hosts_fields(message.hosts))
+
+
+def _zone_hosts_fields(hosts: ZoneHosts | None) -> dict[str, Any]:
+    if hosts is None:
+        return {}
+    rows = [[name, str(caller), str(peer)] for name, caller, peer in hosts.serving]
+    return {"serving": rows, "zones": hosts.zones}
 
 
 def _rate_limit_fields(reports: list[RateLimitReport]) -> dict[str, Any]:
@@ -238,6 +283,8 @@
         float(fields["next"]),
         _decode_counts(fields["load"]),
         _decode_rate_limits(fields),
+        # Hosts of earlier builds do not send it.
+        bool(fields.get("paths", True)),
     )
 
 
@@ -249,9 +296,20 @@
         _decode_counts(fields["sick"]),
         bool(fields["on"]),
         _decode_rate_limits(fields),
+        _decode_zone_hosts(fields),
     )
 
 
+def _decode_zone_hosts(fields: dict[str, Any]) -> ZoneHosts | None:
+    if "serving" not in fields:
+        return None
+    serving = [
+        ServingHost(str(name), parse_address(caller), parse_address(peer))
+        for name, caller, peer in fields["serving"]
+    ]
+    return ZoneHosts(serving, [str(zone) for zone in fields["zones"]])
+
+
 def _decode_rate_limits(fields: dict[str, Any]) -> list[RateLimitReport]:
     """Return the reports in a message; hosts of earlier builds send none."""
     return [
--- a/dogwoodtack/fleet/tests/test_peers.py
+++ b/dogwoodtack/fleet/tests/test_peers.py
@@ -4,7 +4,8 @@
 
 from nose2.tools import params
 
-from dogwoodtack.fleet import Heartbeat, HostRecord, PeerTable
+from dogwoodtack.fleet import Heartbeat, HostRecord, PeerTable, ServingHost
+from dogwoodtack.fleet.records import ZoneHosts
 from dogwoodtack.misc import Address
 from dogwoodtack.position import StorePosition
 
@@ -15,8 +16,10 @@
     return HostRecord(name, zone, *addresses, capacity)
 
 
-def make_heartbeat(host, ready=True, age_s=0.1, interval_s=0.4):
-    return Heartbeat(host, ready, 7, StorePosition(2, 5), age_s, interval_s, {}, [])
+def make_heartbeat(host, ready=True, age_s=0.1, interval_s=0.4, reaches=True):
+    return Heartbeat(
+        host, ready, 7, StorePosition(2, 5), age_s, interval_s, {}, [], reaches
+    )
 
 
 def make_peer_table(capacities, zone="a", now=100.0, **heartbeat):
@@ -74,6 +77,51 @@
         self.assertNotIn(stopping, peer_table.serving_hosts(22, 100.05))
 
 
+ELSEWHERE = ServingHost("h-90", Address("10.0.1.1", 1), Address("10.0.1.1", 2))
+
+
+class CutPathsTest(unittest.TestCase):
+    """Some hosts have lost their paths to all instances."""
+
+    def make_table(self, cut_off, is_local_cut_off):
+        """Return the table of a host of six; cut_off of its peers reach nothing."""
+        peer_table = make_peer_table([0.86] * 6)
+        peers = [host for host in peer_table.known_hosts()]
+        for host in peers[:cut_off]:
+            peer_table.on_heartbeat(make_heartbeat(host, reaches=False), 100.0)
+        peer_table.reaches_instances = not is_local_cut_off
+        return peer_table, {host.name for host in peers[:cut_off]}
+
+    @params((1, False, 3), (4, False, 2), (5, False, 1), (4, True, 1), (5, True, 0))
+    def test_they_do_not_serve(self, cut_off, is_local_cut_off, expected):
+        peer_table, names = self.make_table(cut_off, is_local_cut_off)
+        serving = peer_table.serving_hosts(22, 100.0)
+        self.assertEqual(len(serving), expected)
+        self.assertFalse(names & {host.name for host in serving})
+
+    @params(
+        # peers that are cut off, age of another zone's list, where callers go
+        (4, 0.0, ["h-5"]),
+        (5, 0.0, ["h-90"]),
+        (5, 9.0, ["h-0", "h-1", "h-2", "h-3", "h-4", "h-5"]),
+        (5, None, ["h-0", "h-1", "h-2", "h-3", "h-4", "h-5"]),
+    )
+    def test_callers_go_to_other_zones_if_no_host_of_theirs_serves(
+        self, cut_off, age_s, expected
+    ):
+        peer_table, _ = self.make_table(cut_off, True)
+        if age_s is not None:
+            hosts = ZoneHosts([ELSEWHERE], ["a", "b"])
+            peer_table.on_zone_hosts("b", hosts, 100.0 - age_s)
+        found = {host.name for host in peer_table.directory_hosts(22, 100.0)}
+        self.assertLessEqual(found, set(expected))
+        self.assertEqual(len(found), min(3, len(expected)))
+
+    def test_cut_off_host_sends_heartbeats_often(self):
+        peer_table, _ = self.make_table(0, True)
+        self.assertEqual(peer_table.heartbeat_interval_s(22, 100.0), 0.4)
+
+
 class StoreReaderTest(unittest.TestCase):
     @params(
         # age of the peers' store data, whether a host relies on a peer
--- a/dogwoodtack/fleet/tests/test_records.py
+++ b/dogwoodtack/fleet/tests/test_records.py
@@ -7,12 +7,27 @@
 
 from dogwoodtack.fleet import Heartbeat, InstanceReport, PeerReport
 from dogwoodtack.fleet.gateways import ZoneGateways
-from dogwoodtack.fleet.records import ZoneReport, decode_message, encode_message
+from dogwoodtack.fleet.records import (
+    ServingHost,
+    ZoneHosts,
+    ZoneReport,
+    decode_message,
+    encode_message,
+)
 from dogwoodtack.fleet.tests.test_peers import make_heartbeat, make_host
 from dogwoodtack.misc import Address
 from dogwoodtack.placement import Observation, RateLimitReport
 from dogwoodtack.position import StorePosition
 
+ZONE_HOSTS = ZoneHosts(
+    [ServingHost("h-1", Address("10.0.0.1", 1), Address("10.0.0.1", 2))], ["a", "b"]
+)
+
+
+def make_zone_report(**fields):
+    report = ZoneReport("a", Address("10.0.0.1", 2), {}, {}, False, [], None)
+    return report._replace(**fields)
+
 
 class MessageTest(unittest.TestCase):
     @params(
@@ -27,7 +42,8 @@
                 [],
             ),
         ),
-        (ZoneReport("a", Address("10.0.0.1", 2), {"i-1": 3}, {"i-1": 85}, True, []),),
+        (make_zone_report(in_flight={"i-1": 3}, unhealthy_percent={"i-1": 85}),),
+        (make_zone_report(is_forwarded=True, hosts=ZONE_HOSTS),),
         (
             PeerReport(
                 "h-1",
@@ -53,6 +69,7 @@
         b'{"news":"h","of":[],"limits":[["i",1.2,0.1]]}',
         b'{"news":"h","of":[],"limits":[["i","much",0.1,1]]}',
         b'{"beat":{"name":"h"},"ready":true}',
+        b'{"zone":"a","from":"10.0.0.1:2","load":{},"sick":{},"on":0,"serving":[]}',
         b'{"zone":"a","from":"nowhere","load":{},"sick":{},"on":0}',
     )
     def test_invalid_datagram_is_dropped(self, data):
--- a/dogwoodtack/placement/__init__.py
+++ b/dogwoodtack/placement/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from .health_estimate import HealthEstimate, Observation
+from .health_tracker import PATH_FAILURES, HealthTracker
 from .instances import EntryVersion, Instance, InstanceChange, InstanceRegistry
 from .occupancy import Occupancy
 from .outcomes import (
@@ -23,12 +24,14 @@
 
 __all__ = [
     "NOT_RUN_OUTCOMES",
+    "PATH_FAILURES",
     "AttemptContext",
     "AttemptOutcome",
     "Candidate",
     "Capacity",
     "EntryVersion",
     "HealthEstimate",
+    "HealthTracker",
     "Instance",
     "InstanceChange",
     "InstanceRegistry",
--- a/dogwoodtack/placement/health_tracker.py
+++ b/dogwoodtack/placement/health_tracker.py
@@ -5,7 +5,7 @@
 from .health_estimate import HealthEstimate, Observation
 from .instances import Instance
 
-__all__ = ["HealthTracker"]
+__all__ = ["PATH_FAILURES", "HealthTracker"]
 
 # A network path seldom fails for one host while others reach the instance.
 PATH_PRIOR = 0.02
@@ -17,6 +17,8 @@
         Observation.SUCCESS,
     }
 )
+# A host makes these observations also if its own network paths have failed.
+PATH_FAILURES = PATH_OBSERVATIONS - {Observation.SUCCESS}
 # A peer may make these observations because its own network path failed.
 PATH_DEPENDENT_OBSERVATIONS = frozenset(
     {Observation.NO_RESPONSE, Observation.UNREACHABLE}
@@ -61,16 +63,35 @@
             1.0 - (path.unhealthy_probability(now) if path else PATH_PRIOR)
         )
 
-    def observe(self, instance_id: str, observation: Observation, now: float) -> float:
-        """Record an observation of this host and return the new probability."""
+    def observe(
+        self,
+        instance_id: str,
+        observation: Observation,
+        now: float,
+        is_path_suspect: bool = False,
+    ) -> float:
+        """Record an observation of this host and return the new probability.
+
+        Args:
+            instance_id: the instance.
+            observation: what an attempt showed.
+            now: seconds on the monotonic clock.
+            is_path_suspect: whether failures may be due to this host's paths; they then
+                count against the path alone.
+        """
         if observation in PATH_OBSERVATIONS:
             path = self._path_estimates.setdefault(
                 instance_id, HealthEstimate(now, PATH_PRIOR)
             )
             path.observe(observation, now)
-        self.estimate_for(instance_id, now).observe(observation, now)
+        if not (is_path_suspect and observation in PATH_FAILURES):
+            self.estimate_for(instance_id, now).observe(observation, now)
         return self.unhealthy_probability(instance_id, now)
 
+    def forget_paths(self) -> None:
+        """Drop the estimates of this host's paths, which work again."""
+        self._path_estimates.clear()
+
     def add_peer_report(
         self, instance_id: str, observation: Observation, now: float
     ) -> None:
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -286,6 +286,14 @@
         if queue is not None:
             queue.remove(queued)
 
+    def reject_queued(self, detail: str) -> None:
+        """Reject all queued requests."""
+        for service, queue in self._queues.items():
+            for queued in queue.remove_all():
+                queued.payload.on_decision(
+                    Rejection(self.service_time_s(service), detail)
+                )
+
     def dispatch_queued(self, now: float) -> None:
         """Reject expired requests, and place queued ones while slots are free."""
         for service, queue in self._queues.items():
--- a/dogwoodtack/placement/reachability.py
+++ b/dogwoodtack/placement/reachability.py
@@ -9,6 +9,8 @@
 
 # A few instances may be down at once; so many different ones in a row hardly are.
 MIN_FAILED_INSTANCES = 4
+# One instance that is not reached is likely down itself.
+MIN_SUSPECT_INSTANCES = 2
 # A single connection may have been on its way when the paths were lost.
 MIN_REACHED_INSTANCES = 2
 
@@ -27,8 +29,8 @@
 
     @property
     def is_suspect(self) -> bool:
-        """Return whether the last outcome was a failure."""
-        return bool(self._failed)
+        """Return whether failures may be due to the paths rather than the instances."""
+        return self.is_cut_off or len(self._failed) >= MIN_SUSPECT_INSTANCES
 
     @property
     def failed(self) -> frozenset[str]:
--- a/dogwoodtack/placement/wait_queue.py
+++ b/dogwoodtack/placement/wait_queue.py
@@ -148,6 +148,11 @@
         self._requests.remove(queued)
         return True
 
+    def remove_all(self) -> list[QueuedRequest]:
+        """Remove and return all queued requests."""
+        removed, self._requests = self._requests, []
+        return removed
+
     def remove_expired(self, now: float) -> list[QueuedRequest]:
         """Remove and return the requests that have waited too long."""
         self._update_congestion(now)
