Bound the memory and time that responses without end may take

Cause: each attempt buffered up to 32 MB of its own response, so that a few requests at once at such instances took 352 to 551 MB, more than a machine has; a success without a signature was read to its end although it can't be forwarded, and informational heads and responses to other requests were read until the deadline. Heads without end were bounded before.

--- a/dogwoodtack/backends/connection.py
+++ b/dogwoodtack/backends/connection.py
@@ -27,6 +27,9 @@
 Header = tuple[bytes, bytes]
 
 MAX_RESPONSE_HEAD_BYTES = 65536
+# Bounds what is read while the response to the request has not begun.
+MAX_INFORMATIONAL_HEADS = 32
+MAX_SKIPPED_BYTES = 32 * 1024 * 1024
 BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -110,6 +113,8 @@
         self._method = b""
         self._response_rules = STRICT_RULES
         self._is_unexpected = False
+        self._informational_heads = 0
+        self._skipped_bytes = 0
         self._eof_received = False
         self._written_before_bytes = 0
         self.idle_since = reactor.clock.monotonic()
@@ -170,6 +175,8 @@
         self._method = head.method
         self._response_rules = rules
         self._is_unexpected = False
+        self._informational_heads = 0
+        self._skipped_bytes = 0
         self._written_before_bytes = self._stream.written_bytes
         self.was_used = True
         try:
@@ -255,8 +262,7 @@
             elif isinstance(event, h11.Response):
                 self._handle_head(event)
             elif isinstance(event, h11.Data):
-                if not self._is_unexpected:
-                    self._owner.on_body(bytes(event.data))
+                self._handle_data(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 if not self._is_unexpected:
                     self._handle_end()
@@ -265,7 +271,18 @@
             else:
                 self._fail(ErrorKind.BACKEND_CUT, "closed while answering")
 
+    def _handle_data(self, data: bytes) -> None:
+        if not self._is_unexpected:
+            self._owner.on_body(data)
+            return
+        self._skipped_bytes += len(data)
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            self._fail(ErrorKind.BACKEND_MALFORMED, "another request's endless answer")
+
     def _check_informational(self, event: h11.InformationalResponse) -> None:
+        self._informational_heads += 1
+        if self._informational_heads > MAX_INFORMATIONAL_HEADS:
+            self._fail(ErrorKind.BACKEND_MALFORMED, "too many informational heads")
         if event.status_code == 101:
             self._fail(ErrorKind.BACKEND_MALFORMED, "unasked protocol switch")
 
--- a/dogwoodtack/entry/attempt.py
+++ b/dogwoodtack/entry/attempt.py
@@ -15,6 +15,7 @@
 from ..misc import Address
 from ..placement import AttemptOutcome, Instance
 from ..reactor import Reactor, Timer
+from .buffers import ResponseBuffers
 from .wire import HeaderNames, parse_rate_limit
 
 __all__ = ["Attempt", "AttemptResult", "AttemptTarget", "OutgoingRequest"]
@@ -22,8 +23,6 @@
 HTTP_MISDIRECTED = 421
 HTTP_SERVER_ERROR = 500
 SUCCESS_STATUSES = range(200, 300)
-# No service sends a larger response, so the attempt fails as malformed.
-MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 
 
 class OutgoingRequest(NamedTuple):
@@ -81,6 +80,7 @@
     Args:
         reactor: event loop and clock.
         pool: connections to the target.
+        buffers: memory of the responses.
         header_names: header names on the wire.
         target: where the request is sent.
         on_connect: called with whether the target accepted the connection, if a new
@@ -92,6 +92,7 @@
         self,
         reactor: Reactor,
         pool: ConnectionPool,
+        buffers: ResponseBuffers,
         header_names: HeaderNames,
         target: AttemptTarget,
         on_connect: Callable[[bool], None],
@@ -102,6 +103,7 @@
         self.is_silence_reported = False
         self._reactor = reactor
         self._pool = pool
+        self._buffers = buffers
         self._header_names = header_names
         self._on_connect = on_connect
         self._on_end: Callable[[Attempt, AttemptResult], None] | None = on_end
@@ -143,8 +145,14 @@
     def cancel(self) -> None:
         """Stop and close the connection without calling `on_end`."""
         self._on_end = None
+        self._release_buffer()
         self._stop()
 
+    def _release_buffer(self) -> None:
+        """Free the memory of the body; the attempt may be referenced for longer."""
+        self._buffers.remove(self)
+        self._body = bytearray()
+
     def _stop(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -195,15 +203,23 @@
         return echoed is None or echoed == self._req.request_id
 
     def on_head(self, head: ResponseHead) -> None:
-        """Keep the response's head."""
+        """Keep the response's head; end the attempt if it is no success to forward."""
         self._head = head
+        if head.status in SUCCESS_STATUSES and not self._is_authentic(head):
+            self._drop_response()
 
     def on_body(self, data: bytes) -> None:
-        """Collect the response's body, up to its limit."""
+        """Collect the response's body."""
         self._body += data
-        if len(self._body) > MAX_RESPONSE_BYTES:
-            self._conn.close()
-            self._finish(AttemptOutcome.MALFORMED)
+        self._buffers.grow(self, len(data))
+
+    def on_buffer_exceeded(self) -> None:
+        """Drop the response: it has grown larger than any of a sound instance."""
+        self._drop_response()
+
+    def _drop_response(self) -> None:
+        self._conn.close()
+        self._finish(AttemptOutcome.MALFORMED)
 
     def on_end(self) -> None:
         """Release the connection and classify the complete response."""
@@ -217,17 +233,20 @@
         if head.header(self._header_names.not_executed) is not None:
             return AttemptOutcome.NOT_EXECUTED
         if head.status in SUCCESS_STATUSES:
-            is_authentic = head.header(self._header_names.signature) is not None
-            is_authentic = (
-                is_authentic and head.header(self._header_names.request_id) is not None
-            )
-            return AttemptOutcome.ANSWERED if is_authentic else AttemptOutcome.MALFORMED
+            return AttemptOutcome.ANSWERED
         return (
             AttemptOutcome.FAILED
             if head.status >= HTTP_SERVER_ERROR
             else AttemptOutcome.ANSWERED
         )
 
+    def _is_authentic(self, head: ResponseHead) -> bool:
+        """Return whether a success is signed and names its request."""
+        return (
+            head.header(self._header_names.signature) is not None
+            and head.header(self._header_names.request_id) is not None
+        )
+
     def _rate_limit_per_s(self) -> float | None:
         if self._head is None:
             return None
@@ -268,4 +287,5 @@
             self._idle_s,
             self._rate_limit_per_s(),
         )
+        self._release_buffer()
         on_end(self, result)
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -30,6 +30,7 @@
 from ..reactor import Reactor, Timer
 from ..routing import Route, TrafficSplitter
 from .attempt import Attempt, AttemptResult, AttemptTarget, OutgoingRequest
+from .buffers import ResponseBuffers
 from .idle_limit import IdleLimit
 from .paths import PathMonitor
 from .replies import send_error
@@ -88,6 +89,7 @@
         fleet: receives what attempts show of their instances.
         pool: connections to instances.
         host_pool: connections to other entry hosts.
+        buffers: memory of the responses that are being received.
         paths: whether this host reaches the instances.
         header_names: header names on the wire.
         find_route: returns the route for a host and target, and the version of
@@ -104,6 +106,7 @@
     fleet: Fleet
     pool: ConnectionPool
     host_pool: ConnectionPool
+    buffers: ResponseBuffers
     paths: PathMonitor
     header_names: HeaderNames
     find_route: RouteFinder
@@ -299,6 +302,7 @@
         attempt = Attempt(
             deps.reactor,
             deps.pool,
+            deps.buffers,
             deps.header_names,
             AttemptTarget(instance.id, instance.address, [expected_instance], instance),
             functools.partial(deps.paths.on_connect, instance),
@@ -340,6 +344,7 @@
         attempt = Attempt(
             deps.reactor,
             deps.host_pool,
+            deps.buffers,
             deps.header_names,
             AttemptTarget(
                 host.name,
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -20,6 +20,7 @@
 from ..placement import InstanceChange, InstanceRegistry, Placer
 from ..reactor import Reactor
 from ..routing import CallerLimits, Configuration, Route, RouteTable, TrafficSplitter
+from .buffers import ResponseBuffers
 from .exchange import ExchangeDependencies
 from .frontend import EntryFrontend
 from .host_records import HostRecords
@@ -155,6 +156,7 @@
     def _build_frontend(self) -> None:
         cfg = self.settings
         self.pool = ConnectionPool(self.reactor, DIAL_TIMEOUT_S)
+        self.buffers = ResponseBuffers()
         self.paths = PathMonitor(
             self.reactor, self.registry, self.rng, self._on_paths_changed
         )
@@ -164,6 +166,7 @@
             fleet=self.fleet,
             pool=self.pool,
             host_pool=ConnectionPool(self.reactor, DIAL_TIMEOUT_S),
+            buffers=self.buffers,
             paths=self.paths,
             header_names=self._adapter.header_names,
             find_route=self._find_route,
@@ -285,6 +288,7 @@
             "in_flight": self._in_flight(),
             "caller_connections": self.frontend.connections,
             "handover_connections": self.handover_frontend.connections,
+            "response_buffer_bytes": self.buffers.total_bytes,
             "instance_paths_lost": float(self.paths.is_cut_off),
             "instances_unreached": self.paths.unreached,
             "rate_limited_instances": self.placer.rate_limits.count(now),
--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -20,6 +20,26 @@
 NOT_EXECUTED_HEADER = "X-Dogwoodtack-Not-Executed"
 RATE_LIMIT_HEADER = "Server-Limit"
 PAGE_SIZE = 50
+SIGNED_HEAD = (
+    f"HTTP/1.1 200 OK\r\n{REQUEST_ID_HEADER}: REQUEST-ID\r\n"
+    f"{SIGNATURE_HEADER}: signed\r\n"
+).encode()
+PIECE = b"x" * 65536
+ENDLESS_HEADS = {
+    "endless-line": b"",
+    "endless-head": b"HTTP/1.1 200 OK\r\n",
+    "endless-informational": b"",
+    "endless-unsigned": b"HTTP/1.1 200 OK\r\n\r\n",
+    "endless-body": SIGNED_HEAD + b"\r\n",
+    "endless-chunks": SIGNED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+    "endless-error": SIGNED_HEAD.replace(b"200 OK", b"500 Broken") + b"\r\n",
+    "endless-other": SIGNED_HEAD.replace(b"REQUEST-ID", b"f" * 16) + b"\r\n",
+}
+ENDLESS_PIECES = {
+    "endless-head": b"X-Field: " + b"x" * 1000 + b"\r\n",
+    "endless-informational": b"HTTP/1.1 103 Early Hints\r\n\r\n",
+    "endless-chunks": b"10000\r\n" + PIECE + b"\r\n",
+}
 FIRST_REVISION = 10
 
 
@@ -277,11 +297,14 @@
     shed-late (the same after the delay); cut (a truncated response); no-signature;
     unframed (no Content-Length, ended by closing); stray (a second response follows,
     which must not be taken for the next request's); late (a response to another request
-    comes first); other-id (only a response to another request comes).
+    comes first); other-id (only a response to another request comes).  Those named
+    endless-... send bytes until the caller closes: in a head, in informational heads,
+    in a signed or unsigned body, in chunks, or in a response to another request.
 
     Attributes:
         rate_limit: requests per second that its responses name as their limit; None
             if they name none.
+        closed_by_caller: endless responses that the caller has closed.
     """
 
     def __init__(self, name: str, delay_s: float = 0.0) -> None:
@@ -289,6 +312,7 @@
         self.delay_s = delay_s
         self.behaviour = "ok"
         self.rate_limit: float | None = None
+        self.closed_by_caller = 0
         self.ran: list[ExecutedRequest] = []
         self._sequence = 0
         self.misdirected = 0
@@ -319,6 +343,19 @@
 
 
 class _InstanceHandler(_Handler):
+    def _send_without_end(self, behaviour: str, request_id: str) -> None:
+        """Send a head and then one piece again and again, until the caller closes."""
+        head = ENDLESS_HEADS[behaviour]
+        piece = ENDLESS_PIECES.get(behaviour, PIECE)
+        head = head.replace(b"REQUEST-ID", request_id.encode())
+        self.close_connection = True
+        try:
+            self.wfile.write(head)
+            while True:
+                self.wfile.write(piece)
+        except OSError:
+            self.server.owner.closed_by_caller += 1
+
     def end_headers(self) -> None:
         """Add the rate limit to every response."""
         if self.server.owner.rate_limit is not None:
@@ -354,6 +391,8 @@
             SIGNATURE_HEADER: f"signed-{request_id}",
         }
         match instance.behaviour:
+            case name if name in ENDLESS_HEADS:
+                self._send_without_end(name, request_id)
             case "error":
                 self.reply(500, b"broken", **headers)
             case "cut":
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -14,12 +14,15 @@
 
 from nose2.tools import params
 
-from dogwoodtack_standins.site import InstanceStandIn, StoreStandIn
+from dogwoodtack_standins.site import ENDLESS_HEADS, InstanceStandIn, StoreStandIn
 from lab.fleet import free_ports
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "shop.example"
 START_TIMEOUT_S = 15.0
+# The time limit of the routes, and half of the memory of the users' smallest machines.
+TIME_LIMIT_S = 2.0
+MEMORY_MB = 100
 BOUNDS = ["drainS=2", "graceS=6", "retryBudgetRatio=0.2", "budgetSlack=56", "x=true"]
 
 
@@ -253,6 +256,60 @@
         self.assertEqual(sum(one.arrived for one in self.backends), 1)
 
 
+class EndlessResponseTest(EntryHostTest):
+    """Ill instances send bytes without end, in place of a response or within one."""
+
+    def peak_memory_mb(self):
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        line = next(one for one in status.splitlines() if one.startswith("VmHWM"))
+        return int(line.split()[1]) / 1024
+
+    def call_all(self, calls):
+        """Make calls at the same time; return their statuses and the longest one."""
+        results = []
+
+        def caller(number, method, path):
+            began_at = time.monotonic()
+            answer, _ = self.call(method, path, f"{number:016x}", None)
+            results.append((answer.status, time.monotonic() - began_at))
+
+        threads = [
+            threading.Thread(target=caller, args=(number, *call))
+            for number, call in enumerate(calls)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        statuses = [status for status, _ in results]
+        return statuses, max(seconds for _, seconds in results)
+
+    @params(*ENDLESS_HEADS)
+    def test_they_are_closed_in_bounded_time_and_memory(self, behaviour):
+        self.serve()
+        self.backends[0].behaviour = behaviour
+        for number in range(3):
+            answer, _ = self.call("GET", f"/look/{number}", f"{number:016x}")
+            self.assertEqual(answer.status, 200)
+        for one in self.backends:
+            one.behaviour = behaviour
+        calls = [("GET", "/look/1"), ("POST", "/book/1")] * 8
+        statuses, longest_s = self.call_all(calls)
+        self.assertLessEqual(set(statuses), {500, 502, 503, 504})
+        self.assertLess(longest_s, TIME_LIMIT_S + 0.5)
+        self.assertLess(self.peak_memory_mb(), MEMORY_MB)
+        sent = sum(one.arrived for one in self.backends)
+        self.wait_until(
+            lambda: sum(one.closed_by_caller for one in self.backends) >= sent - 6,
+            "all connections are closed",
+        )
+        for one in self.backends:
+            one.behaviour = "ok"
+        self.wait_until(
+            lambda: self.call("POST", "/book/1")[0].status == 200, "work goes on"
+        )
+
+
 class ChangeTest(EntryHostTest):
     @params("draining", "gone", "history")
     def test_leaving_instance_gets_no_new_requests(self, how):
