Reject a port range of fewer than two ports

Handed-over requests and relay calls both use TCP, on the first and last port of the range; a range of one port would end the process at its second listener. The settings check now says so. A case of test_invalid_settings_are_rejected failed before.

--- a/dogwoodtack/platform/settings.py
+++ b/dogwoodtack/platform/settings.py
@@ -40,14 +40,16 @@
     try:
         listen = fields["listen"]
         limits = fields["limits"]
-        low, high = fields["internalPortRange"]
+        low, high = (int(port) for port in fields["internalPortRange"])
+        if low >= high:
+            raise SettingsError("field internalPortRange has fewer than two ports")
         return EntrySettings(
             name=str(fields["node"]),
             zone=str(fields["zone"]),
             callers=parse_address(listen["front"]),
             readiness=parse_address(listen["ready"]),
             directory=parse_address(listen["directory"]),
-            peer_ports=(int(low), int(high)),
+            peer_ports=(low, high),
             store=_store_address(fields),
             # The CPU share is given per core.
             cores=float(limits["cpuShare"]) * float(limits["cores"]),
--- a/dogwoodtack/platform/tests/test_wire.py
+++ b/dogwoodtack/platform/tests/test_wire.py
@@ -144,6 +144,7 @@
         ("platform.address", None),
         ("limits.cpuShare", "much"),
         ("internalPortRange", [1]),
+        ("internalPortRange", [7720, 7720]),
     )
     def test_invalid_settings_are_rejected(self, path, value):
         with self.assertRaises(SettingsError):
