Heed instances that say in their answers that they leave or want a pause

An instance may say Server-Leaving: 1 in any answer, or answer 503 with Retry-After.

Cause: answers were read for what they say about the request alone; an instance that leaves got requests until the store showed it as draining, which may be never, and one that asked for a pause was tried again with the next request. The class of fault is that of the rate limits.

Change: the adapter's headers are read into one InstanceNotice from the head of every answer, whatever its status and also if its body breaks off. InstanceNotices, a pure decision, keeps who leaves (by start of the instance, known to all hosts by the ways of rate limits, not undone by an older entry) and who is paused (for this host). Placer.candidates is the only place that asks, so that first sends, retries, hedges, re-checks and queued requests all pass it. A request that no instance may get is rejected at once, with the end of the first pause as its Retry-After. The soak lets instances leave by their answers and name limits, and checks both.

Not done: pauses in the soak, a test of a host that restarts within a pause.

--- a/dogwoodtack/entry/attempt.py
+++ b/dogwoodtack/entry/attempt.py
@@ -13,10 +13,11 @@
 )
 from ..errors import WireError
 from ..misc import Address
-from ..placement import AttemptOutcome, Instance
+from ..placement import AttemptOutcome, Instance, InstanceNotice
 from ..reactor import Reactor, Timer
 from .buffers import ResponseBuffers
-from .wire import HeaderNames, parse_rate_limit
+from .notices import NoticeReader
+from .wire import HeaderNames
 
 __all__ = ["Attempt", "AttemptResult", "AttemptTarget", "OutgoingRequest"]
 
@@ -61,8 +62,8 @@
         bytes_sent: whether the request may have left this host.
         reused: whether the connection had carried an earlier request.
         idle_s: seconds for which the connection was idle before.
-        rate_limit_per_s: rate limit that the instance's head names, even if its body
-            was not complete; None if it names none.
+        notice: what the head says about the instance, even if the body was not
+            complete; None without a head.
     """
 
     outcome: AttemptOutcome
@@ -71,7 +72,7 @@
     bytes_sent: bool
     reused: bool
     idle_s: float
-    rate_limit_per_s: float | None = None
+    notice: InstanceNotice | None = None
 
 
 class Attempt:
@@ -82,6 +83,7 @@
         pool: connections to the target.
         buffers: memory of the responses.
         header_names: header names on the wire.
+        notices: reads what a head says about its instance.
         target: where the request is sent.
         on_connect: called with whether the target accepted the connection, if a new
             one is needed.
@@ -94,6 +96,7 @@
         pool: ConnectionPool,
         buffers: ResponseBuffers,
         header_names: HeaderNames,
+        notices: NoticeReader,
         target: AttemptTarget,
         on_connect: Callable[[bool], None],
         on_end: Callable[["Attempt", AttemptResult], None],
@@ -105,6 +108,7 @@
         self._pool = pool
         self._buffers = buffers
         self._header_names = header_names
+        self._notices = notices
         self._on_connect = on_connect
         self._on_end: Callable[[Attempt, AttemptResult], None] | None = on_end
         self._conn: BackendConnection | None = None
@@ -247,11 +251,6 @@
             and head.header(self._header_names.request_id) is not None
         )
 
-    def _rate_limit_per_s(self) -> float | None:
-        if self._head is None:
-            return None
-        return parse_rate_limit(self._head.header(self._header_names.rate_limit))
-
     def on_fail(self, exc: WireError) -> None:
         """End the attempt, as no complete response will come."""
         self._finish(AttemptOutcome.CUT)
@@ -285,7 +284,7 @@
             self.bytes_sent,
             self._reused,
             self._idle_s,
-            self._rate_limit_per_s(),
+            None if self._head is None else self._notices.read(self._head),
         )
         self._release_buffer()
         on_end(self, result)
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -32,6 +32,7 @@
 from .attempt import Attempt, AttemptResult, AttemptTarget, OutgoingRequest
 from .buffers import ResponseBuffers
 from .idle_limit import IdleLimit
+from .notices import NoticeReader
 from .paths import PathMonitor
 from .replies import send_error
 from .request import (
@@ -92,6 +93,7 @@
         buffers: memory of the responses that are being received.
         paths: whether this host reaches the instances.
         header_names: header names on the wire.
+        notices: reads what responses say about their instances.
         find_route: returns the route for a host and target, and the version of
             the configuration; version 0 means that none is known yet.
         splitter: chooses a service by the route's traffic split.
@@ -109,6 +111,7 @@
     buffers: ResponseBuffers
     paths: PathMonitor
     header_names: HeaderNames
+    notices: NoticeReader
     find_route: RouteFinder
     splitter: TrafficSplitter
     idle_limit: IdleLimit
@@ -299,14 +302,10 @@
             self._first_dispatch_at = now
         self._tried_instances.add(instance.id)
         expected_instance = (deps.header_names.expected_instance, instance.id.encode())
-        attempt = Attempt(
-            deps.reactor,
+        attempt = self._make_attempt(
             deps.pool,
-            deps.buffers,
-            deps.header_names,
             AttemptTarget(instance.id, instance.address, [expected_instance], instance),
             functools.partial(deps.paths.on_connect, instance),
-            self._on_attempt_end,
         )
         call_later = deps.reactor.call_later
         service_time_s = deps.placer.service_time_s(self._service)
@@ -323,6 +322,24 @@
             max_idle_s = deps.idle_limit.limit_s(self._service)
         attempt.start(self._req, self._deadline, max_idle_s)
 
+    def _make_attempt(
+        self,
+        pool: ConnectionPool,
+        target: AttemptTarget,
+        on_connect: Callable[[bool], None],
+    ) -> Attempt:
+        deps = self._deps
+        return Attempt(
+            deps.reactor,
+            pool,
+            deps.buffers,
+            deps.header_names,
+            deps.notices,
+            target,
+            on_connect,
+            self._on_attempt_end,
+        )
+
     def _hand_over(self) -> bool:
         """Send the request to a host that reaches instances; return whether it was.
 
@@ -341,19 +358,11 @@
             return False
         self._tried_hosts.add(host.name)
         left = max(1, self._max_attempts - self._runs())
-        attempt = Attempt(
-            deps.reactor,
+        left_header = (ATTEMPTS_LEFT_HEADER, str(left).encode())
+        attempt = self._make_attempt(
             deps.host_pool,
-            deps.buffers,
-            deps.header_names,
-            AttemptTarget(
-                host.name,
-                host.handover_address,
-                [(ATTEMPTS_LEFT_HEADER, str(left).encode())],
-                None,
-            ),
-            lambda is_reached: None,
-            self._on_attempt_end,
+            AttemptTarget(host.name, host.handover_address, [left_header], None),
+            _ignore_connect,
         )
         service_time_s = deps.placer.service_time_s(self._service)
         hedge_delay_s = self._hedge_delay_s(service_time_s)
@@ -427,7 +436,7 @@
     # Attempts.
 
     def _on_attempt_end(self, attempt: Attempt, result: AttemptResult) -> None:
-        self._record_rate_limit(attempt, result)
+        self._record_notice(attempt, result)
         self._close_attempt(attempt, result.outcome)
         self._record_attempt(attempt, result)
         if self.is_done:
@@ -542,23 +551,39 @@
         elif result.reused and result.outcome is AttemptOutcome.ANSWERED:
             self._deps.idle_limit.record_reused(self._service)
 
-    def _record_rate_limit(self, attempt: Attempt, result: AttemptResult) -> None:
-        """Record the rate limit that a response names, or that it names none."""
-        per_s = result.rate_limit_per_s
-        instance = attempt.target.instance
-        if instance is None or result.outcome is AttemptOutcome.MISDIRECTED:
+    def _record_notice(self, attempt: Attempt, result: AttemptResult) -> None:
+        """Record what a response says about its instance."""
+        instance, notice = attempt.target.instance, result.notice
+        if instance is None or notice is None:
+            return
+        if result.outcome is AttemptOutcome.MISDIRECTED:
             return
-        if result.head is None and per_s is None:
+        self._record_rate_limit(attempt, result)
+        now = self._now()
+        notices = self._deps.placer.notices
+        if notice.is_leaving and notices.on_leaving(instance.id, instance.born_ms):
+            self._log_notice("instance-leaving", instance.id)
+        if notice.pause_s is not None and notices.on_pause(
+            instance.id, notice.pause_s, now
+        ):
+            self._log_notice("instance-paused", instance.id, seconds=notice.pause_s)
+
+    def _record_rate_limit(self, attempt: Attempt, result: AttemptResult) -> None:
+        per_s = result.notice.rate_limit_per_s
+        if per_s is None and result.head is None:
+            # What is no valid response doesn't end a limit.
             return
         limits = self._deps.placer.rate_limits
-        if limits.on_response(instance.id, per_s, attempt.started_at, self._now()):
-            log_event(
-                "instance-rate-limit",
-                instance=instance.id,
-                per_s="none" if per_s is None else per_s,
-                request=self._request_id.decode("latin-1"),
+        name = attempt.target.name
+        if limits.on_response(name, per_s, attempt.started_at, self._now()):
+            self._log_notice(
+                "instance-rate-limit", name, per_s="none" if per_s is None else per_s
             )
 
+    def _log_notice(self, event: str, instance_id: str, **fields: object) -> None:
+        request_id = self._request_id.decode("latin-1")
+        log_event(event, instance=instance_id, **fields, request=request_id)
+
     # Responding.
 
     def _finish(self, action: NextAction, result: AttemptResult) -> None:
@@ -676,3 +701,7 @@
             detail=self._detail,
         )
         self._deps.request_log.add(entry)
+
+
+def _ignore_connect(is_reached: bool) -> None:
+    """Ignore whether another entry host was reached: it shows no path to instances."""
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -25,6 +25,7 @@
 from .frontend import EntryFrontend
 from .host_records import HostRecords
 from .idle_limit import IdleLimit
+from .notices import NoticeReader
 from .paths import PathMonitor
 from .request_log import RequestLog
 from .responder import Responder, SimpleResponse
@@ -169,6 +170,7 @@
             buffers=self.buffers,
             paths=self.paths,
             header_names=self._adapter.header_names,
+            notices=NoticeReader(self._adapter.header_names),
             find_route=self._find_route,
             splitter=TrafficSplitter(self.rng.random()),
             idle_limit=IdleLimit(),
@@ -292,6 +294,8 @@
             "instance_paths_lost": float(self.paths.is_cut_off),
             "instances_unreached": self.paths.unreached,
             "rate_limited_instances": self.placer.rate_limits.count(now),
+            "paused_instances": self.placer.notices.paused_count(now),
+            "leaving_instances": len(self.placer.leaving()),
             "waiting": sum(self.placer.queue_lengths().values()),
             "configuration_version": version,
             "store_era": position.era,
@@ -303,6 +307,9 @@
 
     def _flush_logs(self) -> None:
         """Write log lines that were held back because their reader was slow."""
+        now = self.reactor.clock.monotonic()
+        for instance_id in self.placer.notices.pop_ended_pauses(now):
+            log_event("instance-pause-ended", instance=instance_id)
         self._sink.flush()
         self.reactor.call_later(LOG_FLUSH_S, self._flush_logs)
 
--- a/dogwoodtack/entry/wire.py
+++ b/dogwoodtack/entry/wire.py
@@ -4,7 +4,6 @@
 from typing import NamedTuple
 
 from ..backends import Header, ResponseHead
-from ..logs import log_event
 
 __all__ = [
     "AddressQuery",
@@ -12,7 +11,6 @@
     "HeaderNames",
     "ReadinessQuery",
     "find_header",
-    "parse_rate_limit",
     "parse_retry_after",
 ]
 
@@ -29,6 +27,8 @@
         instance_id: on a response: the instance that sent it.
         rate_limit: on a response: the requests per second that the instance takes
             from all hosts together; there is no limit without it.
+        leaving: on a response: the instance leaves.
+        retry_after: on a response: when to retry.
     """
 
     request_id: bytes
@@ -38,6 +38,8 @@
     not_executed: bytes
     instance_id: bytes
     rate_limit: bytes
+    leaving: bytes
+    retry_after: bytes
 
     def set_by_host(self) -> frozenset[bytes]:
         """Return the request headers that a host sets itself."""
@@ -63,20 +65,6 @@
 DirectoryQuery = ReadinessQuery | AddressQuery
 
 
-def parse_rate_limit(value: bytes | None) -> float | None:
-    """Return the rate limit in a header's value, or None if there is none."""
-    if value is None:
-        return None
-    try:
-        per_s = float(value)
-    except ValueError:
-        per_s = math.nan
-    if not 0.0 <= per_s < math.inf:
-        log_event("rate-limit-unusable", level="WARNING", value=value[:40])
-        return None
-    return per_s
-
-
 def parse_retry_after(head: ResponseHead, default_s: float) -> float:
     """Return the seconds of a response's Retry-After header, or a default."""
     try:
--- a/dogwoodtack/feed/tests/test_feed.py
+++ b/dogwoodtack/feed/tests/test_feed.py
@@ -306,6 +306,7 @@
             {},
             [],
             True,
+            {},
         )
         for host in self.world.hosts:
             if host is None or host is self:
--- a/dogwoodtack/fleet/fleet.py
+++ b/dogwoodtack/fleet/fleet.py
@@ -5,7 +5,7 @@
 
 from ..logs import log_event
 from ..misc import Address
-from ..placement import Observation, Placer, RateLimitReport
+from ..placement import Observation, Placer
 from ..position import START_POSITION, StorePosition
 from ..reactor import Reactor
 from .datagrams import Datagrams
@@ -136,6 +136,7 @@
             dict(self._placer.occupancy.own),
             self._placer.rate_limits.reports(self._reactor.clock.monotonic()),
             self._peer_table.reaches_instances,
+            self._placer.leaving(),
         )
 
     def _run_heartbeat(self) -> None:
@@ -182,6 +183,7 @@
             is_forwarded=False,
             rate_limits=self._placer.rate_limits.reports(now),
             hosts=self._reported_hosts(),
+            leaving=self._placer.leaving(),
         )
         self._datagrams.send(
             report, self._gateways.addresses(self._peer_table.known_hosts(), now)
@@ -219,21 +221,32 @@
         """
         count = self._placer.occupancy.own.get(instance_id, 0)
         is_urgent = self._batch.add(InstanceReport(instance_id, count, observation))
-        now = self._reactor.clock.monotonic()
-        if is_urgent or self._placer.rate_limits.is_limited(instance_id, now):
+        if is_urgent or self._has_notice(instance_id):
             self._flush_batch()
         elif not self._batch.is_due:
             self._batch.is_due = True
             self._reactor.call_later(REPORT_DELAY_S, self._flush_batch)
 
+    def _has_notice(self, instance_id: str) -> bool:
+        """Return whether peers need to know at once what an instance said of itself."""
+        now = self._reactor.clock.monotonic()
+        instance = self._placer.registry.get(instance_id)
+        return self._placer.rate_limits.is_limited(instance_id, now) or (
+            instance is not None and self._placer.notices.is_leaving(instance)
+        )
+
     def _flush_batch(self) -> None:
         reports = self._batch.pop_all()
         if not reports:
             return
-        rate_limits = self._placer.rate_limits.reports(
-            self._reactor.clock.monotonic(), {one.instance_id for one in reports}
+        ids = {one.instance_id for one in reports}
+        instances = [one for one in map(self._placer.registry.get, ids) if one]
+        message = PeerReport(
+            self._peer_table.local_host.name,
+            reports,
+            self._placer.rate_limits.reports(self._reactor.clock.monotonic(), ids),
+            self._placer.notices.leaving(instances),
         )
-        message = PeerReport(self._peer_table.local_host.name, reports, rate_limits)
         local_name = self._peer_table.local_host.name
         peers = [
             host.peer_address
@@ -261,27 +274,40 @@
                 self._placer.health.add_peer_report(
                     report.instance_id, report.observation, now
                 )
-        self._apply_rate_limits(message.host_name, message.rate_limits, now)
+        self._apply_notices(message.host_name, message, now)
 
-    def _apply_rate_limits(
-        self, host_name: str | None, reports: list[RateLimitReport], now: float
+    def _apply_notices(
+        self, host_name: str | None, message: Message, now: float
     ) -> None:
+        """Apply what instances have said of themselves to another host.
+
+        Args:
+            host_name: that host; None for a report of another zone.
+            message: its message.
+            now: seconds on the monotonic clock.
+        """
+        reported_by = host_name or "another zone"
         limits = self._placer.rate_limits
-        for report in limits.on_reports(host_name, reports, now):
+        for report in limits.on_reports(host_name, message.rate_limits, now):
             log_event(
                 "instance-rate-limit",
                 instance=report.instance_id,
                 per_s="none" if report.per_s is None else report.per_s,
-                reported_by=host_name or "another zone",
+                reported_by=reported_by,
                 age_s=report.age_s,
             )
+        for instance_id, born_ms in message.leaving.items():
+            if self._placer.notices.on_leaving(instance_id, born_ms):
+                log_event(
+                    "instance-leaving", instance=instance_id, reported_by=reported_by
+                )
 
     @_handle.register
     def _(self, report: ZoneReport, now: float) -> None:
         self._placer.apply_zone_report(
             report.zone, report.in_flight, report.unhealthy_percent, now
         )
-        self._apply_rate_limits(None, report.rate_limits, now)
+        self._apply_notices(None, report, now)
         if report.hosts is not None:
             self._peer_table.on_zone_hosts(report.zone, report.hosts, now)
         if report.is_forwarded:
@@ -311,5 +337,5 @@
         self._placer.occupancy.set_peer_counts(
             heartbeat.host.name, heartbeat.in_flight, now
         )
-        self._apply_rate_limits(heartbeat.host.name, heartbeat.rate_limits, now)
+        self._apply_notices(heartbeat.host.name, heartbeat, now)
         self._on_heartbeat(heartbeat)
--- a/dogwoodtack/fleet/records.py
+++ b/dogwoodtack/fleet/records.py
@@ -62,6 +62,8 @@
         in_flight: the sender's in-flight requests per instance.
         rate_limits: what the sender knows of instances' rate limits.
         reaches_instances: whether the sender has paths to the instances.
+        leaving: instances that have said that they leave, with their start times in
+            Unix milliseconds.
     """
 
     host: HostRecord
@@ -73,6 +75,7 @@
     in_flight: dict[str, int]
     rate_limits: list[RateLimitReport]
     reaches_instances: bool
+    leaving: dict[str, int]
 
 
 class InstanceReport(NamedTuple):
@@ -97,11 +100,13 @@
         host_name: the sender.
         instances: the sender's requests, by instance.
         rate_limits: what the sender knows of rate limits of these instances.
+        leaving: those of them that have said that they leave, with their start times.
     """
 
     host_name: str
     instances: list[InstanceReport]
     rate_limits: list[RateLimitReport]
+    leaving: dict[str, int]
 
 
 class ServingHost(NamedTuple):
@@ -142,6 +147,7 @@
         is_forwarded: whether a host of the receiving zone has forwarded it.
         rate_limits: what the zone knows of instances' rate limits.
         hosts: the zone's serving hosts; None in most reports.
+        leaving: instances that have said that they leave, with their start times.
     """
 
     zone: str
@@ -151,6 +157,7 @@
     is_forwarded: bool
     rate_limits: list[RateLimitReport]
     hosts: ZoneHosts | None
+    leaving: dict[str, int]
 
 
 Message = Heartbeat | PeerReport | ZoneReport
@@ -196,7 +203,7 @@
         for report in message.instances
     ]
     fields = {"news": message.host_name, "of": reports}
-    return fields | _rate_limit_fields(message.rate_limits)
+    return fields | _notice_fields(message)
 
 
 @_message_fields.register
@@ -211,7 +218,7 @@
         "next": message.interval_s,
         "load": message.in_flight,
         "paths": message.reaches_instances,
-    } | _rate_limit_fields(message.rate_limits)
+    } | _notice_fields(message)
 
 
 @_message_fields.register
@@ -222,7 +229,7 @@
         "load": message.in_flight,
         "sick": message.unhealthy_percent,
         "on": int(message.is_forwarded),
-    } | (_rate_limit_fields(message.rate_limits) | _zone_hosts_fields(message.hosts))
+    } | (_notice_fields(message) | _zone_hosts_fields(message.hosts))
 
 
 def _zone_hosts_fields(hosts: ZoneHosts | None) -> dict[str, Any]:
@@ -232,13 +239,14 @@
     return {"serving": rows, "zones": hosts.zones}
 
 
-def _rate_limit_fields(reports: list[RateLimitReport]) -> dict[str, Any]:
-    """Return the field of rate limits, which is left out if there are none."""
+def _notice_fields(message: Message) -> dict[str, Any]:
+    """Return the fields of instances' notices, which are left out if they are empty."""
     rows = [
         [report.instance_id, report.per_s, round(report.age_s, 3), report.sent]
-        for report in reports
+        for report in message.rate_limits
     ]
-    return {"limits": rows} if rows else {}
+    fields = {"limits": rows, "leaving": message.leaving}
+    return {name: value for name, value in fields.items() if value}
 
 
 def encode_message(message: Message) -> bytes:
@@ -267,7 +275,12 @@
         )
         for name, count, observation in fields["of"]
     ]
-    return PeerReport(str(fields["news"]), reports, _decode_rate_limits(fields))
+    return PeerReport(
+        str(fields["news"]),
+        reports,
+        _decode_rate_limits(fields),
+        _decode_leaving(fields),
+    )
 
 
 def _decode_heartbeat(fields: dict[str, Any]) -> Heartbeat | None:
@@ -285,6 +298,7 @@
         _decode_rate_limits(fields),
         # Hosts of earlier builds do not send it.
         bool(fields.get("paths", True)),
+        _decode_leaving(fields),
     )
 
 
@@ -297,6 +311,7 @@
         bool(fields["on"]),
         _decode_rate_limits(fields),
         _decode_zone_hosts(fields),
+        _decode_leaving(fields),
     )
 
 
@@ -320,5 +335,10 @@
     ]
 
 
+def _decode_leaving(fields: dict[str, Any]) -> dict[str, int]:
+    """Return the leaving instances in a message; earlier builds send none."""
+    return _decode_counts(fields.get("leaving", {}))
+
+
 def _decode_counts(fields: dict[str, Any]) -> dict[str, int]:
     return {str(name): int(count) for name, count in fields.items()}
--- a/dogwoodtack/fleet/tests/test_peers.py
+++ b/dogwoodtack/fleet/tests/test_peers.py
@@ -18,7 +18,7 @@
 
 def make_heartbeat(host, ready=True, age_s=0.1, interval_s=0.4, reaches=True):
     return Heartbeat(
-        host, ready, 7, StorePosition(2, 5), age_s, interval_s, {}, [], reaches
+        host, ready, 7, StorePosition(2, 5), age_s, interval_s, {}, [], reaches, {}
     )
 
 
--- a/dogwoodtack/fleet/tests/test_records.py
+++ b/dogwoodtack/fleet/tests/test_records.py
@@ -25,7 +25,7 @@
 
 
 def make_zone_report(**fields):
-    report = ZoneReport("a", Address("10.0.0.1", 2), {}, {}, False, [], None)
+    report = ZoneReport("a", Address("10.0.0.1", 2), {}, {}, False, [], None, {})
     return report._replace(**fields)
 
 
@@ -40,10 +40,12 @@
                     InstanceReport("i-2", 0, None),
                 ],
                 [],
+                {"i-1": 1796346000000},
             ),
         ),
         (make_zone_report(in_flight={"i-1": 3}, unhealthy_percent={"i-1": 85}),),
         (make_zone_report(is_forwarded=True, hosts=ZONE_HOSTS),),
+        (make_zone_report(leaving={"i-1": 0}),),
         (
             PeerReport(
                 "h-1",
@@ -52,6 +54,7 @@
                     RateLimitReport("i-1", 1.2, 0.25, 7),
                     RateLimitReport("i-2", None, 0.5, 3),
                 ],
+                {},
             ),
         ),
     )
@@ -67,6 +70,7 @@
         b'{"news":"h","of":[["i",1]]}',
         b'{"news":"h","of":[["i",1,"odd"]]}',
         b'{"news":"h","of":[],"limits":[["i",1.2,0.1]]}',
+        b'{"news":"h","of":[],"leaving":{"i":"soon"}}',
         b'{"news":"h","of":[],"limits":[["i","much",0.1,1]]}',
         b'{"beat":{"name":"h"},"ready":true}',
         b'{"zone":"a","from":"10.0.0.1:2","load":{},"sick":{},"on":0,"serving":[]}',
--- a/dogwoodtack/placement/__init__.py
+++ b/dogwoodtack/placement/__init__.py
@@ -6,6 +6,7 @@
 from .health_estimate import HealthEstimate, Observation
 from .health_tracker import PATH_FAILURES, HealthTracker
 from .instances import EntryVersion, Instance, InstanceChange, InstanceRegistry
+from .notices import InstanceNotice, InstanceNotices
 from .occupancy import Occupancy
 from .outcomes import (
     NOT_RUN_OUTCOMES,
@@ -34,6 +35,8 @@
     "HealthTracker",
     "Instance",
     "InstanceChange",
+    "InstanceNotice",
+    "InstanceNotices",
     "InstanceRegistry",
     "NextAction",
     "Observation",
--- /dev/null
+++ b/dogwoodtack/placement/notices.py
@@ -0,0 +1,111 @@
+"""What instances say about themselves in their responses.
+
+Load pattern: an instance that leaves, or that is overloaded, still accepts
+connections, and its entry in the service directory shows it as ready for seconds or
+for good.  Each request that goes there is in its way and is rejected.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from .instances import Instance
+
+__all__ = ["InstanceNotice", "InstanceNotices"]
+
+# Notices of leaving outlive the entries of their instances, as a store that comes back
+# from an older copy lists those again.  The oldest are dropped beyond this number.
+MAX_LEAVING = 4096
+
+
+class InstanceNotice(NamedTuple):
+    """What one response says about its instance.
+
+    Attributes:
+        rate_limit_per_s: requests per second that it takes from all hosts together;
+            None if it names no limit.
+        is_leaving: whether it leaves and should get no new requests.
+        pause_s: seconds for which it wants no request from this host; None if it asks
+            for no pause.
+    """
+
+    rate_limit_per_s: float | None = None
+    is_leaving: bool = False
+    pause_s: float | None = None
+
+
+class InstanceNotices:
+    """The instances that leave, and those that this host leaves alone for a while.
+
+    That an instance leaves holds until it starts again, for all hosts.  A pause holds
+    for this host only.
+    """
+
+    def __init__(self) -> None:
+        # Start time of each leaving instance, in the order in which they were noticed.
+        self._leaving: dict[str, int] = {}
+        self._paused_until: dict[str, float] = {}
+
+    def on_leaving(self, instance_id: str, born_ms: int) -> bool:
+        """Record that an instance leaves and return whether that is news.
+
+        Args:
+            instance_id: the instance.
+            born_ms: when it was started, in Unix milliseconds.
+        """
+        if self._leaving.get(instance_id, -1) >= born_ms:
+            return False
+        self._leaving[instance_id] = born_ms
+        if len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        return True
+
+    def on_pause(self, instance_id: str, pause_s: float, now: float) -> bool:
+        """Record that an instance asks for a pause; return whether it had none.
+
+        A response that arrives later never shortens a pause.
+        """
+        is_new = not self.is_paused(instance_id, now)
+        until = max(self._paused_until.get(instance_id, now), now + pause_s)
+        self._paused_until[instance_id] = until
+        return is_new and until > now
+
+    def is_leaving(self, instance: Instance) -> bool:
+        """Return whether an instance has said that it leaves, and has not restarted."""
+        return self._leaving.get(instance.id, -1) >= instance.born_ms
+
+    def is_paused(self, instance_id: str, now: float) -> bool:
+        """Return whether this host sends an instance nothing for now."""
+        return now < self._paused_until.get(instance_id, now)
+
+    def pause_end(self, instances: Iterable[Instance], now: float) -> float | None:
+        """Return when the first of some paused instances may be used again."""
+        ends = [
+            self._paused_until[one.id]
+            for one in instances
+            if self.is_paused(one.id, now)
+        ]
+        return min(ends, default=None)
+
+    def leaving(self, instances: Iterable[Instance]) -> dict[str, int]:
+        """Return the start times of those instances that leave, by id."""
+        return {one.id: one.born_ms for one in instances if self.is_leaving(one)}
+
+    def paused_count(self, now: float) -> int:
+        """Return how many instances are paused."""
+        return sum(1 for one in self._paused_until if self.is_paused(one, now))
+
+    def pop_ended_pauses(self, now: float) -> list[str]:
+        """Forget the pauses that have ended and return their instances."""
+        ended = [one for one, until in self._paused_until.items() if until <= now]
+        for instance_id in ended:
+            del self._paused_until[instance_id]
+        return ended
+
+    def forget(self, instance_id: str) -> None:
+        """Drop the pause of an instance that is gone.
+
+        That it leaves is dropped only if a later start could not be told from this one.
+        """
+        self._paused_until.pop(instance_id, None)
+        if self._leaving.get(instance_id) == 0:
+            del self._leaving[instance_id]
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -7,6 +7,7 @@
 
 from .health_tracker import HealthTracker
 from .instances import Instance, InstanceRegistry
+from .notices import InstanceNotices
 from .occupancy import Occupancy
 from .rate_limits import RateLimits
 from .retry_budget import RetryBudget, RetryRules
@@ -17,7 +18,13 @@
     reserved_slots,
     select_candidate,
 )
-from .wait_queue import Capacity, QueuedRequest, Rejection, WaitQueue
+from .wait_queue import (
+    RETRY_JITTER_S,
+    Capacity,
+    QueuedRequest,
+    Rejection,
+    WaitQueue,
+)
 
 __all__ = ["PlacementRequest", "Placer"]
 
@@ -71,6 +78,7 @@
         occupancy: requests in flight on them.
         health: health estimates of them.
         rate_limits: rate limits that they name.
+        notices: which of them leave or are paused.
         competing_hosts: hosts that use the same slots, at least 1.
         retry_budget_hosts: hosts that share the slack of the retry budget, 0 if this
             host has no part in it.
@@ -87,6 +95,7 @@
         self.occupancy = Occupancy()
         self.health = HealthTracker()
         self.rate_limits = RateLimits(zone)
+        self.notices = InstanceNotices()
         self.competing_hosts = 1
         self.retry_budget_hosts = 1
         self._zone = zone
@@ -131,7 +140,9 @@
             is_local = instance.zone == self._zone
             if instance.is_draining or (only_local and not is_local):
                 continue
-            if self.health.is_replaced(instance):
+            if self.health.is_replaced(instance) or self.notices.is_leaving(instance):
+                continue
+            if self.notices.is_paused(instance.id, now):
                 continue
             allowance = self.rate_limits.allowance(instance, service_zones, now)
             if allowance is not None and not allowance.per_s:
@@ -167,9 +178,7 @@
             return None
         candidates = self.candidates(req.service, now)
         if not candidates:
-            req.on_decision(
-                Rejection(self.service_time_s(req.service), "no instance is known")
-            )
+            req.on_decision(self._rejection_without_candidates(req.service, now))
             return None
         found = self._select(candidates, req, now)
         if found is not None:
@@ -177,6 +186,26 @@
             return None
         return self._enqueue(req, candidates, now)
 
+    def _rejection_without_candidates(self, service: str, now: float) -> Rejection:
+        """Return the rejection of a request that no instance may get at present."""
+        listed = self.registry.for_service(service)
+        if not listed:
+            return Rejection(self.service_time_s(service), "no instance is known")
+        leaving = sum(
+            1 for one in listed if one.is_draining or self.notices.is_leaving(one)
+        )
+        paused = sum(1 for one in listed if self.notices.is_paused(one.id, now))
+        pause_end = self.notices.pause_end(listed, now)
+        wait_s = self.service_time_s(service)
+        if pause_end is not None:
+            wait_s = pause_end - now + RETRY_JITTER_S * self._rng.random()
+        detail = f"instances {len(listed)}, leaving {leaving}, paused {paused}"
+        return Rejection(wait_s, detail)
+
+    def leaving(self) -> dict[str, int]:
+        """Return the start times of the known instances that leave, by id."""
+        return self.notices.leaving(self.registry.all())
+
     def _select_local(self, req: PlacementRequest, now: float) -> Candidate | None:
         """Return a local instance that is surely healthy, if there is one.
 
@@ -308,6 +337,12 @@
 
     def _dispatch_queue(self, service: str, queue: WaitQueue, now: float) -> None:
         candidates = self.candidates(service, now)
+        if not candidates:
+            for queued in queue.remove_all():
+                queued.payload.on_decision(
+                    self._rejection_without_candidates(service, now)
+                )
+            return
         # If one request finds no slot, others with the same needs find none either.
         unplaceable: set[tuple[SelectionMode, frozenset[str], bool, bool]] = set()
         for queued in queue.in_order(now):
@@ -336,6 +371,7 @@
         self.health.forget(instance_ids)
         for instance_id in instance_ids:
             self.rate_limits.forget(instance_id)
+            self.notices.forget(instance_id)
 
     def release(self, instance_id: str) -> None:
         """Release the slot of a request of this host that has ended."""
--- a/dogwoodtack/platform/headers.py
+++ b/dogwoodtack/platform/headers.py
@@ -12,4 +12,6 @@
     not_executed=b"x-dogwoodtack-not-executed",
     instance_id=b"x-dogwoodtack-instance-id",
     rate_limit=b"server-limit",
+    leaving=b"server-leaving",
+    retry_after=b"retry-after",
 )
--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -11,7 +11,14 @@
 
 from dogwoodtack.misc import Address
 
-__all__ = ["ExecutedRequest", "InstanceStandIn", "StoreStandIn"]
+__all__ = [
+    "ENDLESS_HEADS",
+    "LEAVING_HEADER",
+    "RATE_LIMIT_HEADER",
+    "ExecutedRequest",
+    "InstanceStandIn",
+    "StoreStandIn",
+]
 
 OBJECTS_PATH = "/dogwoodtack/objects/"
 REQUEST_ID_HEADER = "X-Dogwoodtack-Request-Id"
@@ -19,6 +26,7 @@
 SIGNATURE_HEADER = "X-Dogwoodtack-Response-Signature"
 NOT_EXECUTED_HEADER = "X-Dogwoodtack-Not-Executed"
 RATE_LIMIT_HEADER = "Server-Limit"
+LEAVING_HEADER = "Server-Leaving"
 PAGE_SIZE = 50
 SIGNED_HEAD = (
     f"HTTP/1.1 200 OK\r\n{REQUEST_ID_HEADER}: REQUEST-ID\r\n"
@@ -304,6 +312,11 @@
     Attributes:
         rate_limit: requests per second that its responses name as their limit; None
             if they name none.
+        is_leaving: whether its responses say that it leaves.
+        retry_after: Retry-After of its responses with status 503; None if they have
+            none.
+        noticed_at: monotonic time of the first response with each header in which it
+            says something about itself.
         closed_by_caller: endless responses that the caller has closed.
     """
 
@@ -312,6 +325,9 @@
         self.delay_s = delay_s
         self.behaviour = "ok"
         self.rate_limit: float | None = None
+        self.is_leaving = False
+        self.retry_after: str | None = None
+        self.noticed_at: dict[str, float] = {}
         self.closed_by_caller = 0
         self.ran: list[ExecutedRequest] = []
         self._sequence = 0
@@ -332,12 +348,24 @@
         self._server.shutdown()
         self._server.server_close()
 
-    def directory_entry(self, service: str, state: str = "ready") -> dict[str, Any]:
+    def notices(self) -> dict[str, str]:
+        """Return the headers in which its responses say something about it."""
+        headers = {}
+        if self.rate_limit is not None:
+            headers[RATE_LIMIT_HEADER] = str(self.rate_limit)
+        if self.is_leaving:
+            headers[LEAVING_HEADER] = "1"
+        for name in headers:
+            self.noticed_at.setdefault(name, time.monotonic())
+        return headers
+
+    def directory_entry(
+        self, service: str, state: str = "ready", born_ms: int = 1796346000000
+    ) -> dict[str, Any]:
         """Return the `spec` and `status` of its next entry in the service directory."""
         self._sequence += 1
         info = {"service": service, "version": "v1", "zone": "zone-a", "slots": 2}
         status = {"state": state, "sequence": self._sequence, "warmupLeftS": 0}
-        born_ms = 1796346000000
         spec = {"address": str(self.address), "info": info, "born": born_ms}
         return {"spec": spec, "status": status}
 
@@ -357,9 +385,9 @@
             self.server.owner.closed_by_caller += 1
 
     def end_headers(self) -> None:
-        """Add the rate limit to every response."""
-        if self.server.owner.rate_limit is not None:
-            self.send_header(RATE_LIMIT_HEADER, str(self.server.owner.rate_limit))
+        """Add to every response what the instance says about itself."""
+        for name, value in self.server.owner.notices().items():
+            self.send_header(name, value)
         super().end_headers()
 
     def _handle_request(self) -> None:
@@ -374,9 +402,10 @@
         if instance.behaviour == "shed-late":
             time.sleep(instance.delay_s)
         if instance.behaviour in ("shed", "shed-late"):
-            self.reply(
-                503, b"", **{NOT_EXECUTED_HEADER: "1", REQUEST_ID_HEADER: request_id}
-            )
+            headers = {NOT_EXECUTED_HEADER: "1", REQUEST_ID_HEADER: request_id}
+            if instance.retry_after is not None:
+                headers["Retry-After"] = instance.retry_after
+            self.reply(503, b"", **headers)
             return
         instance.ran.append(ExecutedRequest(request_id, self.command, self.path, body))
         time.sleep(instance.delay_s)
@@ -384,6 +413,15 @@
 
     do_GET = do_POST = _handle_request
 
+    def _write_raw(self, headers: dict[str, str], body: bytes) -> None:
+        """Send a success with just these headers and the notices."""
+        lines = ["HTTP/1.1 200 OK"]
+        lines += [
+            f"{name}: {value}"
+            for name, value in {**headers, **self.server.owner.notices()}.items()
+        ]
+        self.wfile.write("\r\n".join([*lines, "", ""]).encode() + body)
+
     def _respond(self, instance: InstanceStandIn, request_id: str, body: bytes) -> None:
         text = f"{instance.name} {self.path} ".encode() + body
         headers = {
@@ -396,17 +434,14 @@
             case "error":
                 self.reply(500, b"broken", **headers)
             case "cut":
-                self.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nhalf")
+                self._write_raw({"Content-Length": "99"}, b"half")
                 self.wfile.flush()
                 self.connection.shutdown(socket.SHUT_RDWR)
                 self.close_connection = True
             case "no-signature":
                 self.reply(200, text, **{REQUEST_ID_HEADER: request_id})
             case "unframed":
-                self.wfile.write(
-                    f"HTTP/1.1 200 OK\r\n{REQUEST_ID_HEADER}: {request_id}\r\n"
-                    f"{SIGNATURE_HEADER}: signed-{request_id}\r\n\r\n".encode() + text
-                )
+                self._write_raw(headers, text)
                 self.close_connection = True
             case "stray":
                 self.reply(200, text, **headers)
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -10,6 +10,8 @@
 
 from absl import app, flags
 
+from dogwoodtack_standins.site import LEAVING_HEADER, RATE_LIMIT_HEADER
+
 from .callers import Call, Caller, VersionWatcher
 from .proxy import Fault
 from .site import HostProcess, Site, SiteInstance
@@ -26,6 +28,11 @@
 DRAIN_LIMIT_S = 2.0
 UNDISTURBED_S = 3.0
 MIN_INSTANCES = 3
+# No window has more requests than an instance's rate limit allows times the factor, and
+# the slack.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
 NOT_RUN_STATUSES = (408, 429, 503)
 BEHAVIOURS = ("error", "shed", "cut", "stray", "late", "no-signature", "unframed")
 
@@ -72,6 +79,8 @@
             self._drill_store,
             self._change_version,
             self._drain_instance,
+            self._announce_leaving,
+            self._limit_instance,
         ]
         self._rng.choice(kinds)()
 
@@ -180,6 +189,37 @@
 
         self._start_fault(f"{instance.backend.name} drains", apply_fault)
 
+    def _announce_leaving(self) -> None:
+        """Let an instance say in its responses alone that it leaves."""
+        if len(self._unlimited_instances()) <= MIN_INSTANCES:
+            return
+        instance = self._rng.choice(self._unlimited_instances())
+
+        def apply_fault() -> None:
+            instance.backend.is_leaving = True
+            self._site.add_instance()
+
+        self._start_fault(f"{instance.backend.name} says it leaves", apply_fault)
+
+    def _limit_instance(self) -> None:
+        """Let an instance name a rate limit, once."""
+        if len(self._unlimited_instances()) <= MIN_INSTANCES:
+            return
+        instance = self._rng.choice(self._unlimited_instances())
+        limit = self._rng.choice([0.3, 1.5, 6.0])
+
+        def apply_fault() -> None:
+            instance.backend.rate_limit = limit
+
+        self._start_fault(f"{instance.backend.name} names limit {limit}", apply_fault)
+
+    def _unlimited_instances(self) -> list[SiteInstance]:
+        return [
+            one
+            for one in self._site.active_instances()
+            if not one.backend.is_leaving and one.backend.rate_limit is None
+        ]
+
 
 def run_soak(seed: int, length_s: float) -> SoakResult:
     """Run one soak and return its result.
@@ -242,6 +282,7 @@
             violations.append(f"{call.id} was rejected with status {call.status}")
     violations += _check_versions(watcher)
     violations += _check_drains(site, injector)
+    violations += _check_notices(site)
     violations += _check_stops(site, injector, calls)
     if not any(call.status == 200 for call in calls[-CALLERS:]):
         violations.append("no request succeeds after the faults")
@@ -282,6 +323,41 @@
     return violations
 
 
+def _check_notices(site: Site) -> list[str]:
+    """Find requests that instances did not want, from hosts that were undisturbed."""
+    violations = []
+    for instance in site.instances:
+        backend = instance.backend
+        said_at = backend.noticed_at.get(LEAVING_HEADER)
+        if said_at is not None and not _are_hosts_disturbed(site, said_at):
+            late = [at for at in backend.arrived_at if at > said_at + DRAIN_LIMIT_S]
+            if late:
+                violations.append(f"{backend.name} left and got {len(late)} requests")
+        named_at = backend.noticed_at.get(RATE_LIMIT_HEADER)
+        if named_at is not None and not _are_hosts_disturbed(site, named_at):
+            times = [at for at in backend.arrived_at if at > named_at + UNDISTURBED_S]
+            most = most_in_window(times, LIMIT_WINDOW_S)
+            allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * backend.rate_limit + LIMIT_SLACK
+            if most > allowed:
+                violations.append(f"{backend.name} got {most}, allowed {allowed:.0f}")
+    return violations
+
+
+def most_in_window(times: list[float], window_s: float) -> int:
+    """Return the largest number of times within a window."""
+    counts = (
+        sum(1 for at in times if start <= at < start + window_s) for start in times
+    )
+    return max(counts, default=0)
+
+
+def _are_hosts_disturbed(site: Site, since: float) -> bool:
+    """Return whether a host was disturbed from shortly before a time on."""
+    return any(
+        at > since - UNDISTURBED_S for host in site.hosts for at, _ in host.disturbances
+    )
+
+
 def _is_undisturbed(
     site: Site, injector: FaultInjector, instance: SiteInstance
 ) -> bool:
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -7,24 +7,15 @@
 
 from soak.callers import Caller
 from soak.site import Site
+from soak.soak import LIMIT_FACTOR, LIMIT_SLACK, LIMIT_WINDOW_S, most_in_window
 
 READY_TIMEOUT_S = 20.0
-# The users' bound: from STABLE_S after the limit was first named, no span of WINDOW_S
-# has more requests than the limit allows times FACTOR, and SLACK further ones.
+# The users' bound holds from this time after the limit was first named.
 STABLE_S = 3.0
-WINDOW_S = 4.0
-FACTOR = 1.5
-SLACK = 5
 TRAFFIC_S = 12.0
 CALLERS = 10
 
 
-def most_in_a_window(times):
-    """Return the largest number of times in a span of WINDOW_S."""
-    counts = (sum(1 for t in times if s <= t < s + WINDOW_S) for s in times)
-    return max(counts, default=0)
-
-
 class RateLimitTest(unittest.TestCase):
     def setUp(self):
         self.site = Site(hosts=3, instances=4)
@@ -52,7 +43,10 @@
         calls = self.run_traffic(TRAFFIC_S)
         begin = limited.arrived_at[0] + STABLE_S
         times = [at for at in limited.arrived_at if at >= begin]
-        self.assertLessEqual(most_in_a_window(times), FACTOR * WINDOW_S * limit + SLACK)
+        self.assertLessEqual(
+            most_in_window(times, LIMIT_WINDOW_S),
+            LIMIT_FACTOR * LIMIT_WINDOW_S * limit + LIMIT_SLACK,
+        )
         served = sum(1 for call in calls if call.status == 200)
         self.assertGreater(served, 0.99 * len(calls))
 
