--- a/dogwoodtack/fleet/tests/test_zones.py
+++ b/dogwoodtack/fleet/tests/test_zones.py
@@ -5,13 +5,8 @@
 
 from nose2.tools import params
 
-from dogwoodtack.fleet.tests.zones import (
-    START,
-    Load,
-    World,
-    most_arrivals,
-    replay_zones,
-)
+from dogwoodtack.fleet.tests.zones import START, Load, World, replay_zones
+from soak.soak import LIMIT_FACTOR, LIMIT_SLACK, LIMIT_WINDOW_S, most_in_window
 
 LIGHT = Load(requests_per_s=(14.0, 13.0, 15.0))
 # A third of the instances' time is lost to faults; the load takes slightly less than
@@ -34,8 +29,6 @@
     abandon_after_s=4.0,
     faulty_ratio=0.6,
 )
-
-
 # All zones have more work than the instances that aren't limited can take.
 LIMITED = Load(
     instances=(5, 4, 4),
@@ -51,12 +44,8 @@
     limited_ratio=1.0,
     duration_s=15.0,
 )
-# From LIMIT_STABLE_S on, no window has more than LIMIT_FACTOR times what the limit
-# allows, and LIMIT_SLACK further requests.
+# The users' bound holds from this time after the limit was first named.
 LIMIT_STABLE_S = 3.0
-LIMIT_WINDOW_S = 4.0
-LIMIT_FACTOR = 1.5
-LIMIT_SLACK = 5
 
 
 class RateLimitTest(unittest.TestCase):
@@ -76,7 +65,8 @@
         for one in world.servers.values():
             if one.rate_limit_per_s is not None:
                 begin = START + LIMIT_STABLE_S
-                most = most_arrivals(one, LIMIT_WINDOW_S, begin)
+                times = [at for at in one.arrivals if at >= begin]
+                most = most_in_window(times, LIMIT_WINDOW_S)
                 self.assertLessEqual(most, allowed, one.name)
 
     @params(1, 2, 3)
--- a/dogwoodtack/fleet/tests/zones.py
+++ b/dogwoodtack/fleet/tests/zones.py
@@ -392,15 +392,6 @@
         return self.count
 
 
-def most_arrivals(server, window_s, since):
-    """Return the most arrivals at a server in any window from a time on."""
-    times = [at for at in server.arrivals if at >= since]
-    return max(
-        (sum(1 for at in times if start <= at < start + window_s) for start in times),
-        default=0,
-    )
-
-
 def replay_zones(load, seed):
     """Replay a load and return the counts by name."""
     return World(load, seed).run()
