Bound what a host charges to a rate limit, and count limits safely

A count that falls is now charged once, debt is bounded by 4 s of the rate, and the count walks a copy.

--- a/dogwoodtack/placement/rate_limits.py
+++ b/dogwoodtack/placement/rate_limits.py
@@ -22,6 +22,8 @@
 # Unused allowance of this time may be sent at once, and always one request.
 BURST_S = 0.5
 MIN_BURST = 1.0
+# Sends beyond the limit are made up for by a pause of this time at most.
+MAX_DEBT_S = 4.0
 # A limit counts for this long after it was last named, and for this many requests at
 # the limited rate.  Without any response nobody knows whether it has ended.
 TTL_S = 10.0
@@ -100,7 +102,8 @@
     def charge(self, requests: int, now: float) -> None:
         """Take a number of sends from the bucket, which may go into debt."""
         self._refill(now)
-        self._tokens -= requests
+        lowest = -MIN_BURST - MAX_DEBT_S * self._zone_per_s
+        self._tokens = max(lowest, self._tokens - requests)
 
     def charge_peer(self, host: str, sent: int, is_new: bool, now: float) -> None:
         """Charge what a peer has sent since its last report.
@@ -115,10 +118,11 @@
         self._peer_sent[host] = sent
         if is_new:
             return
-        if known is None:
+        if known is None or sent < known:
+            # The peer has restarted, or its reports have overtaken each other.
             self.charge(min(sent, 1), now)
-        elif sent != known:
-            self.charge(sent - known if sent > known else sent, now)
+        else:
+            self.charge(sent - known, now)
 
     def _refill(self, now: float) -> None:
         elapsed_s = max(0.0, now - self._updated_at)
@@ -158,7 +162,7 @@
 
     def count(self, now: float) -> int:
         """Return how many instances are limited."""
-        return sum(1 for one in self._limits if self.is_limited(one, now))
+        return sum(1 for one in list(self._limits) if self.is_limited(one, now))
 
     def is_limited(self, instance_id: str, now: float) -> bool:
         """Return whether an instance names a limit."""
