--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -559,14 +559,19 @@
         if result.outcome is AttemptOutcome.MISDIRECTED:
             return
         self._record_rate_limit(attempt, result)
-        now = self._now()
+        request_id = self._request_id.decode("latin-1")
         notices = self._deps.placer.notices
         if notice.is_leaving and notices.on_leaving(instance.id, instance.born_ms):
-            self._log_notice("instance-leaving", instance.id)
+            log_event("instance-leaving", instance=instance.id, request=request_id)
         if notice.pause_s is not None and notices.on_pause(
-            instance.id, notice.pause_s, now
+            instance.id, notice.pause_s, self._now()
         ):
-            self._log_notice("instance-paused", instance.id, seconds=notice.pause_s)
+            log_event(
+                "instance-paused",
+                instance=instance.id,
+                seconds=notice.pause_s,
+                request=request_id,
+            )
 
     def _record_rate_limit(self, attempt: Attempt, result: AttemptResult) -> None:
         per_s = result.notice.rate_limit_per_s
@@ -576,14 +581,13 @@
         limits = self._deps.placer.rate_limits
         name = attempt.target.name
         if limits.on_response(name, per_s, attempt.started_at, self._now()):
-            self._log_notice(
-                "instance-rate-limit", name, per_s="none" if per_s is None else per_s
+            log_event(
+                "instance-rate-limit",
+                instance=name,
+                per_s="none" if per_s is None else per_s,
+                request=self._request_id.decode("latin-1"),
             )
 
-    def _log_notice(self, event: str, instance_id: str, **fields: object) -> None:
-        request_id = self._request_id.decode("latin-1")
-        log_event(event, instance=instance_id, **fields, request=request_id)
-
     # Responding.
 
     def _finish(self, action: NextAction, result: AttemptResult) -> None:
--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -434,7 +434,7 @@
             case "error":
                 self.reply(500, b"broken", **headers)
             case "cut":
-                self._write_raw({"Content-Length": "99"}, b"half")
+                self._write_raw({**headers, "Content-Length": "99"}, b"half")
                 self.wfile.flush()
                 self.connection.shutdown(socket.SHUT_RDWR)
                 self.close_connection = True
