Receive response bodies in blocks, as growing buffers fragment memory

Cause: each body was one bytearray. Sixteen that grow at once are moved by realloc again and again and leave gaps that none of the others fits into, so that bodies of 24 MB in all took 40 to 49 MB. Runs of the test here showed 78 to 91 MB for the three behaviours with endless bodies, from a host of 40 MB at rest and 64 MB with the first request alone.

Change: ResponseBody keeps blocks of about 64 kB, which reuse each other's memory, and is joined once when the response is complete.

Ruled out: that dropped bodies stay referenced (the attempt frees them); h11's own buffers (at most some 128 kB a connection).

Measured: entry/tests/test_attempt.py grows by 49.1 to 49.3 MB before (3 of 3 runs fail at 36 MB) and passes now (3 of 3). EndlessResponseTest: 64.6 to 67.8 MB at the peak in one run, 78.6 to 90.5 MB before in two.

--- a/dogwoodtack/entry/attempt.py
+++ b/dogwoodtack/entry/attempt.py
@@ -15,7 +15,7 @@
 from ..misc import Address
 from ..placement import AttemptOutcome, Instance, InstanceNotice
 from ..reactor import Reactor, Timer
-from .buffers import ResponseBuffers
+from .buffers import ResponseBody, ResponseBuffers
 from .notices import NoticeReader
 from .wire import HeaderNames
 
@@ -114,7 +114,7 @@
         self._conn: BackendConnection | None = None
         self._req: OutgoingRequest | None = None
         self._head: ResponseHead | None = None
-        self._body = bytearray()
+        self._body = ResponseBody()
         self._reused = False
         self._idle_s = 0.0
         self._deadline = 0.0
@@ -155,7 +155,7 @@
     def _release_buffer(self) -> None:
         """Free the memory of the body; the attempt may be referenced for longer."""
         self._buffers.remove(self)
-        self._body = bytearray()
+        self._body.clear()
 
     def _stop(self) -> None:
         if self._timer is not None:
@@ -214,7 +214,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect the response's body."""
-        self._body += data
+        self._body.append(data)
         self._buffers.grow(self, len(data))
 
     def on_buffer_exceeded(self) -> None:
--- a/dogwoodtack/entry/buffers.py
+++ b/dogwoodtack/entry/buffers.py
@@ -2,10 +2,36 @@
 
 from typing import Protocol
 
-__all__ = ["BufferOwner", "ResponseBuffers"]
+__all__ = ["BufferOwner", "ResponseBody", "ResponseBuffers"]
 
 # Small hosts have 200 MB in all, and a response is copied once when it is complete.
 MAX_BUFFERED_BYTES = 24 * 1024 * 1024
+BLOCK_BYTES = 65536
+
+
+class ResponseBody:
+    """A body that is received in pieces of any size.
+
+    Load pattern: many bodies grow at the same time. Blocks of similar size reuse each
+    other's memory; contiguous buffers move as they grow and leave gaps behind.
+    """
+
+    def __init__(self) -> None:
+        self._blocks: list[bytearray] = []
+
+    def append(self, data: bytes) -> None:
+        """Add a piece at the end."""
+        if not self._blocks or len(self._blocks[-1]) >= BLOCK_BYTES:
+            self._blocks.append(bytearray())
+        self._blocks[-1] += data
+
+    def clear(self) -> None:
+        """Free the memory of the body."""
+        self._blocks = []
+
+    def __bytes__(self) -> bytes:
+        """Return the body as a copy."""
+        return b"".join(self._blocks)
 
 
 class BufferOwner(Protocol):
