Keep pauses and rate limits while an instance's entry is missing

An entry may be missing for a moment only, when the store comes back from an older copy or a stale read lists fewer instances. The instance still names its limit, or is still in the pause that it asked for, and each host would have sent to it until the next answer said so again.

Change: pauses and limits end only by time or by what the instance says; leaving did so already.

Ruled out: that they pile up; a limit expires some seconds after it was last named, and ended pauses are dropped each second.

Measured: test_notice_outlives_an_entry_that_is_missing_for_a_moment fails for `paused` and `limited` on the code before, and passes now.

--- a/dogwoodtack/placement/notices.py
+++ b/dogwoodtack/placement/notices.py
@@ -102,10 +102,9 @@
         return ended
 
     def forget(self, instance_id: str) -> None:
-        """Drop the pause of an instance that is gone.
+        """Drop that an instance leaves, if a later start could not be told from this.
 
-        That it leaves is dropped only if a later start could not be told from this one.
+        All else outlives its entry, which may be missing for a moment only.
         """
-        self._paused_until.pop(instance_id, None)
         if self._leaving.get(instance_id) == 0:
             del self._leaving[instance_id]
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -367,10 +367,9 @@
         return {service: len(queue) for service, queue in self._queues.items()}
 
     def forget(self, instance_ids: Collection[str]) -> None:
-        """Drop what is known of instances that are gone."""
+        """Drop what is known of instances that are gone, except what they asked for."""
         self.health.forget(instance_ids)
         for instance_id in instance_ids:
-            self.rate_limits.forget(instance_id)
             self.notices.forget(instance_id)
 
     def release(self, instance_id: str) -> None:
--- a/dogwoodtack/placement/rate_limits.py
+++ b/dogwoodtack/placement/rate_limits.py
@@ -284,10 +284,6 @@
                 found.append(RateLimitReport(name, limit.per_s, age_s, limit.sent))
         return found
 
-    def forget(self, instance_id: str) -> None:
-        """Drop the limit of an instance that is gone."""
-        self._limits.pop(instance_id, None)
-
 
 @functools.lru_cache(maxsize=1024)
 def _senders(instance_id: str, hosts: tuple[str, ...]) -> frozenset[str]:
--- a/dogwoodtack/placement/tests/test_notices.py
+++ b/dogwoodtack/placement/tests/test_notices.py
@@ -90,8 +90,17 @@
     def set_notice(self, kind, name):
         if kind == "leaving":
             self.placer.notices.on_leaving(name, 5)
-        else:
+        elif kind == "paused":
             self.placer.notices.on_pause(name, 2.0, NOW)
+        else:
+            self.placer.rate_limits.on_response(name, 0.5, NOW - 1.0, NOW)
+
+    @params("leaving", "paused", "limited")
+    def test_notice_outlives_an_entry_that_is_missing_for_a_moment(self, kind):
+        self.set_notice(kind, "i-1")
+        self.placer.forget(["i-1"])
+        names = [found[0].id for found in [self.place() for _ in range(4)] if found]
+        self.assertEqual(names, ["i-2", "i-2"])
 
     @params("leaving", "paused")
     def test_other_instance_gets_the_requests(self, kind):
