Let a pause end when the instance starts again

What was seen, on reading: a pause was kept by the instance's id alone, so that an instance that starts again under its id got no request until the end of a pause that its former start had asked for, up to 300 s.

Change: a pause also keeps the latest start that may have asked for it: the one in the entry at the time of the request, or any before the response arrived, as the entry of a new start may come later than its first response.

Ruled out: to compare with the entry's start alone; a response of the new start that overtakes its entry would be dropped with the old pause, and the instance would get requests that it has asked not to get.

A host that restarts within a pause sends two requests at most, before and now.

--- a/dogwoodtack/clock.py
+++ b/dogwoodtack/clock.py
@@ -16,7 +16,7 @@
         """Return seconds that also advance while the machine is suspended."""
 
     def wall(self) -> float:
-        """Return seconds since the epoch, for people and logs only."""
+        """Return seconds since the epoch, which may be set back."""
 
 
 class SystemClock:
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -563,8 +563,9 @@
         notices = self._deps.placer.notices
         if notice.is_leaving and notices.on_leaving(instance.id, instance.born_ms):
             log_event("instance-leaving", instance=instance.id, request=request_id)
+        unix_ms = int(self._deps.reactor.clock.wall() * 1000)
         if notice.pause_s is not None and notices.on_pause(
-            instance.id, notice.pause_s, self._now()
+            instance, notice.pause_s, self._now(), unix_ms
         ):
             log_event(
                 "instance-paused",
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -294,7 +294,7 @@
             "instance_paths_lost": float(self.paths.is_cut_off),
             "instances_unreached": self.paths.unreached,
             "rate_limited_instances": self.placer.rate_limits.count(now),
-            "paused_instances": self.placer.notices.paused_count(now),
+            "paused_instances": self.placer.paused_count(now),
             "leaving_instances": len(self.placer.leaving()),
             "waiting": sum(self.placer.queue_lengths().values()),
             "configuration_version": version,
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -142,7 +142,7 @@
                 continue
             if self.health.is_replaced(instance) or self.notices.is_leaving(instance):
                 continue
-            if self.notices.is_paused(instance.id, now):
+            if self.notices.is_paused(instance, now):
                 continue
             allowance = self.rate_limits.allowance(instance, service_zones, now)
             if allowance is not None and not allowance.per_s:
@@ -194,7 +194,7 @@
         leaving = sum(
             1 for one in listed if one.is_draining or self.notices.is_leaving(one)
         )
-        paused = sum(1 for one in listed if self.notices.is_paused(one.id, now))
+        paused = sum(1 for one in listed if self.notices.is_paused(one, now))
         pause_end = self.notices.pause_end(listed, now)
         wait_s = self.service_time_s(service)
         if pause_end is not None:
@@ -206,6 +206,11 @@
         """Return the start times of the known instances that leave, by id."""
         return self.notices.leaving(self.registry.all())
 
+    def paused_count(self, now: float) -> int:
+        """Return how many of the known instances are paused."""
+        listed = self.registry.all()
+        return sum(1 for one in listed if self.notices.is_paused(one, now))
+
     def _select_local(self, req: PlacementRequest, now: float) -> Candidate | None:
         """Return a local instance that is surely healthy, if there is one.
 
--- a/dogwoodtack/placement/tests/test_notices.py
+++ b/dogwoodtack/placement/tests/test_notices.py
@@ -21,6 +21,7 @@
 from dogwoodtack.position import StorePosition
 
 NOW = 100.0
+UNIX_MS = 1796346000000
 
 
 def make_instance(name, born_ms=5):
@@ -55,12 +56,37 @@
     )
     def test_pause_is_never_shortened(self, pauses, end_s):
         notices = InstanceNotices()
+        instance = make_instance("i-1")
         for seconds, at in pauses:
-            notices.on_pause("i-1", seconds, NOW + at)
-        self.assertTrue(notices.is_paused("i-1", NOW + end_s - 0.01))
-        self.assertFalse(notices.is_paused("i-1", NOW + end_s))
+            notices.on_pause(instance, seconds, NOW + at, UNIX_MS)
+        self.assertTrue(notices.is_paused(instance, NOW + end_s - 0.01))
+        self.assertFalse(notices.is_paused(instance, NOW + end_s))
         self.assertEqual(notices.pop_ended_pauses(NOW + end_s), ["i-1"])
-        self.assertEqual(notices.paused_count(NOW), 0)
+        self.assertFalse(notices.is_paused(instance, NOW))
+
+    @params(
+        # start that asked, start of the entry, whether it is paused
+        (5, 5, True),
+        (5, 4, True),
+        # The entry of the start that asked arrives after its response.
+        (5, UNIX_MS - 1, True),
+        (5, UNIX_MS + 1, False),
+        (UNIX_MS + 9, UNIX_MS + 9, True),
+        (0, 0, True),
+    )
+    def test_pause_ends_with_a_new_start(self, asked_ms, born_ms, expected):
+        notices = InstanceNotices()
+        notices.on_pause(make_instance("i-1", asked_ms), 2.0, NOW, UNIX_MS)
+        restarted = make_instance("i-1", born_ms)
+        self.assertEqual(notices.is_paused(restarted, NOW + 1.0), expected)
+
+    def test_new_start_has_a_pause_of_its_own(self):
+        notices = InstanceNotices()
+        notices.on_pause(make_instance("i-1"), 9.0, NOW, UNIX_MS)
+        restarted = make_instance("i-1", UNIX_MS + 500)
+        self.assertTrue(notices.on_pause(restarted, 2.0, NOW + 1.0, UNIX_MS + 1000))
+        self.assertTrue(notices.is_paused(restarted, NOW + 2.9))
+        self.assertFalse(notices.is_paused(restarted, NOW + 3.0))
 
 
 class PlacementTest(unittest.TestCase):
@@ -91,7 +117,7 @@
         if kind == "leaving":
             self.placer.notices.on_leaving(name, 5)
         elif kind == "paused":
-            self.placer.notices.on_pause(name, 2.0, NOW)
+            self.placer.notices.on_pause(make_instance(name), 2.0, NOW, UNIX_MS)
         else:
             self.placer.rate_limits.on_response(name, 0.5, NOW - 1.0, NOW)
 
--- a/tests/test_instance_notices.py
+++ b/tests/test_instance_notices.py
@@ -17,6 +17,8 @@
 PAUSE_SLACK_S = 0.5
 PAUSE_REQUESTS = 2
 PAUSE_S = 2.0
+# A host that has restarted may fill the slots of an instance before its first response.
+RESTART_REQUESTS = 2
 
 
 class Traffic:
@@ -142,6 +144,33 @@
         for event in ("event=instance-paused", "event=instance-pause-ended"):
             self.assertIn(event, self.log.read_text())
 
+    def test_new_start_is_used_within_the_pause(self):
+        self.serve()
+        paused = self.backends[0]
+        paused.behaviour, paused.retry_after = "shed", "60"
+        Traffic(self, 0.5)
+        paused.behaviour = "ok"
+        born_ms = int(time.time() * 1000)
+        entry = paused.directory_entry("jobs", born_ms=born_ms)
+        self.store.put("servers", paused.name, **entry)
+        time.sleep(1.5)
+        before = paused.arrived
+        Traffic(self, 1.0)
+        self.assertGreater(paused.arrived, before)
+
+    def test_host_that_restarts_within_a_pause_asks_little(self):
+        self.serve()
+        paused = self.backends[0]
+        paused.behaviour, paused.retry_after = "shed", "60"
+        Traffic(self, 0.5)
+        self.process.kill()
+        self.process.wait()
+        before = paused.arrived
+        self.start_host()
+        self.wait_until(self.is_ready, "the host is ready")
+        Traffic(self, 3.0)
+        self.assertLessEqual(paused.arrived - before, RESTART_REQUESTS)
+
     def test_all_instances_ask_for_a_pause(self):
         self.serve()
         Traffic(self, 0.5)
