Make the longest pause a checked setting

An instance can ask for a pause of a year; the cap of 300 s was a constant that an operator could neither see nor change.

Change: the bound maxPauseS in the settings file, 300 without it. It is read again with the other bounds. A value that is no positive number is an error at the start, and keeps the settings before at a reload.

Ruled out: to be as strict with the other bounds: the platform writes those, and some are no numbers.

--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -170,7 +170,9 @@
             buffers=self.buffers,
             paths=self.paths,
             header_names=self._adapter.header_names,
-            notices=NoticeReader(self._adapter.header_names),
+            notices=NoticeReader(
+                self._adapter.header_names, lambda: self.settings.bounds.max_pause_s
+            ),
             find_route=self._find_route,
             splitter=TrafficSplitter(self.rng.random()),
             idle_limit=IdleLimit(),
--- a/dogwoodtack/entry/notices.py
+++ b/dogwoodtack/entry/notices.py
@@ -14,8 +14,6 @@
 
 LEAVING = b"1"
 SERVICE_UNAVAILABLE = 503
-# No header takes an instance out of work for longer.
-MAX_PAUSE_S = 300.0
 # At most one log line for unusable headers in this time.
 LOG_INTERVAL_S = 1.0
 
@@ -25,6 +23,8 @@
 
     Args:
         header_names: header names on the wire.
+        max_pause_s: returns the longest pause in seconds; no header takes an instance
+            out of work for longer.
         monotonic: returns the time in seconds; limits the log lines.
         wall_clock: returns the Unix time in seconds, for dates in headers.
     """
@@ -32,10 +32,12 @@
     def __init__(
         self,
         header_names: HeaderNames,
+        max_pause_s: Callable[[], float],
         monotonic: Callable[[], float] = time.monotonic,
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self._header_names = header_names
+        self._max_pause_s = max_pause_s
         self._monotonic = monotonic
         self._wall_clock = wall_clock
         self._logged_at = -math.inf
@@ -53,7 +55,7 @@
             # Of different values the most cautious one counts.
             rate_limit_per_s=min(limits, default=None),
             is_leaving=self._is_leaving(head),
-            pause_s=min(max(pauses), MAX_PAUSE_S) if pauses else None,
+            pause_s=min(max(pauses), self._max_pause_s()) if pauses else None,
         )
 
     def _is_leaving(self, head: ResponseHead) -> bool:
--- a/dogwoodtack/entry/settings.py
+++ b/dogwoodtack/entry/settings.py
@@ -15,11 +15,14 @@
         grace_s: seconds from SIGTERM until the process has to have ended.
         max_answer_ttl_s: longest time in seconds that callers cache addresses.
         retries: the retry budget shared by all hosts.
+        max_pause_s: longest time in seconds for which an instance that asks for a
+            pause gets no request.
     """
 
     grace_s: float = 6.0
     max_answer_ttl_s: float = 5.0
     retries: RetryRules = RetryRules()
+    max_pause_s: float = 300.0
 
 
 class EntrySettings(NamedTuple):
--- a/dogwoodtack/entry/tests/test_notices.py
+++ b/dogwoodtack/entry/tests/test_notices.py
@@ -5,15 +5,18 @@
 from nose2.tools import params
 
 from dogwoodtack.backends import ResponseHead
-from dogwoodtack.entry.notices import MAX_PAUSE_S, NoticeReader
+from dogwoodtack.entry.notices import NoticeReader
 from dogwoodtack.placement import InstanceNotice
 from dogwoodtack.platform.headers import HEADERS
 
 UNIX_TIME_S = 1796346000.0
+MAX_PAUSE_S = 60.0
 
 
 def read(status, *headers):
-    reader = NoticeReader(HEADERS, lambda: 1.0, lambda: UNIX_TIME_S)
+    reader = NoticeReader(
+        HEADERS, lambda: MAX_PAUSE_S, lambda: 1.0, lambda: UNIX_TIME_S
+    )
     return reader.read(ResponseHead(status, list(headers)))
 
 
--- a/dogwoodtack/platform/settings.py
+++ b/dogwoodtack/platform/settings.py
@@ -1,5 +1,6 @@
 """Decoding of the platform's settings file of an entry host."""
 
+import math
 import os
 import tomllib
 from typing import Any
@@ -12,6 +13,8 @@
 __all__ = ["SETTINGS_VARIABLE", "load_entry_settings", "decode_entry_settings"]
 
 SETTINGS_VARIABLE = "DOGWOODTACK_SETTINGS"
+# The one bound that is the operator's to choose; the others state the platform's rules.
+MAX_PAUSE_BOUND = "maxPauseS"
 
 
 def load_entry_settings(path: str | None = None) -> EntrySettings:
@@ -68,8 +71,12 @@
 
 def _bounds(entries: list[str]) -> Bounds:
     values: dict[str, float] = {}
+    max_pause_s = Bounds().max_pause_s
     for entry in entries:
         name, sep, value = entry.partition("=")
+        if name.strip() == MAX_PAUSE_BOUND:
+            max_pause_s = _positive(MAX_PAUSE_BOUND, value)
+            continue
         try:
             values[name.strip()] = float(value)
         except ValueError:
@@ -84,4 +91,12 @@
             window_s=values.get("retryWindowS", defaults.retries.window_s),
             slack=values.get("budgetSlack", defaults.retries.slack),
         ),
+        max_pause_s=max_pause_s,
     )
+
+
+def _positive(name: str, text: str) -> float:
+    value = float(text)
+    if not 0.0 < value < math.inf:
+        raise SettingsError(f"bound {name} is not a positive number: {text}")
+    return value
--- a/dogwoodtack/platform/tests/test_wire.py
+++ b/dogwoodtack/platform/tests/test_wire.py
@@ -136,6 +136,11 @@
         self.assertEqual(found.bounds.grace_s, 7.5)
         self.assertEqual(found.bounds.retries.ratio, 0.3)
         self.assertEqual(found.bounds.retries.slack, 56.0)
+        self.assertEqual(found.bounds.max_pause_s, 300.0)
+
+    def test_longest_pause(self):
+        found = decode_entry_settings({**SETTINGS, "bounds": ["maxPauseS = 12.5"]})
+        self.assertEqual(found.bounds.max_pause_s, 12.5)
 
     @params(
         ("node", None),
@@ -145,6 +150,11 @@
         ("limits.cpuShare", "much"),
         ("internalPortRange", [1]),
         ("internalPortRange", [7720, 7720]),
+        ("bounds", ["maxPauseS=soon"]),
+        ("bounds", ["maxPauseS=0"]),
+        ("bounds", ["maxPauseS=-1"]),
+        ("bounds", ["maxPauseS=inf"]),
+        ("bounds", ["maxPauseS=nan"]),
     )
     def test_invalid_settings_are_rejected(self, path, value):
         with self.assertRaises(SettingsError):
