Write the records of few hosts soon after the store's return

Cause: a reader that starts while the store is away reads the list at its second try, 1 s after the return at the latest. It then waited for 2 s until the list counted as settled, up to 1 s for the next periodic check, and up to 2 s for the spread of the writes, even of three: 6 s in all where 4 are allowed.

Change: a check runs as soon as a list has settled, and the writes are spread over 0.05 s for each record, up to the 2 s of before. The store's rate is kept: a zone writes 20 records a second on average, or all of its hosts in 2 s.

Ruled out: a shorter wait until the list is settled: hosts that start at the same time would be listed twice.

--- a/dogwoodtack/entry/host_records.py
+++ b/dogwoodtack/entry/host_records.py
@@ -15,9 +15,10 @@
 CHECK_S = 1.0
 # A host that has just started writes its own record in less than this time.
 MIN_LIST_AGE_S = 2.0
-# Records that are missing, as after the store's return from a copy, are written over
-# this time.
-WRITE_SPREAD_S = 2.0
+# Records that are missing, as after the store's return from a copy, are written with
+# this mean interval, or a shorter one if there are many.
+WRITE_INTERVAL_S = 0.05
+MAX_WRITE_SPREAD_S = 2.0
 
 
 class HostRecords:
@@ -93,6 +94,7 @@
             self._peer_table.add_record(record)
         self._listed = set(records)
         self._listed_at = self._reactor.clock.monotonic()
+        self._reactor.call_later(MIN_LIST_AGE_S, self._check_records)
 
     def _introduce_to_zone(self) -> None:
         zone = self._peer_table.local_host.zone
@@ -109,6 +111,10 @@
         self._reactor.call_later(CHECK_S, self._run_checks)
         if self._fleet.is_zone_gateway():
             self._discover_other_zones()
+        self._check_records()
+
+    def _check_records(self) -> None:
+        """Read the list again if records of live hosts seem to be missing."""
         now = self._reactor.clock.monotonic()
         is_list_settled = now >= self._listed_at + MIN_LIST_AGE_S
         if self._feed.reads_store and is_list_settled and self._find_missing():
@@ -136,8 +142,9 @@
         missing = self._find_missing()
         if missing:
             log_event("hosts-missing", listed=len(records), missing=len(missing))
+        spread_s = min(MAX_WRITE_SPREAD_S, WRITE_INTERVAL_S * len(missing))
         for record in missing:
-            wait_s = WRITE_SPREAD_S * self._rng.random()
+            wait_s = spread_s * self._rng.random()
             self._reactor.call_later(
                 wait_s, self._source.announce, record, self._on_written
             )
--- a/dogwoodtack/entry/tests/test_host_records.py
+++ b/dogwoodtack/entry/tests/test_host_records.py
@@ -15,6 +15,8 @@
 
 SETTLE_S = 8.0
 HEARTBEAT_S = 0.4
+# The users' bound on how long a change in the store takes to reach every host.
+CATCH_UP_S = 4.0
 
 
 class RecordStore:
@@ -115,6 +117,16 @@
         zone.run(SETTLE_S)
         self.check_all_are_listed(zone)
 
+    @params(3, 9)
+    def test_reader_that_starts_while_the_store_is_away(self, count):
+        """The records of few hosts are all there soon after the store's return."""
+        zone = Zone(count)
+        zone.restore(0)
+        zone.store.failures = 1
+        zone.start(0)
+        zone.run(CATCH_UP_S)
+        self.check_all_are_listed(zone)
+
     @params(1, 2, 3)
     def test_failed_calls_are_made_again(self, failures):
         zone = Zone(4)
