Split what attempts show of their instances from the exchange

Change: entry/evidence.py has it. Moves only; health is recorded before and after the same calls as before.

Ruled out: to move the hand-over too; it shares the attempts and timers of the exchange.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -9,15 +9,12 @@
 from ..fleet import Fleet
 from ..frontend.conn import RequestHead, ServerConn
 from ..frontend.headers import response_headers
-from ..logs import log_event
 from ..placement import (
     NOT_RUN_OUTCOMES,
-    PATH_FAILURES,
     AttemptContext,
     AttemptOutcome,
     Instance,
     NextAction,
-    Observation,
     PlacementRequest,
     Placer,
     QueuedRequest,
@@ -25,12 +22,12 @@
     Requirements,
     SelectionMode,
     next_action,
-    observation_for,
 )
 from ..reactor import Reactor, Timer
 from ..routing import Route, TrafficSplitter
 from .attempt import Attempt, AttemptResult, AttemptTarget, OutgoingRequest
 from .buffers import ResponseBuffers
+from .evidence import Evidence
 from .idle_limit import IdleLimit
 from .notices import NoticeReader
 from .paths import PathMonitor
@@ -94,6 +91,7 @@
         paths: whether this host reaches the instances.
         header_names: header names on the wire.
         notices: reads what responses say about their instances.
+        evidence: records what attempts show of their instances.
         find_route: returns the route for a host and target, and the version of
             the configuration; version 0 means that none is known yet.
         splitter: chooses a service by the route's traffic split.
@@ -112,6 +110,7 @@
     paths: PathMonitor
     header_names: HeaderNames
     notices: NoticeReader
+    evidence: Evidence
     find_route: RouteFinder
     splitter: TrafficSplitter
     idle_limit: IdleLimit
@@ -384,25 +383,14 @@
             self._deps.paths.check()
             attempt.is_silence_reported = True
             instance_id = attempt.target.name
-            observation = self._observe(instance_id, AttemptOutcome.TIMED_OUT)
+            observation = self._deps.evidence.observe(
+                instance_id, AttemptOutcome.TIMED_OUT
+            )
             self._deps.fleet.report_instance(instance_id, observation)
             if attempt.is_reused:
                 # Established connections may be dead while new ones still work.
                 self._deps.pool.close_idle(attempt.target.address)
 
-    def _observe(self, instance_id: str, outcome: AttemptOutcome) -> Observation | None:
-        """Record what an outcome shows of an instance and return what peers are told.
-
-        What may only show that this host's paths are lost is not told.
-        """
-        observation = observation_for(outcome)
-        is_path_suspect = self._deps.paths.is_suspect
-        health = self._deps.placer.health
-        health.observe(instance_id, observation, self._now(), is_path_suspect)
-        if is_path_suspect and observation in PATH_FAILURES:
-            return None
-        return observation
-
     def _on_hedge_timer(self) -> None:
         """Hedge an idempotent request: send it to a second instance as well.
 
@@ -436,7 +424,9 @@
     # Attempts.
 
     def _on_attempt_end(self, attempt: Attempt, result: AttemptResult) -> None:
-        self._record_notice(attempt, result)
+        self._deps.evidence.record(
+            attempt, result, self._service, self._request_id.decode("latin-1")
+        )
         self._close_attempt(attempt, result.outcome)
         self._record_attempt(attempt, result)
         if self.is_done:
@@ -518,7 +508,7 @@
             attempt.is_silence_reported and outcome is AttemptOutcome.TIMED_OUT
         )
         if outcome is not None and not is_reported:
-            observation = self._observe(instance.id, outcome)
+            observation = self._deps.evidence.observe(instance.id, outcome)
         self._deps.fleet.report_instance(instance.id, observation)
         self._deps.reactor.call_soon(placer.dispatch_queued, now)
 
@@ -546,48 +536,6 @@
             known = self._deps.response_kb.get(self._route.name, 1.0)
             size_kb = len(result.body) / 1000
             self._deps.response_kb[self._route.name] = known + 0.1 * (size_kb - known)
-        if result.reused and result.outcome is AttemptOutcome.CUT:
-            self._deps.idle_limit.record_dropped(self._service, result.idle_s)
-        elif result.reused and result.outcome is AttemptOutcome.ANSWERED:
-            self._deps.idle_limit.record_reused(self._service)
-
-    def _record_notice(self, attempt: Attempt, result: AttemptResult) -> None:
-        """Record what a response says about its instance."""
-        instance, notice = attempt.target.instance, result.notice
-        if instance is None or notice is None:
-            return
-        if result.outcome is AttemptOutcome.MISDIRECTED:
-            return
-        self._record_rate_limit(attempt, result)
-        request_id = self._request_id.decode("latin-1")
-        notices = self._deps.placer.notices
-        if notice.is_leaving and notices.on_leaving(instance.id, instance.born_ms):
-            log_event("instance-leaving", instance=instance.id, request=request_id)
-        unix_ms = int(self._deps.reactor.clock.wall() * 1000)
-        if notice.pause_s is not None and notices.on_pause(
-            instance, notice.pause_s, self._now(), unix_ms
-        ):
-            log_event(
-                "instance-paused",
-                instance=instance.id,
-                seconds=notice.pause_s,
-                request=request_id,
-            )
-
-    def _record_rate_limit(self, attempt: Attempt, result: AttemptResult) -> None:
-        per_s = result.notice.rate_limit_per_s
-        if per_s is None and result.head is None:
-            # What is no valid response doesn't end a limit.
-            return
-        limits = self._deps.placer.rate_limits
-        name = attempt.target.name
-        if limits.on_response(name, per_s, attempt.started_at, self._now()):
-            log_event(
-                "instance-rate-limit",
-                instance=name,
-                per_s="none" if per_s is None else per_s,
-                request=self._request_id.decode("latin-1"),
-            )
 
     # Responding.
 
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -21,6 +21,7 @@
 from ..reactor import Reactor
 from ..routing import CallerLimits, Configuration, Route, RouteTable, TrafficSplitter
 from .buffers import ResponseBuffers
+from .evidence import Evidence
 from .exchange import ExchangeDependencies
 from .frontend import EntryFrontend
 from .host_records import HostRecords
@@ -161,6 +162,7 @@
         self.paths = PathMonitor(
             self.reactor, self.registry, self.rng, self._on_paths_changed
         )
+        idle_limit = IdleLimit()
         deps = ExchangeDependencies(
             reactor=self.reactor,
             placer=self.placer,
@@ -173,9 +175,10 @@
             notices=NoticeReader(
                 self._adapter.header_names, lambda: self.settings.bounds.max_pause_s
             ),
+            evidence=Evidence(self.reactor.clock, self.placer, self.paths, idle_limit),
             find_route=self._find_route,
             splitter=TrafficSplitter(self.rng.random()),
-            idle_limit=IdleLimit(),
+            idle_limit=idle_limit,
             request_log=self.request_log,
             response_kb={},
         )
