Draw pauses as faults in the soak

The soak checked leavings and rate limits, but no pause.

Change: an instance rejects requests for a while and asks for a pause longer or shorter than that. From what the instances saw, no host sends one of them more than two requests from half a second after it was asked to the end of the pause. The stand-in keeps which request arrived when, and callers know to which host they sent it. Hosts that were disturbed and instances behind a faulty path are left out, as they may not have been told.

Ruled out: to count the requests of all hosts together, as each of them is told at another time.

--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -298,6 +298,27 @@
     body: bytes
 
 
+class Arrival(NamedTuple):
+    """A request that reached an instance which it expected, at a monotonic time."""
+
+    at: float
+    request_id: str
+
+
+class AskedPause(NamedTuple):
+    """A pause that an instance asked for in the response to a request.
+
+    Attributes:
+        at: monotonic time at which the response was sent.
+        request_id: the request.
+        seconds: length of the pause.
+    """
+
+    at: float
+    request_id: str
+    seconds: float
+
+
 class InstanceStandIn:
     """An instance whose behaviour a test selects.
 
@@ -315,6 +336,8 @@
         is_leaving: whether its responses say that it leaves.
         retry_after: Retry-After of its responses with status 503; None if they have
             none.
+        arrivals: the requests that arrived and named this instance as expected.
+        pauses: what it asked for in responses with `retry_after`.
         noticed_at: monotonic time of the first response with each header in which it
             says something about itself.
         closed_by_caller: endless responses that the caller has closed.
@@ -332,7 +355,8 @@
         self.ran: list[ExecutedRequest] = []
         self._sequence = 0
         self.misdirected = 0
-        self.arrived_at: list[float] = []
+        self.arrivals: list[Arrival] = []
+        self.pauses: list[AskedPause] = []
         self._server = _Server(("127.0.0.1", 0), _InstanceHandler)
         self._server.owner = self
         self.address = Address(*self._server.server_address)
@@ -340,8 +364,13 @@
 
     @property
     def arrived(self) -> int:
-        """Return how many requests arrived that named this instance as expected."""
-        return len(self.arrived_at)
+        """Return how many requests arrived."""
+        return len(self.arrivals)
+
+    @property
+    def arrived_at(self) -> list[float]:
+        """Return the times at which requests arrived."""
+        return [arrival.at for arrival in self.arrivals]
 
     def close(self) -> None:
         """Stop the server and close its socket."""
@@ -398,14 +427,18 @@
             instance.misdirected += 1
             self.reply(421, b"", **{"X-Dogwoodtack-Instance-Id": instance.name})
             return
-        instance.arrived_at.append(time.monotonic())
+        instance.arrivals.append(Arrival(time.monotonic(), request_id))
         if instance.behaviour == "shed-late":
             time.sleep(instance.delay_s)
         if instance.behaviour in ("shed", "shed-late"):
             headers = {NOT_EXECUTED_HEADER: "1", REQUEST_ID_HEADER: request_id}
-            if instance.retry_after is not None:
-                headers["Retry-After"] = instance.retry_after
+            retry_after = instance.retry_after
+            if retry_after is not None:
+                headers["Retry-After"] = retry_after
             self.reply(503, b"", **headers)
+            if retry_after is not None:
+                pause = AskedPause(time.monotonic(), request_id, float(retry_after))
+                instance.pauses.append(pause)
             return
         instance.ran.append(ExecutedRequest(request_id, self.command, self.path, body))
         time.sleep(instance.delay_s)
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -33,6 +33,10 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
+# Requests that may reach an instance from a host that it has asked for a pause, from
+# shortly after that response to the end of the pause.
+PAUSE_REQUESTS = 2
+PAUSE_SLACK_S = 0.5
 NOT_RUN_STATUSES = (408, 429, 503)
 BEHAVIOURS = ("error", "shed", "cut", "stray", "late", "no-signature", "unframed")
 
@@ -63,6 +67,7 @@
         self._began_at = time.monotonic()
         self.injected: list[str] = []
         self.store_outages: list[tuple[float, float]] = []
+        self.proxy_faults: list[tuple[SiteInstance, float, float]] = []
         self.exit_codes: list[tuple[str, int | None]] = []
 
     def inject(self) -> None:
@@ -81,6 +86,7 @@
             self._drain_instance,
             self._announce_leaving,
             self._limit_instance,
+            self._ask_for_pause,
         ]
         self._rng.choice(kinds)()
 
@@ -101,9 +107,11 @@
         seconds = self._rng.uniform(0.3, 2.0)
 
         def apply_fault() -> None:
+            began_at = time.monotonic()
             instance.proxy.fault = fault
             time.sleep(seconds)
             instance.proxy.fault = Fault.NONE
+            self.proxy_faults.append((instance, began_at, time.monotonic()))
 
         self._start_fault(
             f"{instance.backend.name} {fault} {seconds:.1f} s", apply_fault
@@ -123,6 +131,24 @@
             f"{instance.backend.name} {behaviour} {seconds:.1f} s", apply_fault
         )
 
+    def _ask_for_pause(self) -> None:
+        """Let an instance reject requests and ask the hosts for a pause."""
+        instance = self._rng.choice(self._site.active_instances())
+        seconds = self._rng.uniform(0.3, 2.0)
+        retry_after = f"{self._rng.uniform(0.6, 4.0):.2f}"
+
+        def apply_fault() -> None:
+            instance.backend.retry_after = retry_after
+            instance.backend.behaviour = "shed"
+            time.sleep(seconds)
+            instance.backend.behaviour = "ok"
+            instance.backend.retry_after = None
+
+        self._start_fault(
+            f"{instance.backend.name} asks for {retry_after} s, for {seconds:.1f} s",
+            apply_fault,
+        )
+
     def _on_host(
         self, description: str, apply_fault: Callable[[HostProcess], None]
     ) -> None:
@@ -283,6 +309,7 @@
     violations += _check_versions(watcher)
     violations += _check_drains(site, injector)
     violations += _check_notices(site)
+    violations += _check_pauses(site, injector, calls)
     violations += _check_stops(site, injector, calls)
     if not any(call.status == 200 for call in calls[-CALLERS:]):
         violations.append("no request succeeds after the faults")
@@ -343,6 +370,41 @@
     return violations
 
 
+def _check_pauses(site: Site, injector: FaultInjector, calls: list[Call]) -> list[str]:
+    """Find requests from undisturbed hosts within the pauses that these were told of.
+
+    A host that has lost its paths sends through others; then senders are not known.
+    """
+    if any("event=instance-paths lost=True" in host.log_text() for host in site.hosts):
+        return []
+    host_names = {call.id: call.host for call in calls}
+    hosts = {host.name: host for host in site.hosts}
+    violations = []
+    for instance in site.instances:
+        for pause in instance.backend.pauses:
+            host = hosts.get(host_names.get(pause.request_id))
+            begin, end = pause.at - UNDISTURBED_S, pause.at + pause.seconds
+            if host is None or any(begin < at < end for at, _ in host.disturbances):
+                continue
+            if any(
+                one is instance and began_at < end and ended_at > begin
+                for one, began_at, ended_at in injector.proxy_faults
+            ):
+                continue
+            late = [
+                arrival.request_id
+                for arrival in instance.backend.arrivals
+                if pause.at + PAUSE_SLACK_S < arrival.at < end
+                and host_names.get(arrival.request_id) == host.name
+            ]
+            if len(late) > PAUSE_REQUESTS:
+                violations.append(
+                    f"{instance.backend.name} got {len(late)} from {host.name} in a"
+                    f" pause of {pause.seconds} s: {late[0]}"
+                )
+    return violations
+
+
 def most_in_window(times: list[float], window_s: float) -> int:
     """Return the largest number of times within a window."""
     counts = (
