Send an overdue watch again beside the first

Cause: a store that hung never answers the watches that it took meanwhile. A reader waited for its call's whole limit, 4.5 s, and for 1 s more. If all hosts are readers, nobody can stand in for them.

Change: an overdue watch is sent again beside the first one, three calls in all. The first answer ends the poll; later ones are applied and otherwise ignored; it fails with the last call.

Ruled out: a shorter limit, which would lose a slow store: its answers come after the limit each time. To give the first call up: the same.

Measured: test_calls_that_a_hung_store_swallowed, on a virtual clock, fails before for hangs of 0.1, 0.7 and 1.4 s (no host of six has the change) and passes.

--- a/dogwoodtack/replication/tests/fakes.py
+++ b/dogwoodtack/replication/tests/fakes.py
@@ -25,6 +25,7 @@
         self.revision = 0
         self.is_down = False
         self.is_stale = False
+        self.is_hanging = False
         self.cut: set[Address] = set()
         self.calls = 0
         self._watches: list[Any] = []
@@ -69,6 +70,7 @@
     def _call(self, on_done: Any, read: Any, wait_s: float | None) -> None:
         store = self._store
         store.calls += 1
+        is_swallowed = store.is_hanging
         calls_ended: list[bool] = []
 
         def end(snapshot: Snapshot | None, exc: StoreError | None) -> None:
@@ -80,7 +82,7 @@
             on_done(snapshot, exc)
 
         def respond() -> None:
-            if self._node.address in store.cut:
+            if is_swallowed or self._node.address in store.cut:
                 return
             if store.is_down:
                 end(None, StoreError("down"))
--- a/dogwoodtack/replication/tests/test_replicator.py
+++ b/dogwoodtack/replication/tests/test_replicator.py
@@ -134,6 +134,21 @@
         self.assertTrue(node.replicator.is_synced)
         self.assert_in_force([node])
 
+    @params(0.1, 0.7, 1.4, 5.0)
+    def test_calls_that_a_hung_store_swallowed(self, hung_s):
+        """All hosts read the store, so that none has a call from after the hang."""
+        network = FakeNetwork()
+        store = FakeStore(network)
+        store.write("s", {})
+        nodes = [ReplicationNode(network, store, number, SEEDS) for number in range(6)]
+        network.reactor.run_for(10.0)
+        store.is_hanging = True
+        network.reactor.run_for(hung_s)
+        store.is_hanging = False
+        version = store.write("s", {})
+        network.reactor.run_for(IN_FORCE_WITHIN_S)
+        self.assertEqual([node.version("s") for node in nodes], [version] * 6)
+
     def test_host_without_a_source_is_not_ready(self):
         network = FakeNetwork()
         store = FakeStore(network)
--- a/dogwoodtack/replication/watcher.py
+++ b/dogwoodtack/replication/watcher.py
@@ -1,5 +1,6 @@
 """Watches the store for changes, with one long poll at a time."""
 
+import functools
 from collections.abc import Callable
 
 from ..errors import StoreError
@@ -13,6 +14,9 @@
 WATCH_OVERDUE_S = 0.5
 RETRY_S = 1.0
 LIST_OVERDUE_S = 1.0
+# Calls of one poll: a store that hung never answers those it took meanwhile, and a slow
+# one answers each of them late.
+MAX_CALLS = 3
 
 
 class Watcher:
@@ -42,6 +46,9 @@
         self._on_snapshot = on_snapshot
         self._on_failure = on_failure
         self._overdue_timer: Timer | None = None
+        # Number of the current poll, and its calls without a response.
+        self._poll_number = 0
+        self._open_calls = 0
         self.is_active = False
         self.is_failing = False
 
@@ -55,29 +62,47 @@
         if not self._is_needed():
             self.is_active = False
             return
+        self._poll_number += 1
+        self._open_calls = 0
+        overdue_s = POLL_WAIT_S + WATCH_OVERDUE_S
+        if self._watermark() < 0:
+            overdue_s = LIST_OVERDUE_S
+        self._overdue_timer = self._reactor.call_later(overdue_s, self._on_overdue)
+        self._call()
+
+    def _call(self) -> None:
+        self._open_calls += 1
+        on_read = functools.partial(self._on_snapshot_read, self._poll_number)
         after = self._watermark()
         if after < 0:
-            self._overdue_timer = self._reactor.call_later(
-                LIST_OVERDUE_S, self._on_overdue
-            )
-            self._store.list(self._on_snapshot_read)
-            return
-        wait_s = POLL_WAIT_S + WATCH_OVERDUE_S
-        self._overdue_timer = self._reactor.call_later(wait_s, self._on_overdue)
-        self._store.watch(after, POLL_WAIT_S, self._on_snapshot_read)
+            self._store.list(on_read)
+        else:
+            self._store.watch(after, POLL_WAIT_S, on_read)
 
     def _on_overdue(self) -> None:
-        """Report a failure now and every RETRY_S until the call ends.
+        """Report a failure now and every RETRY_S until the poll ends.
 
-        Each report makes the node ask others to watch the store.
+        Each report makes the node ask others to watch the store.  The call is made
+        again beside the overdue one, which may be answered yet.
         """
         self._overdue_timer = self._reactor.call_later(RETRY_S, self._on_overdue)
+        if self._open_calls < MAX_CALLS:
+            self._call()
         self._on_failure()
 
     def _on_snapshot_read(
-        self, snapshot: Snapshot | None, exc: StoreError | None
+        self, poll_number: int, snapshot: Snapshot | None, exc: StoreError | None
     ) -> None:
+        """Apply a snapshot; the first one, or the last failure, ends its poll."""
+        if poll_number != self._poll_number:
+            if exc is None:
+                self._on_snapshot(snapshot)
+            return
+        self._open_calls -= 1
+        if exc is not None and self._open_calls:
+            return
         self._overdue_timer.cancel()
+        self._poll_number += 1
         self._log_failing(exc)
         if exc is not None:
             self._on_failure()
