End a cut-off with the first contact, not at the next check

What was seen: test_cut_off_host_rejects_requests_until_reconnected was flaky beside load: after the cuts had ended and all hosts saw each other, the host still showed cut_off, or refused a request with 503.

Cause, by reading: contacts are recorded at once, but whether the host is cut off was looked at each 0.25 s only, later if the loop is late. In between it refused callers, and its status showed the old state.

Change: the first contact after a cut-off updates the state.

Ruled out: a shorter interval, which only makes the gap rarer.

Measured: test_cut_off_ends_with_the_first_contact fails before, for a contact with the store and with a peer, and passes.

--- a/dogwoodtack/membership/connectivity.py
+++ b/dogwoodtack/membership/connectivity.py
@@ -1,5 +1,7 @@
 """Tracks when the store and the peers were last reached, and detects a cut-off."""
 
+from collections.abc import Callable
+
 from ..clock import Clock
 from ..logs import log_event
 
@@ -20,18 +22,32 @@
     def __init__(self, clock: Clock, has_seeds: bool) -> None:
         self._clock = clock
         self._may_have_peers = has_seeds
+        self._listeners: list[Callable[[], None]] = []
         now = clock.monotonic()
         self.store_reached_at = now
         self.peer_reached_at = now
 
+    def subscribe(self, on_reconnected: Callable[[], None]) -> None:
+        """Call a function at the first contact after a cut-off."""
+        self._listeners.append(on_reconnected)
+
     def record_store_contact(self) -> None:
         """Record that the store responded."""
+        was_cut_off = self.is_cut_off()
         self.store_reached_at = self._clock.monotonic()
+        self._notify_if(was_cut_off)
 
     def record_peer_contact(self) -> None:
         """Record that a peer called this node or answered its call."""
+        was_cut_off = self.is_cut_off()
         self._may_have_peers = True
         self.peer_reached_at = self._clock.monotonic()
+        self._notify_if(was_cut_off)
+
+    def _notify_if(self, was_cut_off: bool) -> None:
+        if was_cut_off:
+            for on_reconnected in self._listeners:
+                on_reconnected()
 
     def is_without_peers(self) -> bool:
         """Return whether no peer was reached in the last PEERS_LOST_AFTER_S."""
--- a/dogwoodtack/membership/gossip.py
+++ b/dogwoodtack/membership/gossip.py
@@ -114,6 +114,7 @@
         for seed in self._rng.sample(self._seeds, min(3, len(self._seeds))):
             self._exchange(seed, None)
         self._reactor.call_later(self._rng.uniform(0, ROUND_INTERVAL_S), self._on_round)
+        self._connectivity.subscribe(self._update_cut_off)
         self._on_cut_off_check()
 
     def announce_leaving(self) -> None:
@@ -153,8 +154,11 @@
         self._membership.mark_ready()
         self._mark_changed(self._membership.local_member.incarnation)
 
-    def _on_cut_off_check(self) -> None:
+    def _update_cut_off(self) -> None:
         self._membership.set_cut_off(self._cut_off_logger.check())
+
+    def _on_cut_off_check(self) -> None:
+        self._update_cut_off()
         self._reactor.call_later(CUT_OFF_CHECK_INTERVAL_S, self._on_cut_off_check)
 
     def _on_round(self) -> None:
--- a/dogwoodtack/membership/tests/test_gossip.py
+++ b/dogwoodtack/membership/tests/test_gossip.py
@@ -67,6 +67,15 @@
             self.assertEqual(len(self.names(node, only_serving=True)), NODES)
         self.assertFalse(self.nodes[5].view.is_cut_off())
 
+    @params("record_store_contact", "record_peer_contact")
+    def test_cut_off_ends_with_the_first_contact(self, record_contact):
+        node = self.nodes[5]
+        self.network.silent.add(node.address)
+        self.network.reactor.run_for(CUT_OFF_AFTER_S + 1.0)
+        self.assertTrue(node.view.is_cut_off())
+        getattr(node.connectivity, record_contact)()
+        self.assertFalse(node.view.is_cut_off())
+
     def test_unreachable_host_is_sent_no_callers(self):
         for number in range(NODES):
             self.network.cut.add((address_of(number), address_of(5)))
