Test each way to an instance that leaves or asks for a pause

Retries, hedges, re-checks and queued requests had tests of the decisions only, and unusable values none through a process.

Ruled out: a case of its own for reused connections; the host reuses them in all of these.

--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -311,12 +311,12 @@
     Attributes:
         at: monotonic time at which the response was sent.
         request_id: the request.
-        seconds: length of the pause.
+        retry_after: the response's Retry-After.
     """
 
     at: float
     request_id: str
-    seconds: float
+    retry_after: str
 
 
 class InstanceStandIn:
@@ -324,11 +324,12 @@
 
     Behaviours: ok; error (a 500); shed (a 503 with the not-executed header);
     shed-late (the same after the delay); cut (a truncated response); no-signature;
-    unframed (no Content-Length, ended by closing); stray (a second response follows,
-    which must not be taken for the next request's); late (a response to another request
-    comes first); other-id (only a response to another request comes).  Those named
-    endless-... send bytes until the caller closes: in a head, in informational heads,
-    in a signed or unsigned body, in chunks, or in a response to another request.
+    unframed (no Content-Length, ended by closing); chunked; stray (a second response
+    follows, which must not be taken for the next request's); late (a response to
+    another request comes first); other-id (only a response to another request comes).
+    Those named endless-... send bytes until the caller closes: in a head, in
+    informational heads, in a signed or unsigned body, in chunks, or in a response to
+    another request.
 
     Attributes:
         rate_limit: requests per second that its responses name as their limit; None
@@ -437,8 +438,8 @@
                 headers["Retry-After"] = retry_after
             self.reply(503, b"", **headers)
             if retry_after is not None:
-                pause = AskedPause(time.monotonic(), request_id, float(retry_after))
-                instance.pauses.append(pause)
+                now = time.monotonic()
+                instance.pauses.append(AskedPause(now, request_id, retry_after))
             return
         instance.ran.append(ExecutedRequest(request_id, self.command, self.path, body))
         time.sleep(instance.delay_s)
@@ -476,6 +477,10 @@
             case "unframed":
                 self._write_raw(headers, text)
                 self.close_connection = True
+            case "chunked":
+                headers["Transfer-Encoding"] = "chunked"
+                chunk = b"%x\r\n%s\r\n" % (len(text), text)
+                self._write_raw(headers, chunk + b"0\r\n\r\n")
             case "stray":
                 self.reply(200, text, **headers)
                 self.reply(200, b"a second answer", **headers)
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -383,7 +383,8 @@
     for instance in site.instances:
         for pause in instance.backend.pauses:
             host = hosts.get(host_names.get(pause.request_id))
-            begin, end = pause.at - UNDISTURBED_S, pause.at + pause.seconds
+            begin = pause.at - UNDISTURBED_S
+            end = pause.at + float(pause.retry_after)
             if host is None or any(begin < at < end for at, _ in host.disturbances):
                 continue
             if any(
@@ -400,7 +401,7 @@
             if len(late) > PAUSE_REQUESTS:
                 violations.append(
                     f"{instance.backend.name} got {len(late)} from {host.name} in a"
-                    f" pause of {pause.seconds} s: {late[0]}"
+                    f" pause of {pause.retry_after} s: {late[0]}"
                 )
     return violations
 
--- a/tests/test_instance_notices.py
+++ b/tests/test_instance_notices.py
@@ -19,6 +19,7 @@
 PAUSE_S = 2.0
 # A host that has restarted may fill the slots of an instance before its first response.
 RESTART_REQUESTS = 2
+SLOTS = 2
 
 
 class Traffic:
@@ -62,6 +63,7 @@
         ("error", False),
         ("cut", False),
         ("unframed", False),
+        ("chunked", False),
         ("shed", False),
         ("ok", True),
     )
@@ -193,6 +195,83 @@
         self.assertEqual(Traffic(self, 0.5).statuses(), {200})
 
 
+class WaysTest(EntryHostTest):
+    """No way to an instance leads past what it has said in a response."""
+
+    def give_notice(self, one, kind):
+        """Let an instance leave or ask for a long pause, and let the host know."""
+        one.is_leaving = kind == "leaving"
+        if kind == "paused":
+            one.behaviour, one.retry_after = "shed", "60"
+        self.wait_until(lambda: self.sends_notice(one, kind), "the host is told")
+
+    def sends_notice(self, one, kind):
+        self.call("GET", "/look/1")
+        return f"event=instance-{kind} instance={one.name}" in self.log.read_text()
+
+    @params(
+        *[
+            (kind, way, behaviour, delay_s)
+            for kind in ("leaving", "paused")
+            for way, behaviour, delay_s in [
+                ("retry", "error", 0.0),
+                ("retry after a cut", "cut", 0.0),
+                ("hedge", "ok", 1.0),
+                ("re-check of an unhealthy instance", "error", 0.9),
+            ]
+        ]
+    )
+    def test_other_instance_is_in_trouble(self, kind, way, behaviour, delay_s):
+        self.serve()
+        Traffic(self, 0.5)
+        noticed, other = self.backends
+        self.give_notice(noticed, kind)
+        before = noticed.arrived, other.arrived
+        other.behaviour, other.delay_s = behaviour, delay_s
+        Traffic(self, 2.0)
+        self.assertEqual(noticed.arrived, before[0], way)
+        self.assertGreater(other.arrived, before[1])
+
+    @params("leaving", "paused")
+    def test_requests_that_wait_go_to_the_other_instance(self, kind):
+        """The notice comes in the responses of the requests that fill the slots."""
+        self.serve()
+        Traffic(self, 0.5)
+        noticed, other = self.backends
+        for one in self.backends:
+            one.delay_s = 0.6
+        noticed.is_leaving = kind == "leaving"
+        if kind == "paused":
+            noticed.behaviour, noticed.retry_after = "shed-late", "60"
+        before = noticed.arrived, other.arrived
+        callers = [
+            threading.Thread(
+                target=self.call, args=("GET", "/look/1", f"{number:016x}")
+            )
+            for number in range(6)
+        ]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        self.assertEqual(noticed.arrived - before[0], SLOTS)
+        self.assertGreater(other.arrived - before[1], SLOTS)
+
+
+class UnusableNoticeTest(EntryHostTest):
+    @params("", "-3", "soon", "nan", "1e999")
+    def test_unusable_pause_changes_nothing(self, retry_after):
+        self.serve()
+        asking = self.backends[0]
+        asking.behaviour, asking.retry_after = "shed", retry_after
+        Traffic(self, 1.0)
+        self.assertIn("event=notice-unusable", self.log.read_text())
+        asking.behaviour = "ok"
+        before = len(asking.ran)
+        Traffic(self, 1.5)
+        self.assertGreater(len(asking.ran), before)
+
+
 class FleetTest(unittest.TestCase):
     def test_all_hosts_learn_that_an_instance_leaves(self):
         site = Site(hosts=3, instances=4)
