List a host that was not ready in time, and keep its log the next time

The assertion had no message, so that neither the host nor the cause is known.

Its check and bound are as before.

Ruled out, by reading only: that two runs take the same port, as blocks of ports are claimed by process.

--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -22,9 +22,13 @@
         self.addCleanup(self.site.close)
         deadline = time.monotonic() + READY_TIMEOUT_S
         while not all(host.is_serving for host in self.site.hosts):
-            self.assertLess(time.monotonic(), deadline)
+            self.assertLess(time.monotonic(), deadline, self.logs())
             time.sleep(0.05)
 
+    def logs(self):
+        states = [f"{one.name} exit {one.process.poll()}" for one in self.site.hosts]
+        return "\n".join([*states, *(one.log_text() for one in self.site.hosts)])
+
     def run_traffic(self, seconds):
         callers = [Caller(self.site, 1, number) for number in range(CALLERS)]
         for caller in callers:
