--- a/soak/site.py
+++ b/soak/site.py
@@ -27,6 +27,7 @@
 ZONES = ("zone-a",)
 WORK_S = 0.04
 READY = "event=readiness ready=True"
+READY_TIMEOUT_S = 20.0
 # Instances and the operator write again this long after the store has come back from a
 # copy; two seconds are allowed.
 REWRITE_S = 1.5
@@ -221,6 +222,22 @@
         self.store.close()
         self._folder.cleanup()
 
+    def wait_ready(self) -> None:
+        """Wait until all hosts are serving.
+
+        Raises:
+            RuntimeError: one is not in time; the message has its log.
+        """
+        end = time.monotonic() + READY_TIMEOUT_S
+        for host in self.hosts:
+            while not host.is_serving:
+                if time.monotonic() > end:
+                    state = f"exit code {host.process.poll()}"
+                    raise RuntimeError(
+                        f"{host.name} is not ready, {state}: {host.log_text()}"
+                    )
+                time.sleep(0.05)
+
     def add_instance(self) -> SiteInstance:
         """Start an instance, add it to the service directory and return it."""
         one = SiteInstance(f"i-{len(self.instances)}")
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -21,7 +21,6 @@
 HOSTS = 3
 INSTANCES = 5
 CALLERS = 10
-READY_TIMEOUT_S = 20.0
 SETTLE_S = 3.5
 # The guaranteed limit on new requests at a draining instance, and how long hosts and
 # store have to be undisturbed beforehand for it to hold.
@@ -256,7 +255,7 @@
     rng = random.Random(seed)
     site = Site(HOSTS, INSTANCES)
     try:
-        _wait_ready(site)
+        site.wait_ready()
         callers = [Caller(site, seed, number) for number in range(CALLERS)]
         watcher = VersionWatcher(site)
         for thread in (*callers, watcher):
@@ -280,15 +279,6 @@
         site.close()
 
 
-def _wait_ready(site: Site) -> None:
-    end = time.monotonic() + READY_TIMEOUT_S
-    for host in site.hosts:
-        while not host.is_serving:
-            if time.monotonic() > end:
-                raise RuntimeError(f"{host.name} is not ready: {host.log_text()}")
-            time.sleep(0.05)
-
-
 def _check(
     site: Site, injector: FaultInjector, calls: list[Call], watcher: VersionWatcher
 ) -> list[str]:
--- a/tests/test_cut_paths.py
+++ b/tests/test_cut_paths.py
@@ -11,7 +11,6 @@
 from soak.callers import Caller
 from soak.site import WORK_S, Site
 
-READY_TIMEOUT_S = 20.0
 # The users' bound: from STABLE_S after the cut began, no more than SLACK and one in
 # FAILED_SHARE of all first tries fail at the hosts that are cut off.
 STABLE_S = 3.0
@@ -29,15 +28,7 @@
     def start_site(self, hosts, zones):
         self.site = Site(hosts, 5, zones=zones, program="tests/cut_host.py")
         self.addCleanup(self.site.close)
-        self.wait_until(
-            lambda: all(host.is_serving for host in self.site.hosts), READY_TIMEOUT_S
-        )
-
-    def wait_until(self, check, timeout_s):
-        deadline = time.monotonic() + timeout_s
-        while not check():
-            self.assertLess(time.monotonic(), deadline, self.logs())
-            time.sleep(0.05)
+        self.site.wait_ready()
 
     def logs(self):
         lines = "\n".join(host.log_text() for host in self.site.hosts).splitlines()
--- a/tests/test_instance_notices.py
+++ b/tests/test_instance_notices.py
@@ -10,7 +10,6 @@
 from soak.site import Site
 from tests.test_entry_host import EntryHostTest
 
-READY_TIMEOUT_S = 20.0
 # The users' bounds: requests may reach an instance that leaves for this long, and two
 # of them one that asks for a pause, from half a second on.
 LEAVING_S = 2.0
@@ -276,10 +275,7 @@
     def test_all_hosts_learn_that_an_instance_leaves(self):
         site = Site(hosts=3, instances=4)
         self.addCleanup(site.close)
-        deadline = time.monotonic() + READY_TIMEOUT_S
-        while not all(host.is_serving for host in site.hosts):
-            self.assertLess(time.monotonic(), deadline)
-            time.sleep(0.05)
+        site.wait_ready()
         callers = [Caller(site, 1, number) for number in range(10)]
         for caller in callers:
             caller.start()
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -9,7 +9,6 @@
 from soak.site import Site
 from soak.soak import LIMIT_FACTOR, LIMIT_SLACK, LIMIT_WINDOW_S, most_in_window
 
-READY_TIMEOUT_S = 20.0
 # The users' bound holds from this time after the limit was first named.
 STABLE_S = 3.0
 TRAFFIC_S = 12.0
@@ -20,14 +19,7 @@
     def setUp(self):
         self.site = Site(hosts=3, instances=4)
         self.addCleanup(self.site.close)
-        deadline = time.monotonic() + READY_TIMEOUT_S
-        while not all(host.is_serving for host in self.site.hosts):
-            self.assertLess(time.monotonic(), deadline, self.logs())
-            time.sleep(0.05)
-
-    def logs(self):
-        states = [f"{one.name} exit {one.process.poll()}" for one in self.site.hosts]
-        return "\n".join([*states, *(one.log_text() for one in self.site.hosts)])
+        self.site.wait_ready()
 
     def run_traffic(self, seconds):
         callers = [Caller(self.site, 1, number) for number in range(CALLERS)]
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -13,7 +13,6 @@
 from soak.proxy import Fault
 from soak.site import HOST, Site
 
-READY_TIMEOUT_S = 20.0
 # The users' bounds: for what the store's changes take to reach every host, and for new
 # requests at an instance that leaves.
 CATCH_UP_S = 4.0
@@ -77,9 +76,7 @@
     def setUp(self):
         self.site = Site(hosts=3, instances=4)
         self.addCleanup(self.site.close)
-        self.wait_until(
-            lambda: all(host.is_serving for host in self.site.hosts), READY_TIMEOUT_S
-        )
+        self.site.wait_ready()
         self.wait_until(lambda: len(self.site.store.names(HOSTS_KIND)) == 3, 5.0)
 
     def wait_until(self, check, timeout_s):
