Become ready when the last part of the state is known, changed or not

Cause: readiness was derived only when a configuration or a change of instances was applied. A host that has the instances from a peer which is not synced itself, then the configuration, and then lists the store without anything new in it, is synced at that list, but nothing is applied. It stays not ready until an instance changes next. The same holds for a store that lists no instances, if that list comes last. On a site whose instances write often this lasts a moment; with quiet instances, or if one host reads the store for others, as long as nothing changes.

Change: the feed reports itself synced, once, after each of the three reads that can complete its state (list, configuration, peer); the host derives its readiness there and at its stop, nowhere else.

Ruled out: a clash of ports (the host had read peer and store; its process ran), load (the lines stop 70 ms after the start), the replicator of dogwoodtackd (its synchronisation ends in an own step that marks it ready).

--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -128,6 +128,7 @@
         events = FeedCallbacks(
             self._on_configuration,
             self._on_instances,
+            self._on_synced,
             self._on_store_restored,
         )
         self.feed = Feed(
@@ -214,17 +215,19 @@
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self._route_table = RouteTable(configuration.routes)
-        self._check_ready()
         self.fleet.send_heartbeat()
 
     def _on_instances(self, changes: list[InstanceChange]) -> None:
         removed = [change.id for change in changes if change.instance is None]
         self.placer.forget(removed)
         self.pool.retain({instance.address for instance in self.registry.all()})
-        self._check_ready()
         self.fleet.send_heartbeat()
         self.placer.dispatch_queued(self.reactor.clock.monotonic())
 
+    def _on_synced(self) -> None:
+        self._check_ready()
+        self.fleet.send_heartbeat()
+
     def _on_store_restored(self) -> None:
         self.host_records.on_store_restored()
 
--- a/dogwoodtack/feed/feed.py
+++ b/dogwoodtack/feed/feed.py
@@ -46,12 +46,15 @@
     Attributes:
         on_configuration: called with a newer configuration once it is in force.
         on_instances: called with the instance changes that were not known before.
+        on_synced: called once, when a configuration and a snapshot of instances are
+            known; neither has to change anything at that time.
         on_store_restored: called when the store has come back from an older copy,
             which may lack what this host or its peers wrote.
     """
 
     on_configuration: Callable[[Configuration], None]
     on_instances: Callable[[list[InstanceChange]], None]
+    on_synced: Callable[[], None]
     on_store_restored: Callable[[], None]
 
 
@@ -99,6 +102,7 @@
         self._recovering_until = -1e9
         self._needs_snapshot = True
         self._has_snapshot = False
+        self._has_reported_sync = False
         # Whether removals were not applied because the store had just come back, as
         # read from the store itself or from a peer.
         self._has_withheld_removals = False
@@ -119,6 +123,11 @@
         """Return whether this host reads the store itself, and not from a peer."""
         return not self._follows_peer()
 
+    def _report_sync(self) -> None:
+        if self.is_synced and not self._has_reported_sync:
+            self._has_reported_sync = True
+            self._callbacks.on_synced()
+
     def sync_status(self) -> tuple[int, StorePosition, float]:
         """Return version, position, and seconds since the store last responded."""
         age_s = self._reactor.clock.monotonic() - self._store_seen_at
@@ -171,6 +180,7 @@
         self._record_contact()
         self._observe_era(updates.position.era)
         self._apply_updates(updates)
+        self._report_sync()
         self._reactor.call_later(BATCH_PAUSE_S, self._sync_instances)
 
     def _is_relist_due(self) -> bool:
@@ -291,6 +301,7 @@
         self._observe_era(update.position.era)
         self._configuration_position = update.position
         self._apply_configuration(update.configuration)
+        self._report_sync()
         delay_s = BATCH_PAUSE_S if self.configuration else RETRY_S
         self._reactor.call_later(delay_s, self._sync_configuration)
 
@@ -346,6 +357,7 @@
         else:
             self._apply_peer_instances(state)
         self._apply_configuration(state.configuration)
+        self._report_sync()
 
     def _apply_peer_instances(self, state: RelayedState) -> None:
         self._observe_era(state.position.era)
--- a/dogwoodtack/feed/tests/test_feed.py
+++ b/dogwoodtack/feed/tests/test_feed.py
@@ -1,5 +1,6 @@
 """Tests of two hosts that follow a store through faults without regressing."""
 
+import itertools
 import json
 import random
 import unittest
@@ -161,6 +162,8 @@
     def __init__(self, reactor, store, rng):
         self.fault_level = 0.0
         self.is_cut = False
+        self.instances_delay_s = 0.0
+        self.configuration_delay_s = 0.0
         self.era = 0
         self._reactor = reactor
         self._store = store
@@ -207,7 +210,7 @@
             ]
             return InstanceUpdates(changes, store.position, True), None
 
-        self._call(0.0, respond, on_done)
+        self._call(self.instances_delay_s, respond, on_done)
 
     def _has_history(self, after):
         store = self._store
@@ -241,7 +244,8 @@
         return ConfigurationUpdate(found, store.position), None
 
     def read_configuration(self, on_done):
-        self._call(0.0, lambda: self._configuration(0), on_done)
+        delay_s = self.configuration_delay_s
+        self._call(delay_s, lambda: self._configuration(0), on_done)
 
     def watch_configuration(self, after, wait_s, on_done):
         def respond():
@@ -265,6 +269,7 @@
         self.left_ids = set()
         self.regressions = []
         self.restored_eras = []
+        self.syncs = 0
         self.feed = Feed(
             world.reactor,
             self.source,
@@ -275,6 +280,7 @@
             FeedCallbacks(
                 self.on_configuration,
                 self.on_instances,
+                self.on_synced,
                 lambda: self.restored_eras.append(world.store.era),
             ),
         )
@@ -291,12 +297,12 @@
             elif change.id in self.left_ids:
                 self.regressions.append(("ready again", change.id))
 
-    def send_heartbeat(self):
-        if self not in self.world.hosts:
-            return
-        self.world.reactor.call_later(HEARTBEAT_INTERVAL_S, self.send_heartbeat)
+    def on_synced(self):
+        self.syncs += 1
+
+    def heartbeat(self):
         version, position, age_s = self.feed.sync_status()
-        heartbeat = Heartbeat(
+        return Heartbeat(
             self.record,
             True,
             version,
@@ -308,6 +314,12 @@
             True,
             {},
         )
+
+    def send_heartbeat(self):
+        if self not in self.world.hosts:
+            return
+        self.world.reactor.call_later(HEARTBEAT_INTERVAL_S, self.send_heartbeat)
+        heartbeat = self.heartbeat()
         for host in self.world.hosts:
             if host is None or host is self:
                 continue
@@ -345,16 +357,16 @@
 class World:
     """A store, two hosts, and changes by operators and instances."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, hosts=2):
         self.rng = random.Random(seed)
         self.reactor = VirtualLoop(100.0)
         self.store = Store()
         self.store.configure()
         for name in ("i-0", "i-1", "i-2"):
             self.store.put(name)
-        self.hosts = [None, None]
+        self.hosts = [None] * hosts
         self.relay_reads = 0
-        for number in range(2):
+        for number in range(hosts):
             self.start(number)
         self.write_heartbeats()
         self.keep_copies()
@@ -541,6 +553,27 @@
             self.assertEqual(host.registry.position.era, 2)
             self.assertEqual(host.regressions, [])
 
+    @params(*itertools.permutations(("peer", "configuration", "instances")))
+    def test_sync_is_reported_once_whichever_read_is_last(self, *order):
+        """The peer has no configuration yet, and the store lists what the peer has."""
+        world = World(9, hosts=0)
+        # No instance writes again.
+        world.store.live.clear()
+        host, peer = (FollowingHost(world, f"h-{number}") for number in range(2))
+        world.hosts = [peer]
+        peer.source.configuration_delay_s = 10.0
+        peer.feed.begin()
+        world.run(0.1)
+        delays_s = {name: 0.1 * place for place, name in enumerate(order, 1)}
+        host.source.instances_delay_s = delays_s["instances"]
+        host.source.configuration_delay_s = delays_s["configuration"]
+        host.feed.begin()
+        world.reactor.call_later(delays_s["peer"], host.receive, peer.heartbeat())
+        for _ in range(40):
+            world.run(0.01)
+            self.assertEqual(host.syncs, host.feed.is_synced)
+        self.assertTrue(host.feed.is_synced)
+
     def test_expired_entries_are_kept_while_the_reader_restarts(self):
         """Entries expire in a long store outage and are written again soon after it."""
         world = World(7)
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -256,6 +256,23 @@
         self.assertEqual(sum(one.arrived for one in self.backends), 1)
 
 
+class EmptySiteTest(EntryHostTest):
+    instances = 0
+
+    @params("servers", "config")
+    def test_ready_whichever_list_comes_last(self, late_kind):
+        read_list = self.store.list
+
+        def read_late_list(kind, after):
+            if kind == late_kind:
+                time.sleep(0.3)
+            return read_list(kind, after)
+
+        self.store.list = read_late_list
+        self.store.put("config", "main", spec=configuration(7))
+        self.wait_until(self.is_ready, "the host is ready")
+
+
 class EndlessResponseTest(EntryHostTest):
     """Ill instances send bytes without end, in place of a response or within one."""
 
