Log pulls of ejections that fail, and show the hosts' logs in test_gray

Cause: a pull that failed left no line in any log, so that the one known red of test_gray (a request at an ejected back end) could not be told apart: a lost pull, a holder that stalled and granted nothing, or a host that had not asked.

Ruled out: nothing about the red itself, which is not traced.

--- a/dogwoodtack/floor/puller.py
+++ b/dogwoodtack/floor/puller.py
@@ -7,6 +7,7 @@
 from ..catalog import Service
 from ..errors import WireError
 from ..health import FULL_WEIGHT
+from ..logs import log_event
 from ..misc import Address
 from .dependencies import FloorDependencies
 from .floor import Floor, log_changes
@@ -120,6 +121,9 @@
             self._pulling.discard(address)
             if reply is not None and reply.status == HTTP_OK:
                 self._apply_response(reply.body, sent_at)
+                return
+            status = None if reply is None else reply.status
+            log_event("pull-failed", holder=address, status=status, error=exc)
 
         self._deps.peers.call(address, PULL_PATH, request, on_reply, PULL_TIMEOUT_S)
 
--- a/tests/test_gray.py
+++ b/tests/test_gray.py
@@ -41,11 +41,13 @@
 
     def count_events(self, event):
         """Return how many times all nodes logged an event of back end jt-1."""
-        logs = [self.fleet.log_text(node.name) for node in self.fleet.nodes]
-        lines = "\n".join(logs).splitlines()
         fields = (f"event={event} ", "instance=jt-1 ")
+        lines = self.logs().splitlines()
         return sum(all(field in line + " " for field in fields) for line in lines)
 
+    def logs(self):
+        return "\n".join(self.fleet.log_text(node.name) for node in self.fleet.nodes)
+
     def arrived_requests(self):
         return self.fleet.backend_counts("jt-1")["arrived"]
 
@@ -61,7 +63,7 @@
         self.send_requests(2.0)
         before = self.arrived_requests()
         self.send_requests(3.0)
-        self.assertEqual(self.arrived_requests(), before)
+        self.assertEqual(self.arrived_requests(), before, self.logs())
         self.fleet.set_backend_fault("jt-1")
         recovery_s = self.send_requests(
             MAX_RECOVERY_S, lambda: self.arrived_requests() > before + 20
