--- a/dogwoodtack/replication/tests/test_replicator.py
+++ b/dogwoodtack/replication/tests/test_replicator.py
@@ -149,6 +149,20 @@
         network.reactor.run_for(IN_FORCE_WITHIN_S)
         self.assertEqual([node.version("s") for node in nodes], [version] * 6)
 
+    @params(0.1, 0.7, 1.4, 2.3, 3.4, 5.0)
+    def test_lists_that_a_hung_store_swallowed(self, hung_s):
+        """All hosts start while it hangs, so that none can read from another."""
+        network = FakeNetwork()
+        store = FakeStore(network)
+        version = store.write("s", {})
+        store.is_hanging = True
+        nodes = [ReplicationNode(network, store, number, SEEDS) for number in range(3)]
+        network.reactor.run_for(hung_s)
+        store.is_hanging = False
+        network.reactor.run_for(IN_FORCE_WITHIN_S)
+        self.assertTrue(all(node.replicator.is_synced for node in nodes))
+        self.assertEqual([node.version("s") for node in nodes], [version] * 3)
+
     @params(*(5.0 + step / 2 for step in range(10)))
     def test_host_that_was_cut_off_reaches_the_store_but_no_peer(self, cut_off_s):
         """Its calls from the time of the cut-off still wait for their limit."""
