Limit log lines for bad input in one place

Change: `LimitedLog` in logs.py, used by both; events and fields are as before. Measured: the 59 tests of test_store and test_notices pass, with those that count lines.

--- a/dogwoodtack/entry/notices.py
+++ b/dogwoodtack/entry/notices.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 
 from ..backends import ResponseHead
-from ..logs import log_event
+from ..logs import LimitedLog
 from ..placement import InstanceNotice
 from .wire import HeaderNames
 
@@ -14,8 +14,6 @@
 
 LEAVING = b"1"
 SERVICE_UNAVAILABLE = 503
-# At most one log line for unusable headers in this time.
-LOG_INTERVAL_S = 1.0
 
 
 class NoticeReader:
@@ -38,9 +36,8 @@
     ) -> None:
         self._header_names = header_names
         self._max_pause_s = max_pause_s
-        self._monotonic = monotonic
+        self._log = LimitedLog(monotonic)
         self._wall_clock = wall_clock
-        self._logged_at = -math.inf
 
     def read(self, head: ResponseHead) -> InstanceNotice:
         """Return what a response says about its instance."""
@@ -89,15 +86,11 @@
             return None
 
     def _log_unusable(self, name: bytes, value: bytes) -> None:
-        now = self._monotonic()
-        if now - self._logged_at >= LOG_INTERVAL_S:
-            self._logged_at = now
-            log_event(
-                "notice-unusable",
-                level="WARNING",
-                header=name.decode(),
-                value=value[:40].decode("latin-1"),
-            )
+        self._log.warn(
+            "notice-unusable",
+            header=name.decode(),
+            value=value[:40].decode("latin-1"),
+        )
 
 
 def _values(head: ResponseHead, name: bytes) -> Sequence[bytes]:
--- a/dogwoodtack/logs.py
+++ b/dogwoodtack/logs.py
@@ -3,12 +3,14 @@
 import os
 import select
 import sys
+import time
 from collections import deque
+from collections.abc import Callable
 from typing import TextIO
 
 from loguru import logger
 
-__all__ = ["LineSink", "log_event", "set_up_logs"]
+__all__ = ["LimitedLog", "LineSink", "log_event", "set_up_logs"]
 
 LINE_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} {message}"
 QUOTED_CHARS = set(' "=\\\t\r\n')
@@ -16,6 +18,7 @@
 MAX_BUFFERED_LINES = 2000
 # A writable pipe accepts this many bytes without blocking (POSIX).
 MAX_WRITE_BYTES = select.PIPE_BUF
+LIMITED_INTERVAL_S = 1.0
 
 
 class LineSink:
@@ -100,6 +103,25 @@
     logger.opt(depth=1).log(level, "{}", format_event(event, **fields))
 
 
+class LimitedLog:
+    """Logs one event in LIMITED_INTERVAL_S at most, for bad input that keeps coming.
+
+    Args:
+        monotonic: returns the time in seconds.
+    """
+
+    def __init__(self, monotonic: Callable[[], float] = time.monotonic) -> None:
+        self._monotonic = monotonic
+        self._logged_at = float("-inf")
+
+    def warn(self, event: str, **fields: object) -> None:
+        """Log a warning unless the last one was logged a moment ago."""
+        now = self._monotonic()
+        if now - self._logged_at >= LIMITED_INTERVAL_S:
+            self._logged_at = now
+            log_event(event, level="WARNING", **fields)
+
+
 def set_up_logs(
     level: str, stream: TextIO | None = None, **context: object
 ) -> LineSink:
--- a/dogwoodtack/platform/era.py
+++ b/dogwoodtack/platform/era.py
@@ -5,15 +5,12 @@
 
 from ..backends import Header
 from ..errors import EndedEra, StoreError
-from ..logs import log_event
+from ..logs import LimitedLog
 from ..position import parse_era
 from ..store import ERA_HEADER
 
 __all__ = ["EraReader"]
 
-# At most one log line for unusable eras in this time.
-LOG_INTERVAL_S = 1.0
-
 
 class EraReader:
     """Read the era of the store's answers and reject those of an ended era.
@@ -26,8 +23,7 @@
     """
 
     def __init__(self, monotonic: Callable[[], float] = time.monotonic) -> None:
-        self._monotonic = monotonic
-        self._logged_at = float("-inf")
+        self._log = LimitedLog(monotonic)
         self.era = 0
 
     def observe(self, era: int) -> None:
@@ -44,15 +40,9 @@
                 raise ValueError(f"{len(values)} eras in one answer")
             era = parse_era(values[0].decode("latin-1").strip())
         except ValueError as exc:
-            self._log_unusable(exc)
+            self._log.warn("store-era-unusable", error=str(exc))
             return StoreError(f"the store's era is unusable: {exc}")
         if era < self.era:
             return EndedEra(f"the answer is of era {era}, before {self.era}")
         self.era = era
         return None
-
-    def _log_unusable(self, exc: ValueError) -> None:
-        now = self._monotonic()
-        if now - self._logged_at >= LOG_INTERVAL_S:
-            self._logged_at = now
-            log_event("store-era-unusable", level="WARNING", error=str(exc))
