Keep reading the store after a reply that can't be decoded

What was seen: nothing by callers; found on reading for the cause of the unready host (a feed that waits for an event that never comes). One list of instances without its members ended a host's reading for good: `callback-failed error=KeyError('items')`, no further call, not ready after 15 s.

Cause: replies were decoded in the callback of the call. What that raised was logged by the loop, and the reader's own callback, which makes the next call, never ran. The same for a list that is none, a position that is no number, an entry whose metadata is no object, and a number that is infinite.

Change: a reply is decoded inside the call, and one that can't be decoded is a StoreError like any other failure, logged once a second at most (`store-reply-unusable`). Entries that are no objects are skipped one by one. The exceptions of decoding are named once.

Ruled out: to catch everything around the feed's callbacks, which would hide faults of our own and leave the state half applied.

--- a/dogwoodtack/platform/objects.py
+++ b/dogwoodtack/platform/objects.py
@@ -6,9 +6,11 @@
 
 from ..calls import Call, Client, Reply
 from ..errors import HistoryGone, StoreConflict, StoreError, WireError
+from ..logs import LimitedLog
 from ..misc import Address
 from ..position import StorePosition
 from .era import EraReader
+from .wire import DECODE_ERRORS
 
 __all__ = ["Event", "Listing", "ObjectStore"]
 
@@ -36,10 +38,31 @@
     is_deleted: bool
 
 
+class _Page(NamedTuple):
+    """Part of a listing.
+
+    Attributes:
+        items: the objects.
+        position: the store's position.
+        last_name: name of the last object if there are more pages, or else empty.
+    """
+
+    items: list[Any]
+    position: StorePosition
+    last_name: str
+
+
+class _EventPage(NamedTuple):
+    """The changes up to a position."""
+
+    events: list[Event]
+    position: StorePosition
+
+
 OnListing = Callable[[Listing | None, StoreError | None], None]
 OnEvents = Callable[[list[Event] | None, StorePosition, StoreError | None], None]
 OnObject = Callable[[Any, StoreError | None], None]
-OnStoreReply = Callable[[Reply | None, StoreError | None], None]
+OnResult = Callable[[Any, StoreError | None], None]
 
 
 class ObjectStore:
@@ -56,6 +79,7 @@
         self._address = address
         self._timeout_s = timeout_s
         self._era_reader = EraReader()
+        self._limited_log = LimitedLog()
         self.calls_made = 0
 
     def observe_era(self, era: int) -> None:
@@ -67,37 +91,37 @@
         items: list[Any] = []
         positions: list[StorePosition] = []
 
-        def on_page(reply: Reply | None, exc: StoreError | None) -> None:
-            if exc is not None:
+        def on_page(page: _Page | None, exc: StoreError | None) -> None:
+            if page is None:
                 on_done(None, exc)
                 return
-            page = reply.body["items"]
-            items.extend(page)
+            items.extend(page.items)
             # A watch from the first page's position returns changes made between pages.
-            positions.append(self._position(reply))
+            positions.append(page.position)
             if positions[-1].era != positions[0].era:
                 on_done(None, HistoryGone("the store came back from an older copy"))
                 return
-            if reply.body.get("hasMore") and page:
-                request_page(page[-1]["metadata"]["name"])
+            if page.last_name:
+                request_page(page.last_name)
                 return
             on_done(Listing(items, positions[0]), None)
 
         def request_page(after: str) -> None:
             query = f"?after={quote(after, safe='')}" if after else ""
-            self._send("GET", f"{kind}{query}", None, self._timeout_s, on_page)
+            target = f"{kind}{query}"
+            self._send("GET", target, None, self._timeout_s, self._decode_page, on_page)
 
         request_page("")
 
     def get(self, kind: str, name: str, on_done: OnObject) -> None:
         """Read one object; the callback gets None if there is none."""
 
-        def on_reply(reply: Reply | None, exc: StoreError | None) -> None:
-            is_missing = exc is None and reply.status == NOT_FOUND
-            on_done(None if exc or is_missing else reply.body, exc)
+        def decode(reply: Reply) -> Any:
+            return None if reply.status == NOT_FOUND else reply.body
 
         path = _path(kind, name)
-        self._send("GET", path, None, self._timeout_s, on_reply, (OK, NOT_FOUND))
+        expected = (OK, NOT_FOUND)
+        self._send("GET", path, None, self._timeout_s, decode, on_done, expected)
 
     def watch(
         self, kind: str, after: StorePosition, wait_s: float, on_done: OnEvents
@@ -113,34 +137,44 @@
         """
         target = f"{kind}?watch={after.revision}&waitMs={round(wait_s * 1000)}"
 
-        def on_reply(reply: Reply | None, exc: StoreError | None) -> None:
-            if exc is None and self._position(reply).era != after.era:
+        def on_page(page: _EventPage | None, exc: StoreError | None) -> None:
+            if page is not None and page.position.era != after.era:
                 # The revision may have been given out again for another change.
                 exc = HistoryGone("the store came back from an older copy")
             if exc is not None:
                 on_done(None, after, exc)
                 return
-            events = [
-                Event(item["object"], bool(item["deleted"]))
-                for item in reply.body["events"]
-            ]
-            on_done(events, self._position(reply), None)
+            on_done(page.events, page.position, None)
 
-        self._send("GET", target, None, wait_s + WATCH_TIMEOUT_MARGIN_S, on_reply)
+        timeout_s = wait_s + WATCH_TIMEOUT_MARGIN_S
+        self._send("GET", target, None, timeout_s, self._decode_events, on_page)
 
     def create(self, kind: str, name: str, spec: Any, on_done: OnObject) -> None:
         """Create an object; the error is a StoreConflict if the name is taken."""
         body = {"metadata": {"name": name, "finalizers": []}, "spec": spec}
-        self._send("POST", kind, body, self._timeout_s, _reply_handler(on_done))
+        self._send("POST", kind, body, self._timeout_s, _decode_body, on_done)
 
     def replace(self, kind: str, item: Any, spec: Any, on_done: OnObject) -> None:
         """Replace an object's spec if it has not changed since it was read."""
         body = {**item, "spec": spec}
         path = _path(kind, item["metadata"]["name"])
-        self._send("PUT", path, body, self._timeout_s, _reply_handler(on_done))
+        self._send("PUT", path, body, self._timeout_s, _decode_body, on_done)
+
+    def _decode_page(self, reply: Reply) -> _Page:
+        items = _list_member(reply, "items")
+        has_more = reply.body.get("hasMore") and items
+        last_name = items[-1]["metadata"]["name"] if has_more else ""
+        return _Page(items, self._position(reply), last_name)
+
+    def _decode_events(self, reply: Reply) -> _EventPage:
+        events = [
+            Event(item["object"], bool(item["deleted"]))
+            for item in _list_member(reply, "events")
+        ]
+        return _EventPage(events, self._position(reply))
 
     def _position(self, reply: Reply) -> StorePosition:
-        """Return the position of a usable reply to a list or a watch."""
+        """Return the position of a reply to a list or a watch."""
         return StorePosition(self._era_reader.era, int(reply.body["currentRev"]))
 
     def _send(
@@ -149,20 +183,28 @@
         path: str,
         body: Any,
         timeout_s: float,
-        on_reply: OnStoreReply,
+        decode: Callable[[Reply], Any],
+        on_done: OnResult,
         expected: tuple[int, ...] = (OK, CREATED),
     ) -> None:
-        """Make a call; `on_reply` gets a usable reply or the error."""
+        """Make a call; `on_done` gets what its reply is decoded to, or the error."""
         self.calls_made += 1
         call = Call(self._address, method, OBJECTS_PATH + path, body, timeout_s)
 
         def on_call_reply(reply: Reply | None, exc: WireError | None) -> None:
             if exc is not None:
-                on_reply(None, StoreError(str(exc), maybe_applied=exc.bytes_sent))
+                on_done(None, StoreError(str(exc), maybe_applied=exc.bytes_sent))
                 return
+            result = None
             error = self._era_reader.check(reply.headers)
             error = error or _status_error(reply, expected)
-            on_reply(None if error else reply, error)
+            if error is None:
+                try:
+                    result = decode(reply)
+                except DECODE_ERRORS as decode_exc:
+                    error = StoreError(f"the reply is unusable: {decode_exc!r}")
+                    self._limited_log.warn("store-reply-unusable", error=str(error))
+            on_done(result, error)
 
         self._client.call(call, on_call_reply)
 
@@ -171,11 +213,15 @@
     return f"{kind}/{quote(name, safe='')}"
 
 
-def _reply_handler(on_done: OnObject) -> OnStoreReply:
-    def on_reply(reply: Reply | None, exc: StoreError | None) -> None:
-        on_done(None if exc else reply.body, exc)
+def _decode_body(reply: Reply) -> Any:
+    return reply.body
+
 
-    return on_reply
+def _list_member(reply: Reply, name: str) -> list[Any]:
+    items = reply.body[name]
+    if not isinstance(items, list):
+        raise TypeError(f"{name} is not a list")
+    return items
 
 
 def _status_error(reply: Reply, expected: tuple[int, ...]) -> StoreError | None:
--- a/dogwoodtack/platform/source.py
+++ b/dogwoodtack/platform/source.py
@@ -118,7 +118,7 @@
             if listing is None:
                 on_done(None, exc)
                 return
-            records = [decode_host(item.get("spec")) for item in listing.items]
+            records = [decode_host(_member(item, "spec")) for item in listing.items]
             on_done([record for record in records if record is not None], None)
 
         self._store.list(HOSTS_KIND_PREFIX + zone, on_listing)
@@ -135,7 +135,7 @@
             on_done(exc)
 
         def on_read(item: Any, exc: StoreError | None) -> None:
-            if item is None or item.get("spec") == spec:
+            if item is None or _member(item, "spec") == spec:
                 on_done(exc)
                 return
             self._store.replace(kind, item, spec, lambda _item, exc: on_done(exc))
@@ -143,8 +143,15 @@
         self._store.create(kind, record.name, spec, on_created)
 
 
+def _member(item: Any, name: str) -> Any:
+    """Return a member of an object, None if it is missing or there is no object."""
+    return item.get(name) if isinstance(item, dict) else None
+
+
 def _name(item: Any) -> str:
-    return str(item.get("metadata", {}).get("name", ""))
+    """Return an object's name, empty if it has none."""
+    name = _member(_member(item, "metadata"), "name")
+    return name if isinstance(name, str) else ""
 
 
 def _decode_change(
--- a/dogwoodtack/platform/tests/test_store.py
+++ b/dogwoodtack/platform/tests/test_store.py
@@ -1,6 +1,8 @@
 """Tests of the store's answers: positions, eras and unusable headers."""
 
+import math
 import unittest
+from functools import partial
 
 from loguru import logger
 from nose2.tools import params
@@ -108,6 +110,62 @@
         self.assertEqual(change.position, StorePosition(era, 7))
         self.assertEqual(change.entry_version, EntryVersion(1796346000000, 4))
 
+    @params(
+        {},
+        {"items": None, "events": None, "currentRev": 7},
+        {"items": {"a": ENTRY}, "events": {"a": ENTRY}, "currentRev": 7},
+        {"items": [], "events": []},
+        {"items": [], "events": [], "currentRev": None},
+        {"items": [], "events": [], "currentRev": "many"},
+        {"items": [], "events": [], "currentRev": math.inf},
+        {"items": [{}], "events": [ENTRY], "currentRev": 7, "hasMore": True},
+    )
+    def test_unusable_reply_is_an_error(self, body):
+        after = StorePosition(KNOWN_ERA, 1)
+        source = self.source
+        for call in (
+            source.read_instances,
+            source.read_configuration,
+            partial(source.watch_instances, after, 0.8),
+            partial(source.watch_configuration, after, 0.8),
+            partial(source.read_hosts, "zone-a"),
+        ):
+            self.client.add(body, KNOWN_ERA)
+            self.results.clear()
+            call(self.on_done)
+            ((result, exc),) = self.results
+            self.assertIsNone(result)
+            self.assertIs(type(exc), StoreError)
+
+    @params(None, 5, "x", [], {"metadata": None}, {"metadata": {"name": 5}})
+    def test_unusable_entry_does_not_hide_others(self, odd):
+        body = {
+            "items": [odd, ENTRY],
+            "events": [{"object": odd, "deleted": False}],
+            "currentRev": 7,
+        }
+        after = StorePosition(KNOWN_ERA, 1)
+        source = self.source
+        for call, expected in (
+            (source.read_instances, 1),
+            (partial(source.watch_instances, after, 0.8), 0),
+        ):
+            self.client.add(body, KNOWN_ERA)
+            self.results.clear()
+            call(self.on_done)
+            ((updates, _exc),) = self.results
+            self.assertEqual(len(updates.changes), expected)
+        for call in (
+            source.read_configuration,
+            partial(source.watch_configuration, after, 0.8),
+            partial(source.read_hosts, "zone-a"),
+        ):
+            self.client.add(body, KNOWN_ERA)
+            self.results.clear()
+            call(self.on_done)
+            ((_result, exc),) = self.results
+            self.assertIsNone(exc)
+
     def test_pages_of_two_eras_are_no_list(self):
         self.client.add({"items": [ENTRY], "currentRev": 7, "hasMore": True}, 4)
         self.client.add({"items": [ENTRY], "currentRev": 5}, 5)
--- a/dogwoodtack/platform/tests/test_wire.py
+++ b/dogwoodtack/platform/tests/test_wire.py
@@ -1,5 +1,6 @@
 """Tests of decoding the platform's objects, settings and queries."""
 
+import math
 import unittest
 
 from nose2.tools import params
@@ -7,10 +8,12 @@
 from dogwoodtack.entry import AddressQuery, ReadinessQuery
 from dogwoodtack.errors import SettingsError
 from dogwoodtack.misc import Address
+from dogwoodtack.placement import EntryVersion
 from dogwoodtack.platform import decode_entry_settings, parse_query
 from dogwoodtack.platform.wire import (
     WireFormatError,
     decode_configuration,
+    decode_entry_version,
     decode_instance,
 )
 from dogwoodtack.routing import RouteKind, WeightedService
@@ -90,6 +93,8 @@
         ("spec.info.zone", None),
         ("spec.address", "nowhere"),
         ("spec.address", None),
+        ("spec.born", math.inf),
+        ("status.warmupLeftS", "soon"),
         ("spec", 17),
         ("metadata", None),
     )
@@ -97,6 +102,11 @@
         with self.assertRaises(WireFormatError):
             decode_instance(with_field(ENTRY, path, value))
 
+    @params(("spec.born", math.inf), ("status.sequence", math.inf), ("spec", 17))
+    def test_unusable_version_counts_as_unknown(self, path, value):
+        entry_version = decode_entry_version(with_field(ENTRY, path, value))
+        self.assertEqual(entry_version, EntryVersion())
+
 
 class ConfigurationTest(unittest.TestCase):
     def test_valid_configuration(self):
@@ -118,6 +128,7 @@
         ("services", None),
         ("routes.r-1.kind", "odd"),
         ("routes.r-1.host", None),
+        ("routes.r-1.maxAttempts", math.inf),
     )
     def test_invalid_configuration_is_rejected(self, path, value):
         with self.assertRaises(WireFormatError):
--- a/dogwoodtack/platform/wire.py
+++ b/dogwoodtack/platform/wire.py
@@ -15,6 +15,7 @@
 )
 
 __all__ = [
+    "DECODE_ERRORS",
     "WireFormatError",
     "decode_configuration",
     "decode_entry_version",
@@ -22,6 +23,8 @@
 ]
 
 VERSION_BASE = 16
+# Raised while decoding what lacks members, or has others than expected.
+DECODE_ERRORS = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
 
 
 class WireFormatError(DogwoodtackError):
@@ -58,7 +61,7 @@
                 float(limits.get("idleTimeoutS", defaults.idle_timeout_s)),
             ),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except DECODE_ERRORS as exc:
         raise WireFormatError(f"configuration: {exc!r}") from exc
 
 
@@ -111,7 +114,7 @@
             warmup_s=float(status.get("warmupLeftS") or 0.0),
             born_ms=_entry_born_ms(item, record),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except DECODE_ERRORS as exc:
         raise WireFormatError(f"instance: {exc!r}") from exc
 
 
@@ -124,7 +127,7 @@
         record, status = _entry_parts(item)
         sequence = int(status.get("sequence") or 0)
         return EntryVersion(_entry_born_ms(item, record), sequence)
-    except (KeyError, TypeError, ValueError, AttributeError):
+    except DECODE_ERRORS:
         # `decode_instance` reports entries that are unusable.
         return EntryVersion()
 
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -14,7 +14,12 @@
 
 from nose2.tools import params
 
-from dogwoodtack_standins.site import ENDLESS_HEADS, InstanceStandIn, StoreStandIn
+from dogwoodtack_standins.site import (
+    ENDLESS_HEADS,
+    InstanceStandIn,
+    StoreAnswer,
+    StoreStandIn,
+)
 from lab.fleet import free_ports
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -259,6 +264,22 @@
 class EmptySiteTest(EntryHostTest):
     instances = 0
 
+    @params("servers", "config")
+    def test_ready_after_unusable_lists(self, kind):
+        read_list = self.store.list
+        unusable = [StoreAnswer(200, {"items": None}, self.store.era)] * 3
+
+        def read_list_at_last(wanted_kind, after):
+            if wanted_kind == kind and unusable:
+                return unusable.pop()
+            return read_list(wanted_kind, after)
+
+        self.store.list = read_list_at_last
+        self.store.put("config", "main", spec=configuration(7))
+        self.wait_until(self.is_ready, "the host is ready")
+        self.assertEqual(unusable, [])
+        self.assertIn("event=store-reply-unusable", self.log.read_text())
+
     @params("servers", "config")
     def test_ready_whichever_list_comes_last(self, late_kind):
         read_list = self.store.list
