Keep watching dogwoodtackd's store after a reply that can't be decoded

A watch or a list whose reply lacks a member raised, its callback never ran, and the poll kept one of its three calls for good; after three such replies a host made no further call. A write's reply without a version left its intent without an answer.

Change: one handler decodes for all five calls, and what can't be decoded is a StoreError, for a write one that may have been applied; a warning once a second at most. The exceptions of decoding are named in errors.py; the decoders of peers' messages on the platform use the same list, which adds infinite numbers.

Ruled out: nothing else; peers' replies in the replicator are decoded in callbacks too and come from hosts of our own (listed as open).

--- a/dogwoodtack/errors.py
+++ b/dogwoodtack/errors.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "Answer",
+    "DECODE_ERRORS",
     "DogwoodtackError",
     "EndedEra",
     "ErrorKind",
@@ -18,6 +19,9 @@
     "answer_for",
 ]
 
+# Raised while decoding what lacks members, or has others than expected.
+DECODE_ERRORS = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
+
 
 class Outcome(enum.StrEnum):
     """Whether a request ran, as far as its caller may conclude."""
--- a/dogwoodtack/feed/relay.py
+++ b/dogwoodtack/feed/relay.py
@@ -6,7 +6,7 @@
 from urllib.parse import parse_qs, urlencode, urlsplit
 
 from ..calls import Call, Client, Reply
-from ..errors import WireError
+from ..errors import DECODE_ERRORS, WireError
 from ..logs import log_event
 from ..misc import Address
 from ..placement import EntryVersion, Instance, InstanceChange, InstanceRegistry
@@ -81,7 +81,7 @@
                 return
             try:
                 on_done(decode_state(reply.body))
-            except (KeyError, TypeError, ValueError, AttributeError) as error:
+            except DECODE_ERRORS as error:
                 log_event("relay-unusable", level="WARNING", error=repr(error))
                 on_done(None)
 
--- a/dogwoodtack/fleet/records.py
+++ b/dogwoodtack/fleet/records.py
@@ -4,6 +4,7 @@
 from functools import singledispatch
 from typing import Any, NamedTuple
 
+from ..errors import DECODE_ERRORS
 from ..logs import log_event
 from ..misc import Address, parse_address
 from ..placement import Observation, RateLimitReport
@@ -186,7 +187,7 @@
             parse_address(fields["relay"]),
             float(fields["strength"]),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except DECODE_ERRORS as exc:
         log_event("host-record-unusable", level="WARNING", error=repr(exc))
         return None
 
@@ -263,7 +264,7 @@
         if "beat" in fields:
             return _decode_heartbeat(fields)
         return _decode_zone_report(fields)
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except DECODE_ERRORS as exc:
         log_event("datagram-unusable", level="WARNING", error=repr(exc))
         return None
 
--- a/dogwoodtack/platform/objects.py
+++ b/dogwoodtack/platform/objects.py
@@ -5,12 +5,11 @@
 from urllib.parse import quote
 
 from ..calls import Call, Client, Reply
-from ..errors import HistoryGone, StoreConflict, StoreError, WireError
+from ..errors import DECODE_ERRORS, HistoryGone, StoreConflict, StoreError, WireError
 from ..logs import LimitedLog
 from ..misc import Address
 from ..position import StorePosition
 from .era import EraReader
-from .wire import DECODE_ERRORS
 
 __all__ = ["Event", "Listing", "ObjectStore"]
 
--- a/dogwoodtack/platform/wire.py
+++ b/dogwoodtack/platform/wire.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from ..errors import DogwoodtackError
+from ..errors import DECODE_ERRORS, DogwoodtackError
 from ..misc import parse_address
 from ..placement import EntryVersion, Instance
 from ..routing import (
@@ -15,7 +15,6 @@
 )
 
 __all__ = [
-    "DECODE_ERRORS",
     "WireFormatError",
     "decode_configuration",
     "decode_entry_version",
@@ -23,8 +22,6 @@
 ]
 
 VERSION_BASE = 16
-# Raised while decoding what lacks members, or has others than expected.
-DECODE_ERRORS = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
 
 
 class WireFormatError(DogwoodtackError):
--- a/dogwoodtack/store/client.py
+++ b/dogwoodtack/store/client.py
@@ -4,8 +4,9 @@
 from typing import Any, NamedTuple
 from urllib.parse import quote
 
-from ..calls import Call, Client, Reply
-from ..errors import StoreConflict, StoreError, WireError
+from ..calls import Call, Client, OnReply, Reply
+from ..errors import DECODE_ERRORS, StoreConflict, StoreError, WireError
+from ..logs import LimitedLog
 from ..misc import Address
 
 __all__ = ["ERA_HEADER", "HostEntry", "Snapshot", "Store", "StoreObject"]
@@ -82,31 +83,32 @@
         self._on_contact = on_contact
         self._address = address
         self._timeout_s = timeout_s
+        self._limited_log = LimitedLog()
         self.calls_made = 0
 
     def list(self, on_done: OnSnapshot) -> None:
         """Read all objects."""
-        self._send("GET", "/objects", None, self._timeout_s, _snapshot_handler(on_done))
+        handler = self._handler(on_done, _decode_snapshot)
+        self._send("GET", "/objects", None, self._timeout_s, handler)
 
     def watch(self, after: int, wait_s: float, on_done: OnSnapshot) -> None:
         """Read the objects changed after a revision, waiting up to `wait_s` for one."""
         target = f"/watch?after={after}&wait_s={wait_s:g}"
         timeout_s = wait_s + WATCH_TIMEOUT_MARGIN_S + self._timeout_s
-        self._send("GET", target, None, timeout_s, _snapshot_handler(on_done))
+        handler = self._handler(on_done, _decode_snapshot)
+        self._send("GET", target, None, timeout_s, handler)
 
     def get(self, kind: str, name: str, on_done: OnObject) -> None:
         """Read one object; version 0 and value None mean that it does not exist."""
 
-        def on_reply(reply: Reply | None, exc: WireError | None) -> None:
-            error = _error_of(reply, exc, False, (HTTP_OK, HTTP_NOT_FOUND))
-            if error is not None:
-                on_done(None, error)
-            elif reply.status == HTTP_NOT_FOUND:
-                on_done(StoreObject(kind, name, 0, None), None)
-            else:
-                on_done(_parse_object(reply.body), None)
+        def decode(reply: Reply) -> StoreObject:
+            if reply.status == HTTP_NOT_FOUND:
+                return StoreObject(kind, name, 0, None)
+            return _decode_object(reply.body)
 
-        self._send("GET", _path(kind, name), None, self._timeout_s, on_reply)
+        expected = (HTTP_OK, HTTP_NOT_FOUND)
+        handler = self._handler(on_done, decode, expected=expected)
+        self._send("GET", _path(kind, name), None, self._timeout_s, handler)
 
     def put(
         self, kind: str, name: str, value: Any, if_version: int, on_done: OnVersion
@@ -117,31 +119,39 @@
         although it was not confirmed.
         """
         body = {"value": value, "if_version": if_version}
-
-        def on_reply(reply: Reply | None, exc: WireError | None) -> None:
-            error = _error_of(reply, exc, is_write=True)
-            if error is not None:
-                on_done(None, error)
-                return
-            on_done(int(reply.body["version"]), None)
-
-        self._send("PUT", _path(kind, name), body, self._timeout_s, on_reply)
+        handler = self._handler(on_done, _decode_version, is_write=True)
+        self._send("PUT", _path(kind, name), body, self._timeout_s, handler)
 
     def hosts(self, on_done: OnHosts) -> None:
         """Read the list of live and leaving hosts, which may lag."""
+        handler = self._handler(on_done, _decode_hosts)
+        self._send("GET", "/hosts", None, self._timeout_s, handler)
 
-        def on_reply(reply: Reply | None, exc: WireError | None) -> None:
-            error = _error_of(reply, exc, is_write=False)
-            if error is not None:
-                on_done(None, error)
-                return
-            items = reply.body["hosts"]
-            on_done([HostEntry(item["name"], item["state"]) for item in items], None)
+    def _handler(
+        self,
+        on_done: Callable[[Any, StoreError | None], None],
+        decode: Callable[[Reply], Any],
+        is_write: bool = False,
+        expected: tuple[int, ...] = (HTTP_OK,),
+    ) -> OnReply:
+        """Return a handler that passes on what a reply is decoded to, or the error."""
 
-        self._send("GET", "/hosts", None, self._timeout_s, on_reply)
+        def on_reply(reply: Reply | None, exc: WireError | None) -> None:
+            result = None
+            error = _error_of(reply, exc, is_write, expected)
+            if error is None:
+                try:
+                    result = decode(reply)
+                except DECODE_ERRORS as decode_exc:
+                    detail = f"the reply is unusable: {decode_exc!r}"
+                    error = StoreError(detail, maybe_applied=is_write)
+                    self._limited_log.warn("store-reply-unusable", error=detail)
+            on_done(result, error)
+
+        return on_reply
 
     def _send(
-        self, method: str, target: str, body: Any, timeout_s: float, on_reply: Any
+        self, method: str, target: str, body: Any, timeout_s: float, on_reply: OnReply
     ) -> None:
         self.calls_made += 1
         call = Call(self._address, method, target, body, timeout_s)
@@ -159,22 +169,23 @@
     return f"/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
 
 
-def _parse_object(item: Any) -> StoreObject:
+def _decode_object(item: Any) -> StoreObject:
     return StoreObject(
         item["kind"], item["name"], int(item["version"]), item.get("value")
     )
 
 
-def _snapshot_handler(on_done: OnSnapshot) -> Callable[..., None]:
-    def on_reply(reply: Reply | None, exc: WireError | None) -> None:
-        error = _error_of(reply, exc, is_write=False)
-        if error is not None:
-            on_done(None, error)
-            return
-        objects = [_parse_object(item) for item in reply.body["objects"]]
-        on_done(Snapshot(int(reply.body["revision"]), objects), None)
+def _decode_snapshot(reply: Reply) -> Snapshot:
+    objects = [_decode_object(item) for item in reply.body["objects"]]
+    return Snapshot(int(reply.body["revision"]), objects)
+
+
+def _decode_version(reply: Reply) -> int:
+    return int(reply.body["version"])
+
 
-    return on_reply
+def _decode_hosts(reply: Reply) -> list[HostEntry]:
+    return [HostEntry(item["name"], item["state"]) for item in reply.body["hosts"]]
 
 
 def _error_of(
