--- a/lab/reference.py
+++ b/lab/reference.py
@@ -18,7 +18,8 @@
 PAGE = ROOT / "docs" / "operations" / "reference.md"
 PACKAGE = ROOT / "dogwoodtack"
 METRIC_TYPES = ("Counter", "Gauge", "Histogram", "Summary")
-DEFAULT_LEVEL = "INFO"
+# Calls that log an event, and their levels where they name none.
+LOG_CALLS = {"log_event": "INFO", "warn": "WARNING"}
 
 
 class Event(NamedTuple):
@@ -78,7 +79,7 @@
     names = _strings(call.args[0])
     if not names:
         return None
-    level = DEFAULT_LEVEL
+    level = LOG_CALLS[_callee_name(call)]
     level_nodes = call.args[1:2] or [
         keyword.value for keyword in call.keywords if keyword.arg == "level"
     ]
@@ -99,7 +100,7 @@
         event
         for path in _sources()
         for call in _find_calls(path)
-        if _callee_name(call) == "log_event" and call.args
+        if _callee_name(call) in LOG_CALLS and call.args
         for event in [_event(call, path)]
         if event is not None
     }
