Read further pages and replace records whatever names the store shows

Cause: the last two places of the same fault: a page that ends with an object whose name is a number raised when the next page was asked for, and the record that a host replaces was addressed by the name in the store's reply. Change: names are turned into text; a record is replaced under its own name. Ruled out: nothing. Measured: the new case of test_store fails before with `TypeError` and passes; 60 tests of test_store and test_host_records pass.

--- a/dogwoodtack/platform/objects.py
+++ b/dogwoodtack/platform/objects.py
@@ -153,17 +153,19 @@
         body = {"metadata": {"name": name, "finalizers": []}, "spec": spec}
         self._send("POST", kind, body, self._timeout_s, _decode_body, on_done)
 
-    def replace(self, kind: str, item: Any, spec: Any, on_done: OnObject) -> None:
+    def replace(
+        self, kind: str, name: str, item: Any, spec: Any, on_done: OnObject
+    ) -> None:
         """Replace an object's spec if it has not changed since it was read."""
         body = {**item, "spec": spec}
-        path = _path(kind, item["metadata"]["name"])
+        path = _path(kind, name)
         self._send("PUT", path, body, self._timeout_s, _decode_body, on_done)
 
     def _decode_page(self, reply: Reply) -> _Page:
         items = _list_member(reply, "items")
         has_more = reply.body.get("hasMore") and items
         last_name = items[-1]["metadata"]["name"] if has_more else ""
-        return _Page(items, self._position(reply), last_name)
+        return _Page(items, self._position(reply), str(last_name))
 
     def _decode_events(self, reply: Reply) -> _EventPage:
         events = [
--- a/dogwoodtack/platform/source.py
+++ b/dogwoodtack/platform/source.py
@@ -138,7 +138,9 @@
             if item is None or _member(item, "spec") == spec:
                 on_done(exc)
                 return
-            self._store.replace(kind, item, spec, lambda _item, exc: on_done(exc))
+            self._store.replace(
+                kind, record.name, item, spec, lambda _item, exc: on_done(exc)
+            )
 
         self._store.create(kind, record.name, spec, on_created)
 
--- a/dogwoodtack/platform/tests/test_store.py
+++ b/dogwoodtack/platform/tests/test_store.py
@@ -166,6 +166,14 @@
             ((_result, exc),) = self.results
             self.assertIsNone(exc)
 
+    def test_page_after_an_object_whose_name_is_a_number(self):
+        odd = {"metadata": {"name": 5}}
+        self.client.add({"items": [odd], "currentRev": 7, "hasMore": True}, 4)
+        self.client.add({"items": [ENTRY], "currentRev": 7}, 4)
+        self.source.read_instances(self.on_done)
+        ((updates, _exc),) = self.results
+        self.assertEqual([change.id for change in updates.changes], ["i-1"])
+
     def test_pages_of_two_eras_are_no_list(self):
         self.client.add({"items": [ENTRY], "currentRev": 7, "hasMore": True}, 4)
         self.client.add({"items": [ENTRY], "currentRev": 5}, 5)
