Go on to the next peer after a reply that can't be decoded

A new host of dogwoodtackd that got such a reply to its first fetch never asked again, and a platform host whose peer sent a change with an empty instance kept its one pull open for good (IndexError).

Change: the fetch counts as failed, is logged once a second at most (`buckets-unusable`) and the next peer or the store is asked; errors of decoding include too short lists.

Ruled out: the exchange each second, gossip, pushes and evidence: they run on timers of their own or are decoded in the handler of a call, so that one bad message ends with itself.

--- a/dogwoodtack/errors.py
+++ b/dogwoodtack/errors.py
@@ -20,7 +20,7 @@
 ]
 
 # Raised while decoding what lacks members, or has others than expected.
-DECODE_ERRORS = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
+DECODE_ERRORS = (AttributeError, LookupError, OverflowError, TypeError, ValueError)
 
 
 class Outcome(enum.StrEnum):
--- a/dogwoodtack/feed/tests/test_relay.py
+++ b/dogwoodtack/feed/tests/test_relay.py
@@ -1,17 +1,21 @@
 """Tests of the transfer of state between hosts."""
 
 import json
+import math
 import unittest
 
 from nose2.tools import params
 
-from dogwoodtack.feed import handle_relay_request
+from dogwoodtack.calls import Reply
+from dogwoodtack.feed import RelayClient, handle_relay_request
 from dogwoodtack.feed.relay import decode_state
+from dogwoodtack.misc import Address
 from dogwoodtack.placement import EntryVersion, InstanceChange, InstanceRegistry
 from dogwoodtack.placement.tests.test_parts import make_instance
 from dogwoodtack.platform.tests.test_wire import CONFIG
 from dogwoodtack.platform.wire import decode_configuration
 from dogwoodtack.position import START_POSITION, StorePosition
+from dogwoodtack.store.tests.test_client import OneReplyClient
 
 CONFIGURATION = decode_configuration(CONFIG)
 
@@ -78,6 +82,28 @@
         with self.assertRaises(ValueError):
             request_state(f"/state?{query}")
 
+    @params(
+        None,
+        [],
+        {},
+        {"instances": [[]]},
+        {"instances": [["i-1", 1, []]]},
+        {"entries": [[1]]},
+        {"revision": math.inf},
+        {"configuration": [1]},
+    )
+    def test_unusable_state_is_reported_as_none(self, fields):
+        body = fields
+        if fields:
+            body = {
+                **json.loads(request_state("/state?revision=0&version=0")),
+                **fields,
+            }
+        results = []
+        client = RelayClient(OneReplyClient(Reply(200, [], body)))
+        client.read(Address("10.0.0.1", 1), START_POSITION, 0, results.append)
+        self.assertEqual(results, [None])
+
     def test_state_of_a_host_without_eras(self):
         """Hosts of earlier builds send neither the era nor the entries' versions."""
         fields = json.loads(request_state("/state?revision=0&version=0"))
--- a/dogwoodtack/replication/replicator.py
+++ b/dogwoodtack/replication/replicator.py
@@ -7,8 +7,8 @@
 
 from ..calls import Reply
 from ..control import ControlRequest, Route
-from ..errors import ErrorKind, RequestError, WireError
-from ..logs import log_event
+from ..errors import DECODE_ERRORS, ErrorKind, RequestError, WireError
+from ..logs import LimitedLog, log_event
 from ..membership import Connectivity, Member, Membership, store_readers
 from ..peers import PeerClient
 from ..reactor import Reactor
@@ -96,6 +96,7 @@
         self._outbox: list[StoreObject] = []
         self._relay_counts: OrderedDict[Batch, int] = OrderedDict()
         self._confirmed_at: float | None = None
+        self._limited_log = LimitedLog(reactor.clock.monotonic)
         self.watermark = -1
         self.is_synced = False
         state.subscribe(self._on_object)
@@ -402,11 +403,19 @@
                 on_done(False)
                 return
             body: BucketsReply = reply.body
-            self._apply_buckets(member, body)
-            if body["next"] is None:
-                on_done(body["is_synced"])
+            try:
+                self._apply_buckets(member, body)
+                next_bucket, is_synced = body["next"], body["is_synced"]
+            except (RequestError, *DECODE_ERRORS) as error:
+                self._limited_log.warn(
+                    "buckets-unusable", member=member.name, error=repr(error)
+                )
+                on_done(False)
+                return
+            if next_bucket is None:
+                on_done(is_synced)
                 return
-            self._fetch(member, body["next"], on_done)
+            self._fetch(member, next_bucket, on_done)
 
         body: BucketsBody = {"buckets": self._state.digest.buckets(), "first": first}
         self._peers.call(member.peer_address, "/spread/buckets", body, on_reply)
--- a/dogwoodtack/replication/tests/test_replicator.py
+++ b/dogwoodtack/replication/tests/test_replicator.py
@@ -5,6 +5,7 @@
 
 from nose2.tools import params
 
+from dogwoodtack.control import Route
 from dogwoodtack.membership.tests.fakes import FakeNetwork, address_of
 from dogwoodtack.replication.replicator import WATCHERS_PER_ZONE
 
@@ -191,6 +192,30 @@
         network.reactor.run_for(10.0)
         self.assertEqual([node.version("s") for node in nodes], [1] * 3)
 
+    @params(
+        {},
+        {"buckets": [0], "objects": [{}], "next": None, "is_synced": True},
+        {"buckets": [[]], "objects": [], "next": None, "is_synced": True},
+        {"buckets": [], "objects": []},
+    )
+    def test_new_host_after_unusable_replies_of_peers(self, body):
+        views = self.network.views
+        usual = dict(views)
+        for address, routes in usual.items():
+            others = [one for one in routes if one.pattern != "/spread/buckets"]
+            odd = Route("POST", "/spread/buckets", lambda req: body)
+            views[address] = [*others, odd]
+        self.store.cut = {address_of(9)}
+        self.nodes[9].peers.is_ended = True
+        node = ReplicationNode(self.network, self.store, 9, SEEDS, restarts=1)
+        self.nodes[9] = node
+        self.run_for(2.0)
+        self.assertFalse(node.replicator.is_synced)
+        views.update({**usual, node.address: views[node.address]})
+        self.run_for(IN_FORCE_WITHIN_S)
+        self.assertTrue(node.replicator.is_synced)
+        self.assert_in_force([node])
+
     def test_lost_objects_are_repaired(self):
         node = self.nodes[8]
         self.network.silent.add(node.address)
