Let a hedge that comes too late leave the request alone

What callers saw: 503 "The deadline passed before the request was sent on", which says that a request was not executed, while an instance was running it. Found on reading, when looking for a request that ran once too often.

Cause: a hedge is due after 0.4 s or twice the usual service time. If that falls within the last 20 ms before the deadline, its placement came too late, and a placement that comes too late ended the whole request, though the first attempt was still in flight. Whether a request may have run was told from ended attempts only.

Change: no hedge is begun so late; a placement that comes too late gives its slot back and ends the request only if no attempt is in flight, as a rejected placement does; a request may have run as soon as an attempt in flight was sent.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -281,7 +281,7 @@
             return
         if self.is_done or self._now() >= self._deadline - MIN_ATTEMPT_S:
             self._deps.placer.release(placed.id)
-            if not self.is_done:
+            if not self.is_done and not self._in_flight:
                 self._abandon(ErrorKind.DEADLINE_PASSED)
             return
         self._dispatch(placed)
@@ -409,13 +409,14 @@
         ):
             return
         route = self._route
+        now = self._now()
         if (
             not route.kind.is_idempotent
             or self._sent_or_in_flight() >= self._max_attempts
+            or now >= self._deadline - MIN_ATTEMPT_S
         ):
             return
         placer = self._deps.placer
-        now = self._now()
         budget = placer.budget(self._service)
         if budget.remaining(now, placer.retry_budget_hosts, True) <= 0:
             return
@@ -426,8 +427,8 @@
 
     @property
     def _may_have_run(self) -> bool:
-        """Return whether an attempt that has ended may have run the request."""
-        return self._runs > 0
+        """Return whether an attempt may have run the request."""
+        return self._runs > 0 or any(attempt.bytes_sent for attempt in self._in_flight)
 
     def _sent_or_in_flight(self) -> int:
         return self._sent_attempts + self._runs_in_flight()
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -104,13 +104,21 @@
         self.addCleanup(self.process.wait)
         self.addCleanup(self.process.kill)
 
-    def call(self, method, path, request_id="00000000000000aa", body=None, port=0):
+    def call(
+        self,
+        method,
+        path,
+        request_id="00000000000000aa",
+        body=None,
+        port=0,
+        deadline_ms=4000,
+    ):
         conn = http.client.HTTPConnection("127.0.0.1", port or self.ports[0], 10)
         self.addCleanup(conn.close)
         headers = {
             "Host": HOST,
             "X-Dogwoodtack-Request-Id": request_id,
-            "X-Dogwoodtack-Deadline-Ms": "4000",
+            "X-Dogwoodtack-Deadline-Ms": str(deadline_ms),
         }
         conn.request(method, path, body, headers)
         answer = conn.getresponse()
@@ -213,6 +221,16 @@
             answer, _ = self.call("GET", f"/look/{number}", f"{number:016x}")
             self.assertEqual(answer.status, 200)
 
+    @params(*range(616, 664, 8))
+    def test_rejection_near_the_deadline_is_true(self, deadline_ms):
+        """A hedge is due after about 0.6 s, and an instance has the request by then."""
+        self.serve()
+        for one in self.backends:
+            one.delay_s = 1.0
+        answer, _body = self.call("GET", "/look/1", deadline_ms=deadline_ms)
+        self.assertEqual(answer.status, 504)
+        self.assertGreaterEqual(len(self.executed_requests()), 1)
+
     def test_unexpected_response_reaches_no_other_request(self):
         self.serve()
         for one in self.backends:
