List a request that ran three times in tests.test_cut_paths, and keep its logs

Cause: not traced; the test kept no logs.

Change: the port stays bound without listening; a failure shows the request's runs and what all hosts logged of it and of their paths.

Ruled out, by reading of exchange.py: a run that is not counted (only rejections, other instances' addresses and requests that never left count as not run), a hedge beside all attempts, a rejection while an attempt is in flight other than the one mended before.

--- a/tests/cut_host.py
+++ b/tests/cut_host.py
@@ -34,9 +34,10 @@
         for sock in self._queued:
             sock.setblocking(False)
             sock.connect_ex(self.black_hole)
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            self.closed_port = Address(*sock.getsockname())
+        # Stays bound without listening, so that nobody else listens there either.
+        self._refusing = socket.socket()
+        self._refusing.bind(("127.0.0.1", 0))
+        self.closed_port = Address(*self._refusing.getsockname())
 
     def mode_for(self, port):
         """Return the mode of the cut of a port, or an empty string."""
--- a/tests/test_cut_paths.py
+++ b/tests/test_cut_paths.py
@@ -123,7 +123,24 @@
         runs = Counter(
             run.request_id for one in self.site.instances for run in one.backend.ran
         )
-        self.assertLessEqual(max(runs.values()), MAX_ATTEMPTS)
+        for request_id, count in runs.items():
+            self.assertLessEqual(count, MAX_ATTEMPTS, self.describe(request_id))
+
+    def describe(self, request_id):
+        """Return a request's runs, and what the hosts logged of it and of paths."""
+        runs = [
+            (one.backend.name, run)
+            for one in self.site.instances
+            for run in one.backend.ran
+            if run.request_id == request_id
+        ]
+        lines = [
+            line
+            for host in self.site.hosts
+            for line in host.log_text().splitlines()
+            if request_id in line or "event=instance-paths" in line
+        ]
+        return "\n".join([request_id, *map(str, runs), *lines])
 
     def set_behaviour(self, behaviour, delay_s):
         for one in self.site.instances:
