Test requests at random: runs, responses and true rejections

Change: a test in virtual time drives the real exchanges, attempts and placement of four hosts with drawn failures of instances, hosts and paths: a request runs on no more instances than its route allows, a non-idempotent one once at most, gets one response, and none that rejects it if it may have run.

--- /dev/null
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -0,0 +1,309 @@
+"""Random tests of requests at hosts that fail, hand over and lose their paths."""
+
+import random
+import unittest
+from collections import Counter
+from typing import NamedTuple
+from unittest import mock
+
+from dogwoodtack.backends import ResponseHead
+from dogwoodtack.entry.buffers import ResponseBuffers
+from dogwoodtack.entry.evidence import Evidence
+from dogwoodtack.entry.exchange import Exchange, ExchangeDependencies
+from dogwoodtack.entry.idle_limit import IdleLimit
+from dogwoodtack.entry.notices import NoticeReader
+from dogwoodtack.errors import ErrorKind, WireError
+from dogwoodtack.frontend.conn import RequestHead
+from dogwoodtack.misc import Address
+from dogwoodtack.placement import InstanceRegistry, Placer, RetryRules
+from dogwoodtack.placement.tests.test_parts import (
+    apply_each,
+    make_change,
+    make_instance,
+)
+from dogwoodtack.platform.headers import HEADERS
+from dogwoodtack.routing import Route, RouteKind, TrafficSplitter, WeightedService
+from lab.virtual import VirtualLoop
+
+SEEDS = 400
+HOSTS = 4
+INSTANCES = 4
+REQUESTS = 12
+SPAN_S = 2.0
+MAX_ATTEMPTS = 2
+# Statuses with which a host says that a request has not run and will not.
+REJECTION_STATUSES = (408, 429, 503)
+# What an instance does with a request, and whether it runs it then.
+BEHAVIOURS = {
+    "ok": True,
+    "error": True,
+    "cut": True,
+    "silent": True,
+    "lost": False,
+    "shed": False,
+    "misdirected": False,
+}
+
+
+class FakeHost(NamedTuple):
+    name: str
+    handover_address: Address
+
+
+class FakePaths:
+    """Paths to all instances, which a test cuts and heals."""
+
+    is_suspect = False
+
+    def __init__(self, world):
+        self.is_cut_off = False
+        self._world = world
+
+    def on_connect(self, instance, is_reached):
+        pass
+
+    def check(self):
+        pass
+
+    def when_settled(self, fn):
+        self._world.call_sometimes_later(0.2, fn)
+
+
+class FakePool:
+    """Connections whose ends are in the same process."""
+
+    def __init__(self, world, host, serve):
+        self._world = world
+        self._host = host
+        self._serve = serve
+
+    def acquire(self, address, on_connection, max_idle_s):
+        conn = FakeConn(self._world, address, self._serve)
+        if self._host.paths.is_cut_off and address in self._world.instance_addresses:
+            conn = None
+        elif self._world.rng.random() < 0.15:
+            conn = None
+        exc = None if conn else WireError(ErrorKind.BACKEND_REFUSED, "refused")
+        self._world.call_sometimes_later(0.1, on_connection, conn, exc)
+
+    def release(self, conn):
+        pass
+
+    def close_idle(self, address):
+        pass
+
+
+class FakeConn:
+    """A connection to an instance or to another host, from the sender's side."""
+
+    def __init__(self, world, address, serve):
+        self.address = address
+        self.was_used = world.rng.random() < 0.5
+        self.idle_since = world.reactor.clock.now
+        self.on_close = lambda: None
+        self.owner = None
+        self._serve = serve
+
+    def send_request(self, out, owner, body, rules):
+        self.owner = owner
+        self._serve(self, out)
+
+    def end_body(self):
+        pass
+
+    def close(self):
+        self.owner = None
+        self.on_close()
+
+    def respond(self, status, headers, body):
+        if self.owner is not None:
+            owner = self.owner
+            owner.on_head(ResponseHead(status, headers))
+        if self.owner is not None:
+            owner.on_body(body)
+            self.owner = None
+            owner.on_end()
+
+    def fail(self):
+        if self.owner is not None:
+            owner, self.owner = self.owner, None
+            owner.on_fail(WireError(ErrorKind.BACKEND_CUT, "reset"))
+
+
+class FakeCallerConn:
+    """The connection on which a host receives a request."""
+
+    def __init__(self, on_response):
+        self._on_response = on_response
+        self._head = None
+        self._body = b""
+
+    def send_head(self, status, headers):
+        self._head = status, headers
+
+    def send_body(self, data):
+        self._body += data
+
+    def end_response(self):
+        self._on_response(*self._head, self._body)
+
+
+class World:
+    """Hosts and instances, whose behaviour is drawn from a seed."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.reactor = VirtualLoop()
+        self.behaviours = [
+            name for name in BEHAVIOURS for _ in range(self.rng.choice((0, 1, 1, 6)))
+        ] or ["ok"]
+        self.instances = [make_instance(f"i-{n}") for n in range(INSTANCES)]
+        self.instance_addresses = {one.address for one in self.instances}
+        self.hosts = [Host(self, number) for number in range(HOSTS)]
+        self.runs = Counter()
+        self.responses = {}
+
+    def call_sometimes_later(self, max_delay_s, fn, *args):
+        if self.rng.random() < 0.5:
+            fn(*args)
+        else:
+            self.reactor.call_later(self.rng.random() * max_delay_s, fn, *args)
+
+    def serve_at_instance(self, conn, out):
+        request_id = dict(out.headers)[HEADERS.request_id]
+        behaviour = self.rng.choice(self.behaviours)
+        self.runs[request_id] += BEHAVIOURS[behaviour]
+        headers = [(HEADERS.request_id, request_id), (HEADERS.signature, b"s")]
+        delay_s = self.rng.choice((0.0, 0.02, 0.3, 1.5)) * self.rng.random()
+        not_executed = [(HEADERS.not_executed, b"1")]
+        responses = {
+            "ok": (200, headers, b"."),
+            "error": (500, headers, b"."),
+            "shed": (503, headers + not_executed, b""),
+            "misdirected": (421, [], b""),
+        }
+        if behaviour in responses:
+            self.reactor.call_later(delay_s, conn.respond, *responses[behaviour])
+        elif behaviour != "silent":
+            self.call_sometimes_later(delay_s, conn.fail)
+
+    def serve_at_host(self, conn, out):
+        host = next(
+            one for one in self.hosts if one.record.handover_address == conn.address
+        )
+        exchange = host.receive(out, conn.respond, is_handed_over=True)
+        conn.on_close = exchange.on_caller_gone
+        if self.rng.random() < 0.1:
+            self.reactor.call_later(self.rng.random(), conn.fail)
+
+    def send(self, number):
+        request_id = f"{number:016x}".encode()
+        method, prefix = self.rng.choice((("GET", "/look/"), ("POST", "/book/")))
+        deadline_ms = self.rng.choice((500, 630, 1000, 4000))
+        headers = [
+            (b"host", b"shop.example"),
+            (HEADERS.request_id, request_id),
+            (HEADERS.deadline_ms, str(deadline_ms).encode()),
+        ]
+
+        def on_response(status, headers, body):
+            self.responses.setdefault((request_id, method), []).append(status)
+
+        head = RequestHead(method, prefix, headers)
+        exchange = self.rng.choice(self.hosts).start(head, on_response)
+        if self.rng.random() < 0.1:
+            delay_s = self.rng.random()
+            self.reactor.call_later(delay_s, exchange.on_caller_gone)
+
+    def flip_paths(self):
+        host = self.rng.choice(self.hosts[: HOSTS // 2])
+        host.paths.is_cut_off = not host.paths.is_cut_off
+        if host.paths.is_cut_off:
+            host.placer.reject_queued("no instance is reached")
+
+    def run(self):
+        for number in range(REQUESTS):
+            delay_s = self.rng.random() * SPAN_S
+            self.reactor.call_later(delay_s, self.send, number)
+        for _ in range(self.rng.randrange(6)):
+            self.reactor.call_later(self.rng.random() * SPAN_S, self.flip_paths)
+        self.reactor.run_for(SPAN_S + 6.0)
+
+
+class Host:
+    """One entry host without network."""
+
+    def __init__(self, world, number):
+        self.record = FakeHost(f"h-{number}", Address("127.0.0.1", 8000 + number))
+        self.paths = FakePaths(world)
+        self._world = world
+        clock, rng = world.reactor.clock, world.rng
+        registry = InstanceRegistry()
+        for revision, one in enumerate(world.instances, 1):
+            apply_each(registry, make_change(revision, one, name=one.id))
+        self.placer = Placer(registry, "a", rng, RetryRules(2.0, 10.0, 500.0))
+        idle_limit = IdleLimit()
+        fleet = mock.Mock()
+        fleet.handover_hosts = self.handover_hosts
+        self._deps = ExchangeDependencies(
+            reactor=world.reactor,
+            placer=self.placer,
+            fleet=fleet,
+            pool=FakePool(world, self, world.serve_at_instance),
+            host_pool=FakePool(world, self, world.serve_at_host),
+            buffers=ResponseBuffers(),
+            paths=self.paths,
+            header_names=HEADERS,
+            notices=NoticeReader(HEADERS, lambda: 300.0, clock.monotonic),
+            evidence=Evidence(clock, self.placer, self.paths, idle_limit),
+            find_route=self.find_route,
+            splitter=TrafficSplitter(rng.random()),
+            idle_limit=idle_limit,
+            request_log=mock.Mock(),
+            response_kb={},
+        )
+
+    def handover_hosts(self, exclude):
+        """Return some other hosts, also ones that have lost their paths."""
+        others = [
+            host.record
+            for host in self._world.hosts
+            if host is not self and host.record.name not in exclude
+        ]
+        return self._world.rng.sample(others, self._world.rng.randrange(len(others)))
+
+    def find_route(self, host, target):
+        kind = RouteKind.SAFE if target.startswith("/look/") else RouteKind.UNSAFE
+        services = (WeightedService("jobs", 1.0),)
+        route = Route("r", host, "/", kind, services, 2.0, 0.8, MAX_ATTEMPTS, 0)
+        return route, 1
+
+    def receive(self, out, on_response, is_handed_over):
+        head = RequestHead(out.method.decode(), out.target.decode(), out.headers)
+        return self.start(head, on_response, is_handed_over)
+
+    def start(self, head, on_response, is_handed_over=False):
+        conn = FakeCallerConn(on_response)
+        exchange = Exchange(
+            self._deps, conn, head, 1000, lambda ended: None, is_handed_over
+        )
+        exchange.on_body_end()
+        return exchange
+
+
+class ExchangeTest(unittest.TestCase):
+    def test_runs_and_responses(self):
+        for seed in range(SEEDS):
+            world = World(seed)
+            world.run()
+            with self.subTest(seed=seed):
+                for (request_id, method), statuses in world.responses.items():
+                    self.assertEqual(len(statuses), 1)
+                    runs = world.runs[request_id]
+                    self.assertLessEqual(runs, MAX_ATTEMPTS if method == "GET" else 1)
+                    if statuses[0] in REJECTION_STATUSES:
+                        self.assertEqual(runs, 0, statuses)
+
+
+if __name__ == "__main__":
+    unittest.main()
