--- a/tests/test_responses.py
+++ b/tests/test_responses.py
@@ -138,6 +138,7 @@
         latencies_s = []
         for _ in range(50):
             started_at = time.monotonic()
-            self.assertEqual(self.call("GET", "/racks/1").status, 200)
+            answer = self.call("GET", "/racks/1")
+            self.assertEqual(answer.status, 200, self.fleet.log_text(self.node.name))
             latencies_s.append(time.monotonic() - started_at)
         return sorted(latencies_s)
