Log crashes of instances, with a digest of the request under way

After a cut attempt the host connects once more. An instance that refuses, and neither drains nor leaves, has crashed; a line names it with the request's id and a digest that its repeats share. requests_cut_by_crashes counts them. The decisions are as before.

The stand-in instance crashes under targets that a test names, and a site's instance starts again after 1.5 s.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -23,10 +23,12 @@
     SelectionMode,
     next_action,
 )
+from ..quarantine import request_digest
 from ..reactor import Reactor, Timer
 from ..routing import Route, TrafficSplitter
 from .attempt import Attempt, AttemptResult, AttemptTarget, OutgoingRequest
 from .buffers import ResponseBuffers
+from .crashes import CrashMonitor, CutRequest
 from .evidence import Evidence
 from .idle_limit import IdleLimit
 from .notices import NoticeReader
@@ -89,6 +91,7 @@
         host_pool: connections to other entry hosts.
         buffers: memory of the responses that are being received.
         paths: whether this host reaches the instances.
+        crashes: finds out which instances have crashed.
         header_names: header names on the wire.
         notices: reads what responses say about their instances.
         evidence: records what attempts show of their instances.
@@ -108,6 +111,7 @@
     host_pool: ConnectionPool
     buffers: ResponseBuffers
     paths: PathMonitor
+    crashes: CrashMonitor
     header_names: HeaderNames
     notices: NoticeReader
     evidence: Evidence
@@ -153,6 +157,7 @@
         self._config_version = 0
         self._service = ""
         self._req: OutgoingRequest | None = None
+        self._digest = ""
         self._deadline = 0.0
         self._queued_request: QueuedRequest | None = None
         self._in_flight: dict[Attempt, list[Timer]] = {}
@@ -215,6 +220,9 @@
             forwarded_headers(self._head, header_names, bytes(self._body)),
             bytes(self._body),
         )
+        self._digest = request_digest(
+            self._req.method, self._req.target, self._req.headers, self._req.body
+        )
         self._request_placement()
 
     # Placement.
@@ -445,6 +453,7 @@
         )
         self._close_attempt(attempt, result.outcome)
         self._record_attempt(attempt, result)
+        self._check_crash(attempt, result)
         if self.is_done:
             return
         is_idempotent = self._route.kind.is_idempotent
@@ -466,6 +475,16 @@
             action, result if action is NextAction.FORWARD else self._best_result
         )
 
+    def _check_crash(self, attempt: Attempt, result: AttemptResult) -> None:
+        """Find out whether the instance has crashed if it cut the attempt."""
+        instance = attempt.target.instance
+        if result.outcome is not AttemptOutcome.CUT or instance is None:
+            return
+        request_id = self._request_id.decode("latin-1")
+        self._deps.crashes.check(
+            CutRequest(request_id, self._digest, instance, attempt.started_at)
+        )
+
     def _more_informative(self, result: AttemptResult) -> AttemptResult:
         """Return the result to report: the latest with a response, else the latest."""
         if self._best_result is None or result.head is not None:
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -21,6 +21,7 @@
 from ..reactor import Reactor
 from ..routing import CallerLimits, Configuration, Route, RouteTable, TrafficSplitter
 from .buffers import ResponseBuffers
+from .crashes import CrashMonitor
 from .evidence import Evidence
 from .exchange import ExchangeDependencies
 from .frontend import EntryFrontend
@@ -163,6 +164,7 @@
         self.paths = PathMonitor(
             self.reactor, self.registry, self.rng, self._on_paths_changed
         )
+        self.crashes = CrashMonitor(self.reactor, self.placer, self.paths)
         idle_limit = IdleLimit()
         deps = ExchangeDependencies(
             reactor=self.reactor,
@@ -172,6 +174,7 @@
             host_pool=ConnectionPool(self.reactor, DIAL_TIMEOUT_S),
             buffers=self.buffers,
             paths=self.paths,
+            crashes=self.crashes,
             header_names=self._adapter.header_names,
             notices=NoticeReader(
                 self._adapter.header_names, lambda: self.settings.bounds.max_pause_s
@@ -301,6 +304,7 @@
             "response_buffer_bytes": self.buffers.total_bytes,
             "instance_paths_lost": float(self.paths.is_cut_off),
             "instances_unreached": self.paths.unreached,
+            "requests_cut_by_crashes": self.crashes.crashes,
             "rate_limited_instances": self.placer.rate_limits.count(now),
             "paused_instances": self.placer.paused_count(now),
             "leaving_instances": len(self.placer.leaving()),
--- /dev/null
+++ b/dogwoodtack/entry/tests/test_crashes.py
@@ -0,0 +1,81 @@
+"""Which instances count as crashed after an attempt was cut there."""
+
+import errno
+import socket
+import unittest
+from unittest import mock
+
+from nose2.tools import params
+
+from dogwoodtack.entry.crashes import CrashMonitor, CutRequest
+from dogwoodtack.misc import Address
+from dogwoodtack.placement import Instance
+from lab.virtual import VirtualLoop
+
+INSTANCE = Instance("i-1", "jobs", Address("10.0.0.1", 80), "a", 2, False, 0.0, 7)
+REFUSED = OSError(errno.ECONNREFUSED, "refused")
+
+
+class Connections:
+    """Stands in for ConnectAttempt, with the outcomes that a test chooses."""
+
+    def __init__(self, exc):
+        self.exc = exc
+
+    def __call__(self, reactor, address, timeout_s, on_done):
+        sock = mock.Mock(spec=socket.socket) if self.exc is None else None
+        reactor.call_later(0.001, on_done, sock, self.exc)
+
+
+class CrashMonitorTest(unittest.TestCase):
+    def setUp(self):
+        self.loop = VirtualLoop()
+        self.placer = mock.Mock()
+        self.placer.registry.get.return_value = INSTANCE
+        self.placer.notices.is_leaving.return_value = False
+        self.paths = mock.Mock(is_cut_off=False)
+        self.paths.when_settled.side_effect = lambda fn: fn()
+        self.monitor = CrashMonitor(self.loop, self.placer, self.paths)
+
+    def check(self, exc=REFUSED, sent_before_s=0.1):
+        sent_at = self.loop.clock.now - sent_before_s
+        done = mock.Mock()
+        path = "dogwoodtack.entry.crashes.ConnectAttempt"
+        with mock.patch(path, Connections(exc)):
+            self.monitor.check(CutRequest("id", "digest", INSTANCE, sent_at), done)
+            self.loop.run_for(0.01)
+        done.assert_called_once_with()
+        return self.monitor.crashes
+
+    def test_refused_connection_shows_a_crash(self):
+        self.assertEqual(self.check(), 1)
+
+    @params(
+        ("accepted", None),
+        ("no response", OSError(errno.ETIMEDOUT, "timed out")),
+    )
+    def test_other_outcomes_of_connecting(self, _, exc):
+        self.assertEqual(self.check(exc), 0)
+
+    def test_host_without_paths_cannot_tell(self):
+        self.paths.is_cut_off = True
+        self.assertEqual(self.check(), 0)
+
+    @params(
+        ("gone", None, False),
+        ("draining", INSTANCE._replace(is_draining=True), False),
+        ("leaving", INSTANCE, True),
+    )
+    def test_planned_end_is_no_crash(self, _, known, is_leaving):
+        self.placer.registry.get.return_value = known
+        self.placer.notices.is_leaving.return_value = is_leaving
+        self.assertEqual(self.check(), 0)
+
+    def test_request_sent_after_the_end_is_not_counted(self):
+        self.check()
+        self.assertEqual(self.check(sent_before_s=0.005), 1)
+        self.assertEqual(self.check(sent_before_s=0.2), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -253,6 +253,7 @@
             host_pool=FakePool(world, self, world.serve_at_host),
             buffers=ResponseBuffers(),
             paths=self.paths,
+            crashes=mock.Mock(),
             header_names=HEADERS,
             notices=NoticeReader(HEADERS, lambda: 300.0, clock.monotonic),
             evidence=Evidence(clock, self.placer, self.paths, idle_limit),
--- /dev/null
+++ b/dogwoodtack/quarantine/__init__.py
@@ -0,0 +1,5 @@
+"""Requests that crash the instances that run them."""
+
+from .digest import request_digest
+
+__all__ = ["request_digest"]
--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections import Counter
+from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
@@ -341,6 +342,8 @@
         pauses: what it asked for in responses with `retry_after`.
         noticed_at: monotonic time of the first response with each header in which it
             says something about itself.
+        lethal_targets: requests for these crash it when it has run them.
+        on_crash: called when it has crashed.
         closed_by_caller: endless responses that the caller has closed.
     """
 
@@ -352,6 +355,8 @@
         self.is_leaving = False
         self.retry_after: str | None = None
         self.noticed_at: dict[str, float] = {}
+        self.lethal_targets: set[str] = set()
+        self.on_crash: Callable[[], None] = lambda: None
         self.closed_by_caller = 0
         self.ran: list[ExecutedRequest] = []
         self._sequence = 0
@@ -443,6 +448,10 @@
             return
         instance.ran.append(ExecutedRequest(request_id, self.command, self.path, body))
         time.sleep(instance.delay_s)
+        if self.path in instance.lethal_targets:
+            self.close_connection = True
+            instance.on_crash()
+            return
         self._respond(instance, request_id, body)
 
     do_GET = do_POST = _handle_request
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -40,14 +40,27 @@
         threading.Thread(target=self._accept, daemon=True).start()
 
     def close(self) -> None:
-        """Stop accepting connections."""
+        """Refuse connections and reset those that are open."""
         self._is_open = False
+        try:
+            # Without it the thread that accepts would keep the port open.
+            self._listener.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # It was closed before.
+            return
         self._listener.close()
 
+    def reopen(self) -> None:
+        """Accept connections again on the same address."""
+        self._listener = socket.create_server(self.address, backlog=128)
+        self._is_open = True
+        threading.Thread(target=self._accept, daemon=True).start()
+
     def _accept(self) -> None:
+        listener = self._listener
         while self._is_open:
             try:
-                client, _ = self._listener.accept()
+                client, _ = listener.accept()
             except OSError:
                 return
             threading.Thread(
@@ -77,7 +90,7 @@
         """Forward bytes in one direction until either side closes or RESET is set."""
         buffer = b""
         try:
-            while self.fault is not Fault.RESET:
+            while self.fault is not Fault.RESET and self._is_open:
                 try:
                     data = source.recv(READ_BYTES)
                 except TimeoutError:
--- a/soak/site.py
+++ b/soak/site.py
@@ -1,5 +1,6 @@
 """The processes of a soak: a store, instances behind proxies, and entry hosts."""
 
+import functools
 import json
 import os
 import signal
@@ -8,7 +9,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -28,6 +29,8 @@
 WORK_S = 0.04
 READY = "event=readiness ready=True"
 READY_TIMEOUT_S = 20.0
+# An instance that has crashed starts again after this time.
+RESTART_S = 1.5
 # Instances and the operator write again this long after the store has come back from a
 # copy; two seconds are allowed.
 REWRITE_S = 1.5
@@ -40,6 +43,8 @@
     Attributes:
         drained_at: monotonic time at which the store accepted its drain.
         is_gone: whether its entry was removed.
+        crashed_at: monotonic times of its crashes.
+        born_ms: its last start in Unix milliseconds.
     """
 
     def __init__(self, name: str) -> None:
@@ -47,10 +52,36 @@
         self.proxy = FaultProxy(self.backend.address)
         self.drained_at: float | None = None
         self.is_gone = False
+        self.crashed_at: list[float] = []
+        self.born_ms = int(time.time() * 1000)
+        self._lock = threading.Lock()
+        self._is_down = False
+
+    def crash(self, on_restart: Callable[["SiteInstance"], None]) -> None:
+        """Cut all connections and refuse new ones, and start again later.
+
+        Args:
+            on_restart: called with this instance when it accepts connections again.
+        """
+        with self._lock:
+            if self._is_down:
+                return
+            self._is_down = True
+        self.crashed_at.append(time.monotonic())
+        self.proxy.close()
+        timer = threading.Timer(RESTART_S, self._restart, (on_restart,))
+        timer.daemon = True
+        timer.start()
+
+    def _restart(self, on_restart: Callable[["SiteInstance"], None]) -> None:
+        self.born_ms = int(time.time() * 1000)
+        self.proxy.reopen()
+        self._is_down = False
+        on_restart(self)
 
     def directory_entry(self, state: str) -> dict[str, Any]:
         """Return its entry in the service directory, with the proxy's address."""
-        entry = self.backend.directory_entry(SERVICE, state)
+        entry = self.backend.directory_entry(SERVICE, state, self.born_ms)
         entry["spec"]["address"] = str(self.proxy.address)
         return entry
 
@@ -176,6 +207,7 @@
 
     Attributes:
         store_proxies: for each host, the proxy between it and the store.
+        lethal_targets: requests for these crash the instances that run them.
     """
 
     def __init__(
@@ -192,6 +224,7 @@
         # Held while the store is away, when nothing can be written.
         self._write_lock = threading.RLock()
         self.version = 1
+        self.lethal_targets: set[str] = set()
         self.instances: list[SiteInstance] = []
         for _ in range(instances):
             self.add_instance()
@@ -241,11 +274,18 @@
     def add_instance(self) -> SiteInstance:
         """Start an instance, add it to the service directory and return it."""
         one = SiteInstance(f"i-{len(self.instances)}")
+        one.backend.lethal_targets = self.lethal_targets
+        one.backend.on_crash = functools.partial(one.crash, self._on_restart)
         with self._write_lock:
             self.instances.append(one)
             self._write_entry(one)
         return one
 
+    def _on_restart(self, one: SiteInstance) -> None:
+        with self._write_lock:
+            if not one.is_gone:
+                self._write_entry(one)
+
     def _write_entry(self, one: SiteInstance) -> None:
         state = "ready" if one.drained_at is None else "draining"
         self.store.put("servers", one.backend.name, **one.directory_entry(state))
