--- /dev/null
+++ b/tests/test_crashing_request.py
@@ -0,0 +1,129 @@
+"""Entry hosts before a request that crashes each instance that runs it."""
+
+import http.client
+import itertools
+import threading
+import time
+import unittest
+
+from nose2.tools import params
+
+from soak.callers import Caller
+from soak.site import HOST, Site
+
+# The users' bounds: so many instances may crash, and so many sends may follow when
+# this time has passed after the last of these crashes.
+CRASHES = 3
+STABLE_S = 3.0
+LATE_SENDS = 3
+TRAFFIC_S = 12.0
+CALLERS = 6
+INTERVAL_S = 0.25
+LETHAL = "/look/lethal"
+POPULAR = "/look/popular"
+# A rejection needs no instance.
+PROMPT_S = 0.5
+
+
+class Repeater(threading.Thread):
+    """Sends the same request again and again, to one host after another."""
+
+    def __init__(self, site, method, target, prefix):
+        super().__init__(daemon=True)
+        self._site = site
+        self._method = method
+        self._target = target
+        self._prefix = prefix
+        self.is_stopping = False
+        # Time, status and duration by request id.
+        self.results = {}
+
+    def run(self):
+        hosts = itertools.cycle(self._site.hosts)
+        while not self.is_stopping:
+            self._send(next(hosts), f"{self._prefix}{len(self.results):012x}")
+            time.sleep(INTERVAL_S)
+
+    def _send(self, host, request_id):
+        headers = {
+            "Host": HOST,
+            "X-Dogwoodtack-Request-Id": request_id,
+            "X-Dogwoodtack-Deadline-Ms": "3000",
+        }
+        body = b"lethal" if self._method == "POST" else None
+        conn = http.client.HTTPConnection("127.0.0.1", host.port, timeout=4.0)
+        sent_at, status = time.monotonic(), 0
+        try:
+            conn.request(self._method, self._target, body, headers)
+            status = conn.getresponse().status
+        except (OSError, http.client.HTTPException):
+            # The host is down.
+            pass
+        finally:
+            conn.close()
+        self.results[request_id] = sent_at, status, time.monotonic() - sent_at
+
+    def stop(self):
+        self.is_stopping = True
+        self.join(10.0)
+
+
+class CrashingRequestTest(unittest.TestCase):
+    def make_site(self, zones=("zone-a",)):
+        site = Site(hosts=3, instances=5, zones=zones)
+        self.addCleanup(site.close)
+        site.wait_ready()
+        return site
+
+    def run_traffic(self, site, *repeaters):
+        callers = [Caller(site, 1, number) for number in range(CALLERS)]
+        for thread in (*callers, *repeaters):
+            thread.start()
+        time.sleep(TRAFFIC_S)
+        for repeater in repeaters:
+            repeater.stop()
+        for caller in callers:
+            caller.is_stopping = True
+        for caller in callers:
+            caller.join(10.0)
+        return [call for caller in callers for call in caller.calls]
+
+    @params(
+        ("GET", LETHAL, ("zone-a",)),
+        ("POST", "/book/lethal", ("zone-a",)),
+        ("GET", LETHAL, ("zone-a", "zone-b", "zone-c")),
+    )
+    def test_request_that_crashes_instances_is_soon_sent_to_none(
+        self, method, target, zones
+    ):
+        site = self.make_site(zones)
+        site.lethal_targets.add(target)
+        lethal = Repeater(site, method, target, "dead")
+        popular = Repeater(site, "GET", POPULAR, "cafe")
+        calls = self.run_traffic(site, lethal, popular)
+        crashes = sorted(at for one in site.instances for at in one.crashed_at)
+        self.assertGreaterEqual(len(crashes), CRASHES)
+        since = crashes[CRASHES - 1] + STABLE_S
+        late = [
+            arrival.at
+            for one in site.instances
+            for arrival in one.backend.arrivals
+            if arrival.request_id in lethal.results and arrival.at > since
+        ]
+        self.assertLessEqual(len(late), LATE_SENDS)
+        rejected = [one for one in lethal.results.values() if one[0] > since]
+        self.assertGreater(len(rejected), 5)
+        for _, status, spent_s in rejected:
+            self.assertEqual(status, 503)
+            self.assertLess(spent_s, PROMPT_S)
+        # The others are served, also those that were under way at each crash.
+        for group in (
+            [call.status for call in calls if call.sent_at > since],
+            [status for at, status, _ in popular.results.values() if at > since],
+        ):
+            served = sum(1 for status in group if status == 200)
+            self.assertGreater(served, 0.95 * len(group))
+
+
+if __name__ == "__main__":
+    unittest.main()
