Hold back a request under which three instances have crashed

Cause: a host charged a cut attempt to the instance alone, sent the request to the next one and took its next copy like any other; nothing on any host was known about a request. Class: a failure has two parties, and only one was ever suspected.

Evidence: the instances ended in pairs, on the first attempt and the retry of one idempotent request each; with the new log lines of the crashes in tests/test_crashing_request.py have one digest in common. Ruled out: instances that end by themselves (others of the same second live on); a memory of each host (the requests come to ten hosts, each too few).

Change: a crash, shown by a cut attempt and a refused connection, counts against each request under way there, by a digest. Hosts tell each other of crashes. From two on the request is neither retried nor hedged, from three on it is sent to no instance; a success clears it.

Why it works: the request never succeeds, so its crashes add up wherever it comes; innocent ones succeed in between.

--- a/dogwoodtack/entry/attempt.py
+++ b/dogwoodtack/entry/attempt.py
@@ -19,7 +19,13 @@
 from .notices import NoticeReader
 from .wire import HeaderNames
 
-__all__ = ["Attempt", "AttemptResult", "AttemptTarget", "OutgoingRequest"]
+__all__ = [
+    "SUCCESS_STATUSES",
+    "Attempt",
+    "AttemptResult",
+    "AttemptTarget",
+    "OutgoingRequest",
+]
 
 HTTP_MISDIRECTED = 421
 HTTP_SERVER_ERROR = 500
--- a/dogwoodtack/entry/crashes.py
+++ b/dogwoodtack/entry/crashes.py
@@ -8,6 +8,7 @@
 
 from ..logs import log_event
 from ..placement import Instance, Placer
+from ..quarantine import Quarantine
 from ..reactor import ConnectAttempt, Reactor
 from .paths import PathMonitor
 
@@ -44,12 +45,23 @@
         reactor: connects to the instances.
         placer: knows which instances drain or leave.
         paths: tells whether this host reaches any instances.
+        quarantine: records the crashes.
+        on_crash: called after each crash, for other hosts to be told.
     """
 
-    def __init__(self, reactor: Reactor, placer: Placer, paths: PathMonitor) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        placer: Placer,
+        paths: PathMonitor,
+        quarantine: Quarantine,
+        on_crash: Callable[[], None],
+    ) -> None:
         self._reactor = reactor
         self._placer = placer
         self._paths = paths
+        self._quarantine = quarantine
+        self._on_crash = on_crash
         # When the first request was cut at each instance that has crashed.
         self._ended_at: dict[tuple[str, int], float] = {}
         self.crashes = 0
@@ -75,9 +87,11 @@
     ) -> None:
         if sock is not None:
             sock.close()
-        self._paths.on_connect(cut.instance, sock is not None)
+            self._paths.on_connect(cut.instance, True)
         is_refused = exc is not None and exc.errno == errno.ECONNREFUSED
-        # A host whose own paths are lost can't tell.
+        if is_refused:
+            # A host whose own paths are lost can't tell.
+            self._paths.check()
         self._paths.when_settled(
             functools.partial(self._conclude, cut, cut_at, is_refused, on_done)
         )
@@ -116,3 +130,14 @@
         log_event(
             "instance-crashed", instance=instance.id, request=cut.id, digest=cut.digest
         )
+        now = self._reactor.clock.monotonic()
+        if self._quarantine.on_crash(
+            cut.digest, f"{instance.id}/{instance.born_ms}", now
+        ):
+            log_event(
+                "request-quarantined",
+                digest=cut.digest,
+                crashes=self._quarantine.crashes(cut.digest, now),
+                request=cut.id,
+            )
+        self._on_crash()
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -23,10 +23,16 @@
     SelectionMode,
     next_action,
 )
-from ..quarantine import request_digest
+from ..quarantine import Quarantine, request_digest
 from ..reactor import Reactor, Timer
 from ..routing import Route, TrafficSplitter
-from .attempt import Attempt, AttemptResult, AttemptTarget, OutgoingRequest
+from .attempt import (
+    SUCCESS_STATUSES,
+    Attempt,
+    AttemptResult,
+    AttemptTarget,
+    OutgoingRequest,
+)
 from .buffers import ResponseBuffers
 from .crashes import CrashMonitor, CutRequest
 from .evidence import Evidence
@@ -92,6 +98,7 @@
         buffers: memory of the responses that are being received.
         paths: whether this host reaches the instances.
         crashes: finds out which instances have crashed.
+        quarantine: the requests that are sent to no instance, as they crash them.
         header_names: header names on the wire.
         notices: reads what responses say about their instances.
         evidence: records what attempts show of their instances.
@@ -112,6 +119,7 @@
     buffers: ResponseBuffers
     paths: PathMonitor
     crashes: CrashMonitor
+    quarantine: Quarantine
     header_names: HeaderNames
     notices: NoticeReader
     evidence: Evidence
@@ -161,6 +169,8 @@
         self._deadline = 0.0
         self._queued_request: QueuedRequest | None = None
         self._in_flight: dict[Attempt, list[Timer]] = {}
+        # Attempts that were cut, while it is found out whether the instance crashed.
+        self._pending_checks = 0
         self._attempt_records: list[AttemptRecord] = []
         self._tried_instances: set[str] = set()
         self._tried_hosts: set[str] = set()
@@ -269,7 +279,7 @@
             self._place_or_hand_over()
 
     def _place_or_hand_over(self) -> None:
-        if self.is_done or self._hand_over():
+        if self.is_done or self._reject_quarantined() or self._hand_over():
             return
         is_cut_off = self._deps.paths.is_cut_off
         if is_cut_off and (self._is_handed_over or self._tried_hosts):
@@ -282,11 +292,28 @@
         request = self._placement_request(self._on_placement)
         self._queued_request = self._deps.placer.place(request, self._now())
 
+    def _reject_quarantined(self) -> bool:
+        """End a request that is sent to no instance; return whether it is."""
+        quarantine, now = self._deps.quarantine, self._now()
+        if not quarantine.is_quarantined(self._digest, now):
+            return False
+        self._detail = f"digest {self._digest}"
+        if self._best_result is not None:
+            self._respond_to_failure(self._best_result)
+        elif not self._in_flight:
+            self._send_error(
+                ErrorKind.QUARANTINED, quarantine.time_left_s(self._digest, now)
+            )
+        return True
+
     def _on_placement(self, placed: Instance | Rejection) -> None:
         self._queued_request = None
         if isinstance(placed, Rejection):
             self._on_placement_rejected(placed)
             return
+        if not self.is_done and self._reject_quarantined():
+            self._deps.placer.release(placed.id)
+            return
         if self.is_done or self._now() >= self._deadline - MIN_ATTEMPT_S:
             self._deps.placer.release(placed.id)
             if not self.is_done and not self._in_flight:
@@ -413,6 +440,7 @@
         if (
             self.is_done
             or len(self._in_flight) != 1
+            or self._pending_checks
             or self._queued_request is not None
         ):
             return
@@ -420,6 +448,7 @@
         now = self._now()
         if (
             not route.kind.is_idempotent
+            or self._deps.quarantine.is_suspect(self._digest, now)
             or self._sent_or_in_flight() >= self._max_attempts
             or now >= self._deadline - MIN_ATTEMPT_S
         ):
@@ -453,16 +482,36 @@
         )
         self._close_attempt(attempt, result.outcome)
         self._record_attempt(attempt, result)
-        self._check_crash(attempt, result)
-        if self.is_done:
-            return
-        is_idempotent = self._route.kind.is_idempotent
         if result.bytes_sent:
             self._sent_attempts += attempt.target.max_runs
         if result.outcome not in NOT_RUN_OUTCOMES:
             self._runs += attempt.target.max_runs
         self._best_result = self._more_informative(result)
-        if self._in_flight and result.outcome is not AttemptOutcome.ANSWERED:
+        instance = attempt.target.instance
+        if instance is None or result.outcome is not AttemptOutcome.CUT:
+            self._continue(result)
+            return
+        request_id = self._request_id.decode("latin-1")
+        cut = CutRequest(request_id, self._digest, instance, attempt.started_at)
+        if self._route.kind.is_idempotent and self._has_attempts_left():
+            # Whether it is retried depends on whether the instance has crashed.
+            self._pending_checks += 1
+            self._deps.crashes.check(cut, functools.partial(self._on_checked, result))
+        else:
+            self._deps.crashes.check(cut)
+            self._continue(result)
+
+    def _on_checked(self, result: AttemptResult) -> None:
+        self._pending_checks -= 1
+        self._continue(result)
+
+    def _continue(self, result: AttemptResult) -> None:
+        """Retry or respond after an attempt, unless others are still under way."""
+        if self.is_done:
+            return
+        is_idempotent = self._route.kind.is_idempotent
+        is_other_pending = self._in_flight or self._pending_checks
+        if is_other_pending and result.outcome is not AttemptOutcome.ANSWERED:
             return
         if self._is_caller_gone and result.outcome in NOT_RUN_OUTCOMES:
             self._close("caller-gone", CALLER_GONE_STATUS)
@@ -475,32 +524,31 @@
             action, result if action is NextAction.FORWARD else self._best_result
         )
 
-    def _check_crash(self, attempt: Attempt, result: AttemptResult) -> None:
-        """Find out whether the instance has crashed if it cut the attempt."""
-        instance = attempt.target.instance
-        if result.outcome is not AttemptOutcome.CUT or instance is None:
-            return
-        request_id = self._request_id.decode("latin-1")
-        self._deps.crashes.check(
-            CutRequest(request_id, self._digest, instance, attempt.started_at)
-        )
-
     def _more_informative(self, result: AttemptResult) -> AttemptResult:
         """Return the result to report: the latest with a response, else the latest."""
         if self._best_result is None or result.head is not None:
             return result
         return self._best_result if self._best_result.head is not None else result
 
+    def _has_attempts_left(self) -> bool:
+        """Return whether one more instance may get the request.
+
+        It may not if it seems to crash instances and may have run already.
+        """
+        is_suspect = self._deps.quarantine.is_suspect(self._digest, self._now())
+        return (
+            self._runs < self._max_attempts
+            and len(self._attempt_records) < MAX_ATTEMPTS
+            and not (is_suspect and self._may_have_run)
+        )
+
     def _attempt_context(
         self, result: AttemptResult, is_idempotent: bool
     ) -> AttemptContext:
         placer = self._deps.placer
         now = self._now()
         service_time_s = placer.service_time_s(self._service)
-        has_attempts_left = (
-            self._runs < self._max_attempts
-            and len(self._attempt_records) < MAX_ATTEMPTS
-        )
+        has_attempts_left = self._has_attempts_left()
         may_retry = is_idempotent or not self._may_have_run
         has_time = now + service_time_s / 2 < self._deadline
         has_retry_budget = True
@@ -560,6 +608,8 @@
             return
         if result.outcome is AttemptOutcome.ANSWERED:
             self._deps.placer.record_service_time(self._service, spent_s)
+            if result.head.status in SUCCESS_STATUSES:
+                self._deps.quarantine.on_success(self._digest, now)
             known = self._deps.response_kb.get(self._route.name, 1.0)
             size_kb = len(result.body) / 1000
             self._deps.response_kb[self._route.name] = known + 0.1 * (size_kb - known)
--- a/dogwoodtack/entry/explain.py
+++ b/dogwoodtack/entry/explain.py
@@ -12,6 +12,7 @@
 CAUSE_BY_REASON = {
     "cut-off": "The host had no configuration yet; nothing was sent.",
     "overloaded": "No slot would have been free in time; nothing was sent.",
+    "quarantined": "Instances had crashed under this request; nothing was sent.",
     "deadline-passed": "The deadline passed before an instance was free.",
     "no-route": "The configuration in force has no route for this host and path.",
     "backend-shed": "Every instance that was tried rejected the request unexecuted.",
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -18,6 +18,7 @@
 from ..logs import LineSink, log_event
 from ..misc import Address
 from ..placement import InstanceChange, InstanceRegistry, Placer
+from ..quarantine import Quarantine
 from ..reactor import Reactor
 from ..routing import CallerLimits, Configuration, Route, RouteTable, TrafficSplitter
 from .buffers import ResponseBuffers
@@ -125,6 +126,7 @@
         )
         self.registry = InstanceRegistry()
         self.placer = Placer(self.registry, cfg.zone, self.rng, cfg.bounds.retries)
+        self.quarantine = Quarantine()
         self.peer_table = PeerTable(self.local_host)
         events = FeedCallbacks(
             self._on_configuration,
@@ -145,6 +147,7 @@
             self.reactor,
             self.peer_table,
             self.placer,
+            self.quarantine,
             self.feed.sync_status,
             self.feed.on_heartbeat,
         )
@@ -164,7 +167,13 @@
         self.paths = PathMonitor(
             self.reactor, self.registry, self.rng, self._on_paths_changed
         )
-        self.crashes = CrashMonitor(self.reactor, self.placer, self.paths)
+        self.crashes = CrashMonitor(
+            self.reactor,
+            self.placer,
+            self.paths,
+            self.quarantine,
+            self.fleet.report_crash,
+        )
         idle_limit = IdleLimit()
         deps = ExchangeDependencies(
             reactor=self.reactor,
@@ -175,6 +184,7 @@
             buffers=self.buffers,
             paths=self.paths,
             crashes=self.crashes,
+            quarantine=self.quarantine,
             header_names=self._adapter.header_names,
             notices=NoticeReader(
                 self._adapter.header_names, lambda: self.settings.bounds.max_pause_s
@@ -305,6 +315,7 @@
             "instance_paths_lost": float(self.paths.is_cut_off),
             "instances_unreached": self.paths.unreached,
             "requests_cut_by_crashes": self.crashes.crashes,
+            "quarantined_requests": self.quarantine.count(now),
             "rate_limited_instances": self.placer.rate_limits.count(now),
             "paused_instances": self.placer.paused_count(now),
             "leaving_instances": len(self.placer.leaving()),
--- a/dogwoodtack/entry/replies.py
+++ b/dogwoodtack/entry/replies.py
@@ -12,6 +12,7 @@
 STATUS_BY_KIND = {
     ErrorKind.OVERLOADED: 503,
     ErrorKind.NO_INSTANCE: 503,
+    ErrorKind.QUARANTINED: 503,
     ErrorKind.CUT_OFF: 503,
     ErrorKind.BACKEND_SHED: 503,
     ErrorKind.BACKEND_REFUSED: 503,
--- a/dogwoodtack/entry/tests/test_crashes.py
+++ b/dogwoodtack/entry/tests/test_crashes.py
@@ -35,7 +35,12 @@
         self.placer.notices.is_leaving.return_value = False
         self.paths = mock.Mock(is_cut_off=False)
         self.paths.when_settled.side_effect = lambda fn: fn()
-        self.monitor = CrashMonitor(self.loop, self.placer, self.paths)
+        self.quarantine = mock.Mock()
+        self.quarantine.on_crash.return_value = False
+        self.on_crash = mock.Mock()
+        self.monitor = CrashMonitor(
+            self.loop, self.placer, self.paths, self.quarantine, self.on_crash
+        )
 
     def check(self, exc=REFUSED, sent_before_s=0.1):
         sent_at = self.loop.clock.now - sent_before_s
@@ -49,6 +54,10 @@
 
     def test_refused_connection_shows_a_crash(self):
         self.assertEqual(self.check(), 1)
+        self.quarantine.on_crash.assert_called_once_with(
+            "digest", "i-1/7", self.loop.clock.now - 0.009
+        )
+        self.on_crash.assert_called_once_with()
 
     @params(
         ("accepted", None),
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -22,6 +22,7 @@
     make_instance,
 )
 from dogwoodtack.platform.headers import HEADERS
+from dogwoodtack.quarantine import Quarantine
 from dogwoodtack.routing import Route, RouteKind, TrafficSplitter, WeightedService
 from lab.virtual import VirtualLoop
 
@@ -69,6 +70,16 @@
         self._world.call_sometimes_later(0.2, fn)
 
 
+class FakeCrashes:
+    """Finds no crash, at times after a while."""
+
+    def __init__(self, world):
+        self._world = world
+
+    def check(self, cut, on_done=lambda: None):
+        self._world.call_sometimes_later(0.2, on_done)
+
+
 class FakePool:
     """Connections whose ends are in the same process."""
 
@@ -253,7 +264,8 @@
             host_pool=FakePool(world, self, world.serve_at_host),
             buffers=ResponseBuffers(),
             paths=self.paths,
-            crashes=mock.Mock(),
+            crashes=FakeCrashes(world),
+            quarantine=Quarantine(),
             header_names=HEADERS,
             notices=NoticeReader(HEADERS, lambda: 300.0, clock.monotonic),
             evidence=Evidence(clock, self.placer, self.paths, idle_limit),
--- a/dogwoodtack/errors.py
+++ b/dogwoodtack/errors.py
@@ -51,6 +51,7 @@
     KEY_ANSWER_LOST = "key-answer-lost"
     OWNER_UNREACHABLE = "owner-unreachable"
     OVERLOADED = "overloaded"
+    QUARANTINED = "quarantined"
     NO_INSTANCE = "no-instance"
     DRAINING = "draining"
     CUT_OFF = "cut-off"
@@ -132,6 +133,9 @@
         504, _UNKNOWN, 5, "The entry host that owns this key cannot be asked."
     ),
     ErrorKind.OVERLOADED: Answer(503, _NOT_RUN, 1, "The service is at its limit."),
+    ErrorKind.QUARANTINED: Answer(
+        503, _NOT_RUN, None, "Back ends crashed while they ran this request."
+    ),
     ErrorKind.NO_INSTANCE: Answer(
         503, _NOT_RUN, 1, "No back end can take the request."
     ),
--- a/dogwoodtack/fleet/fleet.py
+++ b/dogwoodtack/fleet/fleet.py
@@ -7,6 +7,7 @@
 from ..misc import Address
 from ..placement import Observation, Placer
 from ..position import START_POSITION, StorePosition
+from ..quarantine import CrashReport, Quarantine
 from ..reactor import Reactor
 from .datagrams import Datagrams
 from .gateways import ZoneGateways
@@ -47,6 +48,7 @@
         reactor: runs timers and socket callbacks.
         peer_table: the known hosts; updated by received heartbeats.
         placer: receives load and health of instances as reported by other hosts.
+        quarantine: receives what other hosts report of requests that crash instances.
         get_sync_status: returns what the local host's heartbeats announce.
         on_heartbeat: called with each heartbeat of a host in the local zone.
     """
@@ -56,15 +58,18 @@
         reactor: Reactor,
         peer_table: PeerTable,
         placer: Placer,
+        quarantine: Quarantine,
         get_sync_status: GetSyncStatus,
         on_heartbeat: Callable[[Heartbeat], None],
     ) -> None:
         self._reactor = reactor
         self._peer_table = peer_table
         self._placer = placer
+        self._quarantine = quarantine
         self._get_sync_status = get_sync_status
         self._on_heartbeat = on_heartbeat
         self._batch = ReportBatch()
+        self._is_crash_report_due = False
         self._handovers = 0
         self._zone_reports = 0
         self._gateways = ZoneGateways(peer_table.local_host.zone)
@@ -127,6 +132,7 @@
 
     def _local_heartbeat(self) -> Heartbeat:
         version, position, age_s = self._get_sync_status()
+        now = self._reactor.clock.monotonic()
         return Heartbeat(
             self._peer_table.local_host,
             self._peer_table.is_ready,
@@ -135,9 +141,10 @@
             age_s,
             self._heartbeat_interval_s(),
             dict(self._placer.occupancy.own),
-            self._placer.rate_limits.reports(self._reactor.clock.monotonic()),
+            self._placer.rate_limits.reports(now),
             self._peer_table.reaches_instances,
             self._placer.leaving(),
+            self._quarantine.reports(now),
         )
 
     def _run_heartbeat(self) -> None:
@@ -176,6 +183,7 @@
             return
         now = self._reactor.clock.monotonic()
         local_host = self._peer_table.local_host
+        hosts = self._reported_hosts()
         report = ZoneReport(
             local_host.zone,
             local_host.peer_address,
@@ -183,8 +191,9 @@
             self._placer.unhealthy_percentages(now),
             is_forwarded=False,
             rate_limits=self._placer.rate_limits.reports(now),
-            hosts=self._reported_hosts(),
+            hosts=hosts,
             leaving=self._placer.leaving(),
+            crash_reports=self._quarantine.reports(now, only_news=hosts is None),
         )
         self._datagrams.send(
             report, self._gateways.addresses(self._peer_table.known_hosts(), now)
@@ -206,6 +215,16 @@
         peers = [host.peer_address for host in self._zone_hosts()]
         self._datagrams.send(self._local_heartbeat(), peers)
 
+    def report_crash(self) -> None:
+        """Tell the zone's hosts at once what instances have crashed under."""
+        if not self._is_crash_report_due:
+            self._is_crash_report_due = True
+            self._reactor.call_later(REPORT_DELAY_S, self._send_crash_report)
+
+    def _send_crash_report(self) -> None:
+        self._is_crash_report_due = False
+        self.send_heartbeat()
+
     def _zone_hosts(self) -> list[HostRecord]:
         zone = self._peer_table.local_host.zone
         return [host for host in self._peer_table.known_hosts() if host.zone == zone]
@@ -303,12 +322,24 @@
                     "instance-leaving", instance=instance_id, reported_by=reported_by
                 )
 
+    def _apply_crash_reports(
+        self, reports: tuple[CrashReport, ...], reported_by: str, now: float
+    ) -> None:
+        for digest in self._quarantine.on_reports(reports, now):
+            log_event(
+                "request-quarantined",
+                digest=digest,
+                crashes=self._quarantine.crashes(digest, now),
+                reported_by=reported_by,
+            )
+
     @_handle.register
     def _(self, report: ZoneReport, now: float) -> None:
         self._placer.apply_zone_report(
             report.zone, report.in_flight, report.unhealthy_percent, now
         )
         self._apply_notices(None, report, now)
+        self._apply_crash_reports(report.crash_reports, report.zone, now)
         if report.hosts is not None:
             self._peer_table.on_zone_hosts(report.zone, report.hosts, now)
         if report.is_forwarded:
@@ -339,4 +370,5 @@
             heartbeat.host.name, heartbeat.in_flight, now
         )
         self._apply_notices(heartbeat.host.name, heartbeat, now)
+        self._apply_crash_reports(heartbeat.crash_reports, heartbeat.host.name, now)
         self._on_heartbeat(heartbeat)
--- a/dogwoodtack/fleet/records.py
+++ b/dogwoodtack/fleet/records.py
@@ -9,6 +9,7 @@
 from ..misc import Address, parse_address
 from ..placement import Observation, RateLimitReport
 from ..position import StorePosition, decode_position
+from ..quarantine import CrashReport, crash_reports_from_json, crash_reports_to_json
 
 __all__ = [
     "Heartbeat",
@@ -65,6 +66,7 @@
         reaches_instances: whether the sender has paths to the instances.
         leaving: instances that have said that they leave, with their start times in
             Unix milliseconds.
+        crash_reports: what the sender knows of requests that crash instances.
     """
 
     host: HostRecord
@@ -77,6 +79,7 @@
     rate_limits: list[RateLimitReport]
     reaches_instances: bool
     leaving: dict[str, int]
+    crash_reports: tuple[CrashReport, ...] = ()
 
 
 class InstanceReport(NamedTuple):
@@ -149,6 +152,7 @@
         rate_limits: what the zone knows of instances' rate limits.
         hosts: the zone's serving hosts; None in most reports.
         leaving: instances that have said that they leave, with their start times.
+        crash_reports: what the zone knows of requests that crash instances.
     """
 
     zone: str
@@ -159,6 +163,7 @@
     rate_limits: list[RateLimitReport]
     hosts: ZoneHosts | None
     leaving: dict[str, int]
+    crash_reports: tuple[CrashReport, ...] = ()
 
 
 Message = Heartbeat | PeerReport | ZoneReport
@@ -219,7 +224,7 @@
         "next": message.interval_s,
         "load": message.in_flight,
         "paths": message.reaches_instances,
-    } | _notice_fields(message)
+    } | (_notice_fields(message) | _crash_fields(message.crash_reports))
 
 
 @_message_fields.register
@@ -230,7 +235,11 @@
         "load": message.in_flight,
         "sick": message.unhealthy_percent,
         "on": int(message.is_forwarded),
-    } | (_notice_fields(message) | _zone_hosts_fields(message.hosts))
+    } | (
+        _notice_fields(message)
+        | _zone_hosts_fields(message.hosts)
+        | _crash_fields(message.crash_reports)
+    )
 
 
 def _zone_hosts_fields(hosts: ZoneHosts | None) -> dict[str, Any]:
@@ -250,6 +259,10 @@
     return {name: value for name, value in fields.items() if value}
 
 
+def _crash_fields(reports: tuple[CrashReport, ...]) -> dict[str, Any]:
+    return {"crashes": crash_reports_to_json(reports)} if reports else {}
+
+
 def encode_message(message: Message) -> bytes:
     """Return the payload of the datagram that carries a message."""
     return json.dumps(_message_fields(message), separators=(",", ":")).encode()
@@ -300,6 +313,7 @@
         # Hosts of earlier builds do not send it.
         bool(fields.get("paths", True)),
         _decode_leaving(fields),
+        _decode_crash_reports(fields),
     )
 
 
@@ -313,6 +327,7 @@
         _decode_rate_limits(fields),
         _decode_zone_hosts(fields),
         _decode_leaving(fields),
+        _decode_crash_reports(fields),
     )
 
 
@@ -341,5 +356,10 @@
     return _decode_counts(fields.get("leaving", {}))
 
 
+def _decode_crash_reports(fields: dict[str, Any]) -> tuple[CrashReport, ...]:
+    """Return the crash reports in a message; earlier builds send none."""
+    return crash_reports_from_json(fields.get("crashes", []))
+
+
 def _decode_counts(fields: dict[str, Any]) -> dict[str, int]:
     return {str(name): int(count) for name, count in fields.items()}
--- a/dogwoodtack/fleet/tests/test_records.py
+++ b/dogwoodtack/fleet/tests/test_records.py
@@ -18,10 +18,14 @@
 from dogwoodtack.misc import Address
 from dogwoodtack.placement import Observation, RateLimitReport
 from dogwoodtack.position import StorePosition
+from dogwoodtack.quarantine import Crash, CrashReport
 
 ZONE_HOSTS = ZoneHosts(
     [ServingHost("h-1", Address("10.0.0.1", 1), Address("10.0.0.1", 2))], ["a", "b"]
 )
+CRASH_REPORTS = (
+    CrashReport("d", True, (Crash("i-1/7", 0.25, True), Crash("i-2/0", 3.0, False))),
+)
 
 
 def make_zone_report(**fields):
@@ -46,6 +50,8 @@
         (make_zone_report(in_flight={"i-1": 3}, unhealthy_percent={"i-1": 85}),),
         (make_zone_report(is_forwarded=True, hosts=ZONE_HOSTS),),
         (make_zone_report(leaving={"i-1": 0}),),
+        (make_zone_report(crash_reports=CRASH_REPORTS),),
+        (make_heartbeat(make_host("h-1"))._replace(crash_reports=CRASH_REPORTS),),
         (
             PeerReport(
                 "h-1",
--- a/dogwoodtack/quarantine/__init__.py
+++ b/dogwoodtack/quarantine/__init__.py
@@ -1,5 +1,19 @@
-"""Requests that crash the instances that run them."""
+"""Requests that crash the instances that run them, and how they are held back."""
 
 from .digest import request_digest
+from .messages import (
+    Crash,
+    CrashReport,
+    crash_reports_from_json,
+    crash_reports_to_json,
+)
+from .quarantine import Quarantine
 
-__all__ = ["request_digest"]
+__all__ = [
+    "Crash",
+    "CrashReport",
+    "Quarantine",
+    "crash_reports_from_json",
+    "crash_reports_to_json",
+    "request_digest",
+]
--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -347,8 +347,9 @@
         closed_by_caller: endless responses that the caller has closed.
     """
 
-    def __init__(self, name: str, delay_s: float = 0.0) -> None:
+    def __init__(self, name: str, delay_s: float = 0.0, zone: str = "zone-a") -> None:
         self.name = name
+        self.zone = zone
         self.delay_s = delay_s
         self.behaviour = "ok"
         self.rate_limit: float | None = None
@@ -399,7 +400,7 @@
     ) -> dict[str, Any]:
         """Return the `spec` and `status` of its next entry in the service directory."""
         self._sequence += 1
-        info = {"service": service, "version": "v1", "zone": "zone-a", "slots": 2}
+        info = {"service": service, "version": "v1", "zone": self.zone, "slots": 2}
         status = {"state": state, "sequence": self._sequence, "warmupLeftS": 0}
         spec = {"address": str(self.address), "info": info, "born": born_ms}
         return {"spec": spec, "status": status}
--- a/soak/site.py
+++ b/soak/site.py
@@ -47,8 +47,8 @@
         born_ms: its last start in Unix milliseconds.
     """
 
-    def __init__(self, name: str) -> None:
-        self.backend = InstanceStandIn(name, WORK_S)
+    def __init__(self, name: str, zone: str) -> None:
+        self.backend = InstanceStandIn(name, WORK_S, zone)
         self.proxy = FaultProxy(self.backend.address)
         self.drained_at: float | None = None
         self.is_gone = False
@@ -204,6 +204,7 @@
         checkouts: checkouts whose code the entry hosts run, assigned in rotation.
         zones: zones of the entry hosts, assigned in rotation.
         program: program that the entry hosts run.
+        instance_zones: zones of the instances, assigned in rotation.
 
     Attributes:
         store_proxies: for each host, the proxy between it and the store.
@@ -217,7 +218,9 @@
         checkouts: Sequence[Path] = (ROOT,),
         zones: Sequence[str] = ZONES,
         program: str = PROGRAM,
+        instance_zones: Sequence[str] = ZONES,
     ) -> None:
+        self._instance_zones = instance_zones
         self._folder = tempfile.TemporaryDirectory()
         folder = Path(self._folder.name)
         self.store = StoreStandIn()
@@ -273,7 +276,9 @@
 
     def add_instance(self) -> SiteInstance:
         """Start an instance, add it to the service directory and return it."""
-        one = SiteInstance(f"i-{len(self.instances)}")
+        number = len(self.instances)
+        zone = self._instance_zones[number % len(self._instance_zones)]
+        one = SiteInstance(f"i-{number}", zone)
         one.backend.lethal_targets = self.lethal_targets
         one.backend.on_crash = functools.partial(one.crash, self._on_restart)
         with self._write_lock:
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -70,7 +70,7 @@
 
 class CrashingRequestTest(unittest.TestCase):
     def make_site(self, zones=("zone-a",)):
-        site = Site(hosts=3, instances=5, zones=zones)
+        site = Site(hosts=3, instances=6, zones=zones, instance_zones=zones)
         self.addCleanup(site.close)
         site.wait_ready()
         return site
