Report to zones of which only reports are known

A zone without instances is not looked up in the store, so its hosts are unknown elsewhere: they send reports to the other zones and get none back. What callers saw: requests there reached instances that were leaving, limited or crashed under them, as other zones knew already.

A report now goes to each zone whose gateway has reported within 0.9 s, too.

tests.test_crashing_request has a case of it (three zones, instances in one): it failed before (a request that crashes instances was sent on, 502 instead of 503), as did the new test of ZoneGateways; both pass.

--- a/dogwoodtack/fleet/gateways.py
+++ b/dogwoodtack/fleet/gateways.py
@@ -41,13 +41,18 @@
         for host in known_hosts:
             if host.zone != self._zone:
                 by_zone.setdefault(host.zone, []).append(host.peer_address)
+        # A zone without instances is known only by its reports.
+        recent = {
+            zone: address
+            for zone, (address, seen_at) in self._gateways.items()
+            if now - seen_at <= GATEWAY_TIMEOUT_S
+        }
         found: list[Address] = []
-        for zone, hosts in sorted(by_zone.items()):
-            gateway = self._gateways.get(zone)
-            if gateway is not None and now - gateway[1] <= GATEWAY_TIMEOUT_S:
-                found.append(gateway[0])
+        for zone in sorted(by_zone.keys() | recent.keys()):
+            if zone in recent:
+                found.append(recent[zone])
             else:
-                found.extend(self._next_hosts(zone, sorted(hosts)))
+                found.extend(self._next_hosts(zone, sorted(by_zone[zone])))
         return found
 
     def _next_hosts(self, zone: str, hosts: list[Address]) -> list[Address]:
--- a/dogwoodtack/fleet/tests/test_records.py
+++ b/dogwoodtack/fleet/tests/test_records.py
@@ -122,3 +122,10 @@
         attempted = set(found[1:]) | set(gateways.addresses(known_hosts, 100.2)[1:])
         self.assertEqual(attempted, {host.peer_address for host in known_hosts[4:]})
         self.assertEqual(len(gateways.addresses(known_hosts, 102.0)), 4)
+
+    def test_zone_of_which_only_reports_are_known_gets_reports(self):
+        gateways = ZoneGateways("a")
+        gateway = make_host("h-1", "b").peer_address
+        gateways.on_report("b", gateway, 100.0)
+        self.assertEqual(gateways.addresses([], 100.1), [gateway])
+        self.assertEqual(gateways.addresses([], 102.0), [])
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -21,6 +21,7 @@
 INTERVAL_S = 0.25
 LETHAL = "/look/lethal"
 POPULAR = "/look/popular"
+ZONES = ("zone-a", "zone-b", "zone-c")
 # A rejection needs no instance.
 PROMPT_S = 0.5
 
@@ -69,8 +70,8 @@
 
 
 class CrashingRequestTest(unittest.TestCase):
-    def make_site(self, zones=("zone-a",)):
-        site = Site(hosts=3, instances=6, zones=zones, instance_zones=zones)
+    def make_site(self, zones, instance_zones):
+        site = Site(hosts=3, instances=6, zones=zones, instance_zones=instance_zones)
         self.addCleanup(site.close)
         site.wait_ready()
         return site
@@ -89,14 +90,15 @@
         return [call for caller in callers for call in caller.calls]
 
     @params(
-        ("GET", LETHAL, ("zone-a",)),
-        ("POST", "/book/lethal", ("zone-a",)),
-        ("GET", LETHAL, ("zone-a", "zone-b", "zone-c")),
+        ("GET", LETHAL, ZONES[:1], ZONES[:1]),
+        ("POST", "/book/lethal", ZONES[:1], ZONES[:1]),
+        ("GET", LETHAL, ZONES, ZONES),
+        ("GET", LETHAL, ZONES, ZONES[:1]),
     )
     def test_request_that_crashes_instances_is_soon_sent_to_none(
-        self, method, target, zones
+        self, method, target, zones, instance_zones
     ):
-        site = self.make_site(zones)
+        site = self.make_site(zones, instance_zones)
         site.lethal_targets.add(target)
         lethal = Repeater(site, method, target, "dead")
         popular = Repeater(site, "GET", POPULAR, "cafe")
