Remember in the store which requests are held back

Hosts keep in memory which requests crash instances.

The gateway of each zone writes what is held back to the store, one object a request, and again when more is known; a host that starts reads the list. A call a start, and few writes, as only requests with three crashes are written. A success that one host knows of is now told again to hosts that don't, since a new host may read a record from before it.

Ruled out: a read by the zone's reader alone, as nobody has told others yet when all start.

--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -22,6 +22,7 @@
 from ..reactor import Reactor
 from ..routing import CallerLimits, Configuration, Route, RouteTable, TrafficSplitter
 from .buffers import ResponseBuffers
+from .crash_records import CrashRecords
 from .crashes import CrashMonitor
 from .evidence import Evidence
 from .exchange import ExchangeDependencies
@@ -160,6 +161,10 @@
             self.rng,
         )
 
+        self.crash_records = CrashRecords(
+            self.reactor, self.source, self.fleet, self.quarantine
+        )
+
     def _build_frontend(self) -> None:
         cfg = self.settings
         self.pool = ConnectionPool(self.reactor, DIAL_TIMEOUT_S)
@@ -219,6 +224,7 @@
         signal.signal(signal.SIGHUP, self._on_sighup)
         log_event("started", callers=self.settings.callers, zone=self.settings.zone)
         self.host_records.begin()
+        self.crash_records.begin()
         self.reactor.call_later(FEED_START_TIMEOUT_S, self.feed.begin)
         self.fleet.begin()
         self._watch_settings()
@@ -243,6 +249,7 @@
 
     def _on_store_restored(self) -> None:
         self.host_records.on_store_restored()
+        self.crash_records.on_store_restored()
 
     def _on_paths_changed(self) -> None:
         """Tell the other hosts, and place again what waits."""
--- a/dogwoodtack/feed/updates.py
+++ b/dogwoodtack/feed/updates.py
@@ -1,7 +1,7 @@
 """Updates of instances and configuration, and the interface of their source."""
 
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from ..errors import StoreError
 from ..fleet import HostRecord
@@ -13,6 +13,7 @@
     "ConfigurationUpdate",
     "InstanceUpdates",
     "OnConfiguration",
+    "OnCrashRecords",
     "OnHosts",
     "OnInstances",
     "OnAnnounced",
@@ -45,14 +46,15 @@
 OnInstances = Callable[[InstanceUpdates | None, StoreError | None], None]
 OnConfiguration = Callable[[ConfigurationUpdate | None, StoreError | None], None]
 OnHosts = Callable[[list[HostRecord] | None, StoreError | None], None]
+OnCrashRecords = Callable[[list[Any] | None, StoreError | None], None]
 OnAnnounced = Callable[[StoreError | None], None]
 
 
 class Source(Protocol):
-    """Store of instances, configuration and host records.
+    """Store of instances, configuration, host records and crash records.
 
-    A callback gets the result and None, or None and the error; that of `announce`
-    gets just the error or None.
+    A callback gets the result and None, or None and the error; those of `announce` and
+    `write_crash_record` get just the error or None.
     """
 
     def observe_era(self, era: int) -> None:
@@ -85,3 +87,11 @@
 
     def announce(self, record: HostRecord, on_done: OnAnnounced) -> None:
         """Write a host's own record."""
+
+    def read_crash_records(self, on_done: OnCrashRecords) -> None:
+        """Read the records of requests that crash instances, as they were written."""
+
+    def write_crash_record(
+        self, name: str, record: dict[str, Any], on_done: OnAnnounced
+    ) -> None:
+        """Write the record of a request that crashes instances."""
--- a/dogwoodtack/platform/source.py
+++ b/dogwoodtack/platform/source.py
@@ -8,6 +8,7 @@
     InstanceUpdates,
     OnAnnounced,
     OnConfiguration,
+    OnCrashRecords,
     OnHosts,
     OnInstances,
 )
@@ -30,6 +31,8 @@
 CONFIGURATION_NAME = "main"
 # Kinds created by this program, one for each zone, with one object per entry host.
 HOSTS_KIND_PREFIX = "dogwoodtack-hosts-"
+# Another such kind, with one object per request.
+CRASHES_KIND = "dogwoodtack-crashes"
 
 
 class PlatformSource:
@@ -125,12 +128,34 @@
 
     def announce(self, record: HostRecord, on_done: OnAnnounced) -> None:
         """Write a host's record to the store, replacing an older one."""
-        spec = encode_host(record)
         kind = HOSTS_KIND_PREFIX + record.zone
+        self._write(kind, record.name, encode_host(record), on_done)
+
+    def read_crash_records(self, on_done: OnCrashRecords) -> None:
+        """Read the records of requests that crash instances, as they were written."""
+
+        def on_listing(listing: Listing | None, exc: StoreError | None) -> None:
+            if listing is None:
+                on_done(None, exc)
+                return
+            on_done([_member(item, "spec") for item in listing.items], None)
+
+        self._store.list(CRASHES_KIND, on_listing)
+
+    def write_crash_record(
+        self, name: str, record: dict[str, Any], on_done: OnAnnounced
+    ) -> None:
+        """Write the record of a request, replacing an older one."""
+        self._write(CRASHES_KIND, name, record, on_done)
+
+    def _write(
+        self, kind: str, name: str, spec: dict[str, Any], on_done: OnAnnounced
+    ) -> None:
+        """Create an object, or replace the one that exists."""
 
         def on_created(item: Any, exc: StoreError | None) -> None:
             if isinstance(exc, StoreConflict):
-                self._store.get(kind, record.name, on_read)
+                self._store.get(kind, name, on_read)
                 return
             on_done(exc)
 
@@ -138,11 +163,9 @@
             if item is None or _member(item, "spec") == spec:
                 on_done(exc)
                 return
-            self._store.replace(
-                kind, record.name, item, spec, lambda _item, exc: on_done(exc)
-            )
+            self._store.replace(kind, name, item, spec, lambda _item, exc: on_done(exc))
 
-        self._store.create(kind, record.name, spec, on_created)
+        self._store.create(kind, name, spec, on_created)
 
 
 def _member(item: Any, name: str) -> Any:
--- a/dogwoodtack/quarantine/__init__.py
+++ b/dogwoodtack/quarantine/__init__.py
@@ -4,6 +4,8 @@
 from .messages import (
     Crash,
     CrashReport,
+    crash_record_from_json,
+    crash_record_to_json,
     crash_reports_from_json,
     crash_reports_to_json,
 )
@@ -13,6 +15,8 @@
     "Crash",
     "CrashReport",
     "Quarantine",
+    "crash_record_from_json",
+    "crash_record_to_json",
     "crash_reports_from_json",
     "crash_reports_to_json",
     "request_digest",
--- a/dogwoodtack/quarantine/messages.py
+++ b/dogwoodtack/quarantine/messages.py
@@ -5,6 +5,8 @@
 __all__ = [
     "Crash",
     "CrashReport",
+    "crash_record_from_json",
+    "crash_record_to_json",
     "crash_reports_from_json",
     "crash_reports_to_json",
 ]
@@ -70,3 +72,31 @@
         )
         for digest, has_succeeded, crashes in rows
     )
+
+
+def crash_record_to_json(report: CrashReport, unix_s: float) -> dict[str, Any]:
+    """Return a report as JSON fields that hold at any later time.
+
+    Args:
+        report: what is known now.
+        unix_s: now, in Unix seconds.
+    """
+    return {"report": crash_reports_to_json((report,))[0], "written": round(unix_s, 3)}
+
+
+def crash_record_from_json(fields: Any, unix_s: float) -> CrashReport:
+    """Return the report in JSON fields, with ages as of now.
+
+    Args:
+        fields: what `crash_record_to_json` returned.
+        unix_s: now, in Unix seconds, by the clock of any host.
+
+    Raises:
+        LookupError, TypeError, ValueError: they lack members or have others.
+    """
+    (report,) = crash_reports_from_json([fields["report"]])
+    passed_s = max(0.0, unix_s - float(fields["written"]))
+    crashes = tuple(
+        crash._replace(age_s=crash.age_s + passed_s) for crash in report.crashes
+    )
+    return report._replace(crashes=crashes)
--- a/dogwoodtack/quarantine/quarantine.py
+++ b/dogwoodtack/quarantine/quarantine.py
@@ -89,9 +89,11 @@
             if start not in self.crashed_at:
                 self.crashed_at[start] = now - crash.age_s
                 self.changed_at = now
-            if crash.is_cleared and start not in self.cleared:
-                self.cleared.add(start)
+            if crash.is_cleared != (start in self.cleared):
+                # One of the two hosts does not know of the success yet.
                 self.changed_at = now
+            if crash.is_cleared:
+                self.cleared.add(start)
         if report.has_succeeded and not self.has_succeeded:
             self.has_succeeded = True
             self.changed_at = now
@@ -193,6 +195,19 @@
         """Return how many requests are held back."""
         return sum(1 for one in self._suspicions.values() if one.is_quarantined(now))
 
+    def held_back(self, now: float) -> list[CrashReport]:
+        """Return what is known of the requests that are held back."""
+        return [
+            suspicion.report(digest, now)
+            for digest, suspicion in self._suspicions.items()
+            if suspicion.is_quarantined(now)
+        ]
+
+    def report(self, digest: str, now: float) -> CrashReport | None:
+        """Return what is known of one request, None if that is nothing."""
+        suspicion = self._suspicions.get(digest)
+        return None if suspicion is None else suspicion.report(digest, now)
+
     def reports(self, now: float, only_news: bool = False) -> tuple[CrashReport, ...]:
         """Return what other hosts are told: what is news, and what is held back.
 
--- a/dogwoodtack/quarantine/tests/test_quarantine.py
+++ b/dogwoodtack/quarantine/tests/test_quarantine.py
@@ -113,6 +113,18 @@
         one.on_reports(other.reports(1.2), 1.2)
         self.assertFalse(one.is_quarantined("d", 1.2))
 
+    def test_host_that_does_not_know_of_a_success_is_told(self):
+        one, other = Quarantine(), Quarantine()
+        for quarantine in (one, other):
+            for number in range(3):
+                quarantine.on_crash("d", f"i-{number}/0", 1.0)
+        one.on_success("d", 2.0)
+        later = 2.0 + REPEAT_S
+        self.assertEqual(one.reports(later), ())
+        one.on_reports(other.reports(later), later)
+        other.on_reports(one.reports(later), later)
+        self.assertFalse(other.is_quarantined("d", later))
+
     @params(("suspect", 2, False), ("held back", 3, True))
     def test_what_is_held_back_is_always_reported(self, _, crashes, is_reported):
         quarantine = Quarantine()
--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -250,6 +250,17 @@
             self.put(kind, name, spec=body.get("spec"))
             return StoreAnswer(200, self._objects[kind, name], self.era)
 
+    def replace(self, kind: str, name: str, body: Any) -> StoreAnswer:
+        """Replace an object's spec; return a 409 if it has another revision."""
+        with self._lock:
+            found = self._objects.get((kind, name))
+            if found is None:
+                return StoreAnswer(404, {}, self.era)
+            if body["metadata"]["revision"] != found["metadata"]["revision"]:
+                return StoreAnswer(409, found, self.era)
+            self.put(kind, name, spec=body.get("spec"), status=found["status"])
+            return StoreAnswer(200, self._objects[kind, name], self.era)
+
 
 class _StoreHandler(_Handler):
     def _answer(self, answer: StoreAnswer) -> None:
@@ -289,6 +300,14 @@
         if not self._reject_if_down():
             self._answer(self.server.owner.create(kind, body))
 
+    def do_PUT(self) -> None:
+        """Serve the replacement of an object."""
+        body = json.loads(self.read_body())
+        kind, _, name = self.path.removeprefix(OBJECTS_PATH).partition("/")
+        self.server.owner.calls[f"PUT {kind}"] += 1
+        if not self._reject_if_down():
+            self._answer(self.server.owner.replace(kind, name, body))
+
 
 class ExecutedRequest(NamedTuple):
     """One request that an instance executed."""
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -22,6 +22,8 @@
 LETHAL = "/look/lethal"
 POPULAR = "/look/popular"
 ZONES = ("zone-a", "zone-b", "zone-c")
+START_S = 15.0
+RECORDS_KIND = "dogwoodtack-crashes"
 # A rejection needs no instance.
 PROMPT_S = 0.5
 
@@ -126,6 +128,28 @@
             served = sum(1 for status in group if status == 200)
             self.assertGreater(served, 0.95 * len(group))
 
+    def test_all_hosts_that_restart_together_still_know(self):
+        site = self.make_site(ZONES[:1], ZONES[:1])
+        site.lethal_targets.add(LETHAL)
+        lethal = Repeater(site, "GET", LETHAL, "dead")
+        lethal.start()
+        end = time.monotonic() + START_S
+        while not site.store.names(RECORDS_KIND) and time.monotonic() < end:
+            time.sleep(0.1)
+        for host in site.hosts:
+            host.process.kill()
+            host.process.wait()
+        time.sleep(0.2)
+        for host in site.hosts:
+            host.start()
+        site.wait_ready()
+        since = time.monotonic() + PROMPT_S
+        time.sleep(4.0)
+        lethal.stop()
+        late = [one for one in lethal.results.values() if one[0] > since]
+        self.assertGreater(len(late), 5)
+        self.assertEqual({status for _, status, _ in late}, {503})
+
 
 if __name__ == "__main__":
     unittest.main()
