Let the soak send requests that crash instances

A target that crashes instances is requested every 0.25 s for the rest of a soak, beside kills, pauses, restarts and outages. The soak checks that from 3 s after the third crash on no more than 3 requests reach instances while all hosts and the store have been undisturbed for 3 s, and that rejections are true. What an instance has said of itself is not checked beyond its crash, as it holds for one start.

--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -362,7 +362,7 @@
         noticed_at: monotonic time of the first response with each header in which it
             says something about itself.
         lethal_targets: requests for these crash it when it has run them.
-        on_crash: called when it has crashed.
+        on_crash: called with such a target when the instance crashes.
         closed_by_caller: endless responses that the caller has closed.
     """
 
@@ -376,7 +376,7 @@
         self.retry_after: str | None = None
         self.noticed_at: dict[str, float] = {}
         self.lethal_targets: set[str] = set()
-        self.on_crash: Callable[[], None] = lambda: None
+        self.on_crash: Callable[[str], None] = lambda target: None
         self.closed_by_caller = 0
         self.ran: list[ExecutedRequest] = []
         self._sequence = 0
@@ -470,7 +470,7 @@
         time.sleep(instance.delay_s)
         if self.path in instance.lethal_targets:
             self.close_connection = True
-            instance.on_crash()
+            instance.on_crash(self.path)
             return
         self._respond(instance, request_id, body)
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers of a soak: they keep connections open and record each response."""
 
 import http.client
+import itertools
 import random
 import threading
 import time
@@ -8,10 +9,11 @@
 
 from .site import HOST, HostProcess, Site
 
-__all__ = ["Call", "Caller", "VersionWatcher"]
+__all__ = ["Call", "Caller", "Repeater", "VersionWatcher"]
 
 RESPONSE_TIMEOUT_S = 4.0
 REQUEST_INTERVAL_S = 0.02
+REPEAT_INTERVAL_S = 0.25
 
 
 class Call(NamedTuple):
@@ -116,6 +118,56 @@
             self._conn = None
 
 
+class Repeater(threading.Thread):
+    """Sends the same request again and again, to one host after another.
+
+    Attributes:
+        results: time, status and duration of each request by its id.
+    """
+
+    def __init__(self, site: Site, method: str, target: str, prefix: str) -> None:
+        super().__init__(daemon=True)
+        self._site = site
+        self._method = method
+        self._prefix = prefix
+        self.target = target
+        self.is_stopping = False
+        self.results: dict[str, tuple[float, int, float]] = {}
+
+    def run(self) -> None:
+        """Send the request until `is_stopping` is set."""
+        hosts = itertools.cycle(self._site.hosts)
+        while not self.is_stopping:
+            self._send(next(hosts), f"{self._prefix}{len(self.results):012x}")
+            time.sleep(REPEAT_INTERVAL_S)
+
+    def _send(self, host: HostProcess, request_id: str) -> None:
+        headers = {
+            "Host": HOST,
+            "X-Dogwoodtack-Request-Id": request_id,
+            "X-Dogwoodtack-Deadline-Ms": "3000",
+        }
+        body = b"lethal" if self._method == "POST" else None
+        conn = http.client.HTTPConnection(
+            "127.0.0.1", host.port, timeout=RESPONSE_TIMEOUT_S
+        )
+        sent_at, status = time.monotonic(), 0
+        try:
+            conn.request(self._method, self.target, body, headers)
+            status = conn.getresponse().status
+        except (OSError, http.client.HTTPException):
+            # The host is down; the status says so.
+            pass
+        finally:
+            conn.close()
+        self.results[request_id] = sent_at, status, time.monotonic() - sent_at
+
+    def stop(self) -> None:
+        """Stop and wait for the last response."""
+        self.is_stopping = True
+        self.join(10.0)
+
+
 class VersionWatcher(threading.Thread):
     """Polls each host for the configuration version that it has applied."""
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -43,7 +43,7 @@
     Attributes:
         drained_at: monotonic time at which the store accepted its drain.
         is_gone: whether its entry was removed.
-        crashed_at: monotonic times of its crashes.
+        crashes: monotonic time of each crash, and the target of the request.
         born_ms: its last start in Unix milliseconds.
     """
 
@@ -52,22 +52,23 @@
         self.proxy = FaultProxy(self.backend.address)
         self.drained_at: float | None = None
         self.is_gone = False
-        self.crashed_at: list[float] = []
+        self.crashes: list[tuple[float, str]] = []
         self.born_ms = int(time.time() * 1000)
         self._lock = threading.Lock()
         self._is_down = False
 
-    def crash(self, on_restart: Callable[["SiteInstance"], None]) -> None:
+    def crash(self, on_restart: Callable[["SiteInstance"], None], target: str) -> None:
         """Cut all connections and refuse new ones, and start again later.
 
         Args:
             on_restart: called with this instance when it accepts connections again.
+            target: target of the request that crashes it.
         """
         with self._lock:
             if self._is_down:
                 return
             self._is_down = True
-        self.crashed_at.append(time.monotonic())
+        self.crashes.append((time.monotonic(), target))
         self.proxy.close()
         timer = threading.Timer(RESTART_S, self._restart, (on_restart,))
         timer.daemon = True
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -12,7 +12,7 @@
 
 from dogwoodtack_standins.site import LEAVING_HEADER, RATE_LIMIT_HEADER
 
-from .callers import Call, Caller, VersionWatcher
+from .callers import Call, Caller, Repeater, VersionWatcher
 from .proxy import Fault
 from .site import HostProcess, Site, SiteInstance
 
@@ -36,6 +36,10 @@
 # shortly after that response to the end of the pause.
 PAUSE_REQUESTS = 2
 PAUSE_SLACK_S = 0.5
+# Sends of a request that crashes instances, when so many have crashed and all was
+# undisturbed since.
+CRASHES = 3
+LATE_SENDS = 3
 NOT_RUN_STATUSES = (408, 429, 503)
 BEHAVIOURS = ("error", "shed", "cut", "stray", "late", "no-signature", "unframed")
 
@@ -67,6 +71,7 @@
         self.injected: list[str] = []
         self.store_outages: list[tuple[float, float]] = []
         self.proxy_faults: list[tuple[SiteInstance, float, float]] = []
+        self.lethal: list[Repeater] = []
         self.exit_codes: list[tuple[str, int | None]] = []
 
     def inject(self) -> None:
@@ -86,6 +91,7 @@
             self._announce_leaving,
             self._limit_instance,
             self._ask_for_pause,
+            self._send_lethal_request,
         ]
         self._rng.choice(kinds)()
 
@@ -148,6 +154,16 @@
             apply_fault,
         )
 
+    def _send_lethal_request(self) -> None:
+        """Begin to send a request, again and again, that crashes instances."""
+        method, prefix = self._rng.choice((("GET", "look"), ("POST", "book")))
+        number = len(self.lethal)
+        target = f"/{prefix}/lethal-{number}"
+        repeater = Repeater(self._site, method, target, f"{0xDEA0 + number:04x}")
+        self.lethal.append(repeater)
+        self._site.lethal_targets.add(target)
+        self._start_fault(f"{method} {target} crashes instances", repeater.start)
+
     def _on_host(
         self, description: str, apply_fault: Callable[[HostProcess], None]
     ) -> None:
@@ -267,9 +283,9 @@
             injector.inject()
         injector.join()
         time.sleep(SETTLE_S)
-        for thread in (*callers, watcher):
+        for thread in (*callers, watcher, *injector.lethal):
             thread.is_stopping = True
-        for thread in callers:
+        for thread in (*callers, *injector.lethal):
             thread.join(10.0)
         calls = [call for caller in callers for call in caller.calls]
         violations = _check(site, injector, calls, watcher)
@@ -300,6 +316,7 @@
     violations += _check_drains(site, injector)
     violations += _check_notices(site)
     violations += _check_pauses(site, injector, calls)
+    violations += _check_lethal(site, injector, runs)
     violations += _check_stops(site, injector, calls)
     if not any(call.status == 200 for call in calls[-CALLERS:]):
         violations.append("no request succeeds after the faults")
@@ -345,6 +362,9 @@
     violations = []
     for instance in site.instances:
         backend = instance.backend
+        if instance.crashes:
+            # What it has said does not hold for its next start.
+            continue
         said_at = backend.noticed_at.get(LEAVING_HEADER)
         if said_at is not None and not _are_hosts_disturbed(site, said_at):
             late = [at for at in backend.arrived_at if at > said_at + DRAIN_LIMIT_S]
@@ -377,6 +397,9 @@
             end = pause.at + float(pause.retry_after)
             if host is None or any(begin < at < end for at, _ in host.disturbances):
                 continue
+            if any(pause.at < at < end for at, _ in instance.crashes):
+                # Its next start has not asked for it.
+                continue
             if any(
                 one is instance and began_at < end and ended_at > begin
                 for one, began_at, ended_at in injector.proxy_faults
@@ -396,6 +419,49 @@
     return violations
 
 
+def _check_lethal(site: Site, injector: FaultInjector, runs: Counter[str]) -> list[str]:
+    """Find requests that went on crashing instances, and untrue rejections of them."""
+    disturbed_at = [at for host in site.hosts for at, _ in host.disturbances]
+    violations = []
+    for repeater in injector.lethal:
+        crashed_at = sorted(
+            at
+            for instance in site.instances
+            for at, target in instance.crashes
+            if target == repeater.target
+        )
+        arrived_at = [
+            arrival.at
+            for instance in site.instances
+            for arrival in instance.backend.arrivals
+            if arrival.request_id in repeater.results
+        ]
+        late = [
+            at
+            for at in arrived_at
+            if len(crashed_at) >= CRASHES
+            and at > crashed_at[CRASHES - 1] + UNDISTURBED_S
+            and not any(at - UNDISTURBED_S < other < at for other in disturbed_at)
+            and not _is_store_disturbed(injector, at - UNDISTURBED_S, at)
+        ]
+        if len(late) > LATE_SENDS:
+            violations.append(
+                f"{repeater.target} was sent {len(late)} times after {CRASHES} crashes"
+            )
+        untrue = [
+            request_id
+            for request_id, (_, status, _) in repeater.results.items()
+            if status in NOT_RUN_STATUSES and runs[request_id]
+        ]
+        if untrue:
+            violations.append(f"{untrue[0]} was rejected but was executed")
+    return violations
+
+
+def _is_store_disturbed(injector: FaultInjector, begin: float, end: float) -> bool:
+    return any(lost < end and back > begin for lost, back in injector.store_outages)
+
+
 def most_in_window(times: list[float], window_s: float) -> int:
     """Return the largest number of times within a window."""
     counts = (
@@ -419,9 +485,7 @@
         instance.drained_at - UNDISTURBED_S,
         instance.drained_at + DRAIN_LIMIT_S,
     )
-    is_store_disturbed = any(
-        lost < end and back > begin for lost, back in injector.store_outages
-    )
+    is_store_disturbed = _is_store_disturbed(injector, begin, end)
     are_hosts_disturbed = any(
         begin < at for host in site.hosts for at, _ in host.disturbances
     )
