--- a/tests/test_instance_notices.py
+++ b/tests/test_instance_notices.py
@@ -16,6 +16,7 @@
 PAUSE_SLACK_S = 0.5
 PAUSE_REQUESTS = 2
 PAUSE_S = 2.0
+LONG_PAUSE_S = 3.0
 # A host that has restarted may fill the slots of an instance before its first response.
 RESTART_REQUESTS = 2
 SLOTS = 2
@@ -194,6 +195,26 @@
         self.assertEqual(Traffic(self, 0.5).statuses(), {200})
 
 
+class PauseOfManyTest(EntryHostTest):
+    """Many instances ask for pauses again and again, as in an overload."""
+
+    instances = 6
+
+    @params(3, 5, 6)
+    def test_requests_in_pauses_while_many_instances_shed(self, paused):
+        self.serve()
+        Traffic(self, 0.5)
+        for one in self.backends[:paused]:
+            one.behaviour, one.retry_after = "shed", str(LONG_PAUSE_S)
+        Traffic(self, 2.5 * LONG_PAUSE_S)
+        pauses = [(one, pause) for one in self.backends for pause in one.pauses]
+        self.assertGreaterEqual(len(pauses), 2 * paused)
+        for one, pause in pauses:
+            begin, end = pause.at + PAUSE_SLACK_S, pause.at + LONG_PAUSE_S
+            late = [at for at in one.arrived_at if begin < at < end]
+            self.assertLessEqual(len(late), PAUSE_REQUESTS, one.name)
+
+
 class WaysTest(EntryHostTest):
     """No way to an instance leads past what it has said in a response."""
 
