--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -250,6 +250,17 @@
             self.put(kind, name, spec=body.get("spec"))
             return StoreAnswer(200, self._objects[kind, name], self.era)
 
+    def replace(self, kind: str, name: str, body: Any) -> StoreAnswer:
+        """Replace an object's spec; return a 409 if it has another revision."""
+        with self._lock:
+            found = self._objects.get((kind, name))
+            if found is None:
+                return StoreAnswer(404, {}, self.era)
+            if body["metadata"]["revision"] != found["metadata"]["revision"]:
+                return StoreAnswer(409, found, self.era)
+            self.put(kind, name, spec=body.get("spec"), status=found["status"])
+            return StoreAnswer(200, self._objects[kind, name], self.era)
+
 
 class _StoreHandler(_Handler):
     def _answer(self, answer: StoreAnswer) -> None:
@@ -289,6 +300,14 @@
         if not self._reject_if_down():
             self._answer(self.server.owner.create(kind, body))
 
+    def do_PUT(self) -> None:
+        """Serve the replacement of an object."""
+        body = json.loads(self.read_body())
+        kind, _, name = self.path.removeprefix(OBJECTS_PATH).partition("/")
+        self.server.owner.calls[f"PUT {kind}"] += 1
+        if not self._reject_if_down():
+            self._answer(self.server.owner.replace(kind, name, body))
+
 
 class ExecutedRequest(NamedTuple):
     """One request that an instance executed."""
@@ -343,7 +362,7 @@
         noticed_at: monotonic time of the first response with each header in which it
             says something about itself.
         lethal_targets: requests for these crash it when it has run them.
-        on_crash: called when it has crashed.
+        on_crash: called with such a target when the instance crashes.
         closed_by_caller: endless responses that the caller has closed.
     """
 
@@ -357,7 +376,7 @@
         self.retry_after: str | None = None
         self.noticed_at: dict[str, float] = {}
         self.lethal_targets: set[str] = set()
-        self.on_crash: Callable[[], None] = lambda: None
+        self.on_crash: Callable[[str], None] = lambda target: None
         self.closed_by_caller = 0
         self.ran: list[ExecutedRequest] = []
         self._sequence = 0
@@ -451,7 +470,7 @@
         time.sleep(instance.delay_s)
         if self.path in instance.lethal_targets:
             self.close_connection = True
-            instance.on_crash()
+            instance.on_crash(self.path)
             return
         self._respond(instance, request_id, body)
 
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -1,74 +1,25 @@
 """Entry hosts before a request that crashes each instance that runs it."""
 
-import http.client
-import itertools
-import threading
 import time
 import unittest
 
 from nose2.tools import params
 
-from soak.callers import Caller
-from soak.site import HOST, Site
+from soak.callers import Caller, Repeater
+from soak.site import Site
+from soak.soak import CRASHES, LATE_SENDS, UNDISTURBED_S
 
-# The users' bounds: so many instances may crash, and so many sends may follow when
-# this time has passed after the last of these crashes.
-CRASHES = 3
-STABLE_S = 3.0
-LATE_SENDS = 3
 TRAFFIC_S = 12.0
 CALLERS = 6
-INTERVAL_S = 0.25
 LETHAL = "/look/lethal"
 POPULAR = "/look/popular"
 ZONES = ("zone-a", "zone-b", "zone-c")
+START_S = 15.0
+RECORDS_KIND = "dogwoodtack-crashes"
 # A rejection needs no instance.
 PROMPT_S = 0.5
 
 
-class Repeater(threading.Thread):
-    """Sends the same request again and again, to one host after another."""
-
-    def __init__(self, site, method, target, prefix):
-        super().__init__(daemon=True)
-        self._site = site
-        self._method = method
-        self._target = target
-        self._prefix = prefix
-        self.is_stopping = False
-        # Time, status and duration by request id.
-        self.results = {}
-
-    def run(self):
-        hosts = itertools.cycle(self._site.hosts)
-        while not self.is_stopping:
-            self._send(next(hosts), f"{self._prefix}{len(self.results):012x}")
-            time.sleep(INTERVAL_S)
-
-    def _send(self, host, request_id):
-        headers = {
-            "Host": HOST,
-            "X-Dogwoodtack-Request-Id": request_id,
-            "X-Dogwoodtack-Deadline-Ms": "3000",
-        }
-        body = b"lethal" if self._method == "POST" else None
-        conn = http.client.HTTPConnection("127.0.0.1", host.port, timeout=4.0)
-        sent_at, status = time.monotonic(), 0
-        try:
-            conn.request(self._method, self._target, body, headers)
-            status = conn.getresponse().status
-        except (OSError, http.client.HTTPException):
-            # The host is down.
-            pass
-        finally:
-            conn.close()
-        self.results[request_id] = sent_at, status, time.monotonic() - sent_at
-
-    def stop(self):
-        self.is_stopping = True
-        self.join(10.0)
-
-
 class CrashingRequestTest(unittest.TestCase):
     def make_site(self, zones, instance_zones):
         site = Site(hosts=3, instances=6, zones=zones, instance_zones=instance_zones)
@@ -103,9 +54,9 @@
         lethal = Repeater(site, method, target, "dead")
         popular = Repeater(site, "GET", POPULAR, "cafe")
         calls = self.run_traffic(site, lethal, popular)
-        crashes = sorted(at for one in site.instances for at in one.crashed_at)
+        crashes = sorted(at for one in site.instances for at, _ in one.crashes)
         self.assertGreaterEqual(len(crashes), CRASHES)
-        since = crashes[CRASHES - 1] + STABLE_S
+        since = crashes[CRASHES - 1] + UNDISTURBED_S
         late = [
             arrival.at
             for one in site.instances
@@ -126,6 +77,28 @@
             served = sum(1 for status in group if status == 200)
             self.assertGreater(served, 0.95 * len(group))
 
+    def test_all_hosts_that_restart_together_still_know(self):
+        site = self.make_site(ZONES[:1], ZONES[:1])
+        site.lethal_targets.add(LETHAL)
+        lethal = Repeater(site, "GET", LETHAL, "dead")
+        lethal.start()
+        end = time.monotonic() + START_S
+        while not site.store.names(RECORDS_KIND) and time.monotonic() < end:
+            time.sleep(0.1)
+        for host in site.hosts:
+            host.process.kill()
+            host.process.wait()
+        time.sleep(0.2)
+        for host in site.hosts:
+            host.start()
+        site.wait_ready()
+        since = time.monotonic() + PROMPT_S
+        time.sleep(4.0)
+        lethal.stop()
+        late = [one for one in lethal.results.values() if one[0] > since]
+        self.assertGreater(len(late), 5)
+        self.assertEqual({status for _, status, _ in late}, {503})
+
 
 if __name__ == "__main__":
     unittest.main()
