Await attempts under way before a held-back request is answered

On reading: a request that came to be held back with an attempt under way could be answered with an earlier failure. No path leads there at present, as hedges end with the second crash.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -293,14 +293,17 @@
         self._queued_request = self._deps.placer.place(request, self._now())
 
     def _reject_quarantined(self) -> bool:
-        """End a request that is sent to no instance; return whether it is."""
+        """End a request that is held back, and return whether it is."""
         quarantine, now = self._deps.quarantine, self._now()
         if not quarantine.is_quarantined(self._digest, now):
             return False
         self._detail = f"digest {self._digest}"
+        if self._in_flight:
+            # An attempt that is under way may still succeed.
+            return True
         if self._best_result is not None:
             self._respond_to_failure(self._best_result)
-        elif not self._in_flight:
+        else:
             self._send_error(
                 ErrorKind.QUARANTINED, quarantine.time_left_s(self._digest, now)
             )
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -71,13 +71,18 @@
 
 
 class FakeCrashes:
-    """Finds no crash, at times after a while."""
+    """Finds crashes at the rate of the world, at times after a while."""
 
     def __init__(self, world):
         self._world = world
 
     def check(self, cut, on_done=lambda: None):
-        self._world.call_sometimes_later(0.2, on_done)
+        world = self._world
+        if world.rng.random() < world.crash_rate:
+            world.quarantine.on_crash(
+                cut.digest, f"{world.rng.random()}", world.reactor.clock.now
+            )
+        world.call_sometimes_later(0.2, on_done)
 
 
 class FakePool:
@@ -170,6 +175,8 @@
         ] or ["ok"]
         self.instances = [make_instance(f"i-{n}") for n in range(INSTANCES)]
         self.instance_addresses = {one.address for one in self.instances}
+        self.crash_rate = self.rng.choice((0.0, 0.0, 0.3, 1.0))
+        self.quarantine = Quarantine()
         self.hosts = [Host(self, number) for number in range(HOSTS)]
         self.runs = Counter()
         self.responses = {}
@@ -265,7 +272,7 @@
             buffers=ResponseBuffers(),
             paths=self.paths,
             crashes=FakeCrashes(world),
-            quarantine=Quarantine(),
+            quarantine=world.quarantine,
             header_names=HEADERS,
             notices=NoticeReader(HEADERS, lambda: 300.0, clock.monotonic),
             evidence=Evidence(clock, self.placer, self.paths, idle_limit),
