--- a/review/1/case.py
+++ b/review/1/case.py
@@ -118,9 +118,11 @@
         record.show("another writer's entry i-foreign was written")
     time.sleep(max(0.0, began_at + RELEASE_AT_S - time.monotonic()))
     acknowledged_at = {}
+    successors = []
     for number, leaving in enumerate(instances):
         new = Instance(f"i-{INSTANCES + number}", store, clean_up)
         new.register("ready")
+        successors.append(new)
         record.show(f"{new.name} has registered")
         time.sleep(RELEASE_GAP_S / 2)
         acknowledged_at[leaving.name] = leaving.register("draining")
@@ -146,6 +148,7 @@
         for line in host.log().splitlines():
             if "callback-failed" in line or "state=leaving" in line:
                 record.add(f"log of {host.name}: {line}")
+    support.record_runs(record, [one.backend for one in instances + successors])
     last = [status for at, status in statuses if at > end_at - LAST_S]
     served = sum(1 for _, status in statuses if status == 200)
     record.show(f"requests {len(statuses)}, answered 200 {served}")
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -127,6 +127,7 @@
     for thread in threads:
         thread.join(10.0)
 
+    support.record_runs(record, [one.backend for one in instances])
     late = 0
     for one in leaving:
         after = [arrival.at - one.removed_at for arrival in one.backend.arrivals]
--- a/review/support.py
+++ b/review/support.py
@@ -79,6 +79,19 @@
         print(text, flush=True)
 
 
+def record_runs(record: Record, instances, prefix: str = "") -> None:
+    """Record which requests the instances have run.
+
+    Args:
+        record: where the lines are written.
+        instances: the stand-ins.
+        prefix: how the ids of the recorded requests begin.
+    """
+    for one in instances:
+        ids = [run.request_id for run in one.ran if run.request_id.startswith(prefix)]
+        record.add(f"{one.name} has run {len(one.ran)} requests, among them {ids}")
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports of the loopback address that are free now."""
     socks = [socket.socket() for _ in range(count)]
@@ -228,6 +241,13 @@
         self.process.wait()
 
 
+def check_descriptor_limit() -> None:
+    """Check that a process may have as many descriptors as the settings name."""
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    if hard != resource.RLIM_INFINITY and hard < MAX_FDS:
+        raise Unusable(f"a process may have only {hard} descriptors here")
+
+
 def limit_descriptors() -> None:
     """Give a process the limit of descriptors that its settings name."""
     hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
