Log where a callback failed, and show stuck feeds and probes as metrics

Change: callback-failed names the file and line chain of the exception (before, only at level DEBUG in a line of its own). New metrics: failed_callbacks, instances_age_s (apart from store_age_s, which the configuration's watch keeps low), removals_withheld, path_probes and requests_awaiting_probes.

No decision changes.

--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -321,6 +321,8 @@
             "response_buffer_bytes": self.buffers.total_bytes,
             "instance_paths_lost": float(self.paths.is_cut_off),
             "instances_unreached": self.paths.unreached,
+            "path_probes": self.paths.pending_probes,
+            "requests_awaiting_probes": self.paths.waiting,
             "requests_cut_by_crashes": self.crashes.crashes,
             "quarantined_requests": self.quarantine.count(now),
             "rate_limited_instances": self.placer.rate_limits.count(now),
@@ -331,7 +333,10 @@
             "store_era": position.era,
             "instances_revision": position.revision,
             "store_age_s": age_s,
+            "instances_age_s": self.feed.instances_age_s,
+            "removals_withheld": float(self.feed.withholds_removals),
             "store_calls": self._store_client.calls_made,
+            "failed_callbacks": self.reactor.failed_callbacks,
             "log_lines_dropped": self._sink.dropped,
         }
 
--- a/dogwoodtack/entry/paths.py
+++ b/dogwoodtack/entry/paths.py
@@ -62,6 +62,16 @@
         """Return how many instances were not reached since one was."""
         return len(self._reachability.failed)
 
+    @property
+    def pending_probes(self) -> int:
+        """Return how many probes are under way."""
+        return self._pending_probes
+
+    @property
+    def waiting(self) -> int:
+        """Return how many functions wait for the probes under way."""
+        return len(self._waiting)
+
     def on_connect(self, instance: Instance, is_reached: bool) -> None:
         """Record whether an instance accepted the connection of a request."""
         self._record(instance, is_reached)
--- a/dogwoodtack/feed/feed.py
+++ b/dogwoodtack/feed/feed.py
@@ -1,5 +1,6 @@
 """Feed of instances and configuration from the store, directly or through a peer."""
 
+import math
 import random
 from collections.abc import Callable
 from typing import NamedTuple
@@ -17,6 +18,9 @@
 
 __all__ = ["Feed", "FeedCallbacks"]
 
+# Stands for the age of what was never read.
+MAX_AGE_S = 1e6
+
 # Longest wait of a watch. A longer silence would prove nothing: its connection may be
 # dead.
 WATCH_WAIT_S = 0.8
@@ -73,6 +77,10 @@
         registry: receives the changes of instances.
         rng: spreads retries and reads over time.
         callbacks: called for changes.
+
+    Attributes:
+        registry: the known instances.
+        configuration: the configuration in force, if any.
     """
 
     def __init__(
@@ -97,9 +105,10 @@
         self._era = START_POSITION.era
         self._has_begun = False
         self._is_pulling = False
-        self._store_seen_at = -1e9
+        self._store_seen_at = -math.inf
+        self._instances_seen_at = -math.inf
         self._failures = 0
-        self._recovering_until = -1e9
+        self._recovering_until = -math.inf
         self._needs_snapshot = True
         self._has_snapshot = False
         self._has_reported_sync = False
@@ -123,6 +132,17 @@
         """Return whether this host reads the store itself, and not from a peer."""
         return not self._follows_peer()
 
+    @property
+    def withholds_removals(self) -> bool:
+        """Return whether known instances may be missing from what was last read."""
+        return self._has_withheld_removals or self._has_withheld_peer_removals
+
+    @property
+    def instances_age_s(self) -> float:
+        """Return the seconds since instances were read from the store or a peer."""
+        age_s = self._reactor.clock.monotonic() - self._instances_seen_at
+        return min(age_s, MAX_AGE_S)
+
     def _report_sync(self) -> None:
         if self.is_synced and not self._has_reported_sync:
             self._has_reported_sync = True
@@ -131,7 +151,7 @@
     def sync_status(self) -> tuple[int, StorePosition, float]:
         """Return version, position, and seconds since the store last responded."""
         age_s = self._reactor.clock.monotonic() - self._store_seen_at
-        return self.version, self.registry.position, min(age_s, 1e6)
+        return self.version, self.registry.position, min(age_s, MAX_AGE_S)
 
     def begin(self) -> None:
         """Read the full state from a peer or the store, then follow changes.
@@ -178,6 +198,7 @@
             self._reactor.call_later(self._retry_delay_s(), self._sync_instances)
             return
         self._record_contact()
+        self._instances_seen_at = self._store_seen_at
         self._observe_era(updates.position.era)
         self._apply_updates(updates)
         self._report_sync()
@@ -361,6 +382,7 @@
 
     def _apply_peer_instances(self, state: RelayedState) -> None:
         self._observe_era(state.position.era)
+        self._instances_seen_at = self._reactor.clock.monotonic()
         if not self._has_snapshot:
             # The peer may know instances that the store does not list again yet.
             peer_until = self._reactor.clock.monotonic() + state.recovery_left_s
--- a/dogwoodtack/reactor.py
+++ b/dogwoodtack/reactor.py
@@ -64,7 +64,12 @@
 
 
 class Reactor(BaseComponent):
-    """Event loop of a process: dispatches socket events and runs timers."""
+    """Event loop of a process: dispatches socket events and runs timers.
+
+    Attributes:
+        clock: time of the timers.
+        failed_callbacks: number of callbacks that raised an exception.
+    """
 
     channel = "reactor"
 
@@ -76,6 +81,7 @@
         self._timers: list[tuple[float, int, Timer]] = []
         self._sequence = itertools.count()
         self._compaction_size = MIN_COMPACTION_TIMERS
+        self.failed_callbacks = 0
 
     def watch(
         self, fd: int, owner: FdHandler, read: bool = False, write: bool = False
@@ -161,14 +167,18 @@
         if owner is not None:
             self._run_callback(owner.on_hangup)
 
-    @staticmethod
-    def _run_callback(fn: Callable[[], None]) -> None:
+    def _run_callback(self, fn: Callable[[], None]) -> None:
         """Run a callback; its failure must not affect other connections."""
         try:
             fn()
         except Exception as exc:
-            log_event("callback-failed", level="ERROR", error=repr(exc))
-            log_event("callback-trace", level="DEBUG", trace=_format_traceback(exc))
+            self.failed_callbacks += 1
+            log_event(
+                "callback-failed",
+                level="ERROR",
+                error=repr(exc),
+                trace=_format_traceback(exc),
+            )
 
 
 def _format_traceback(exc: Exception) -> str:
