--- a/dogwoodtack/feed/feed.py
+++ b/dogwoodtack/feed/feed.py
@@ -11,7 +11,7 @@
 from ..misc import Address
 from ..placement import InstanceChange, InstanceRegistry
 from ..position import START_POSITION, StorePosition
-from ..reactor import Reactor
+from ..reactor import Reactor, Timer
 from ..routing import Configuration
 from .relay import RelayClient, RelayedState
 from .updates import ConfigurationUpdate, InstanceUpdates, Source
@@ -37,6 +37,11 @@
 MAX_RETRY_S = 0.5
 FOLLOWER_MAX_RETRY_S = 2.0
 FOLLOW_CHECK_S = 0.5
+# Calls to the store end sooner. If the reply of one is not handled by then, as its
+# handling has failed, the store is called again.
+OVERDUE_CALL_S = 5.0
+# The same for a read from a peer.
+OVERDUE_PULL_S = 1.0
 # Entries that expired during a store outage, or that a restored copy lacks, are written
 # again within this time.
 RECOVERY_GRACE_S = 2.2
@@ -62,6 +67,26 @@
     on_store_restored: Callable[[], None]
 
 
+class CallLoop:
+    """Repeated call of a function, which schedules its own next call.
+
+    Args:
+        reactor: runs timers.
+        fn: the function.
+    """
+
+    def __init__(self, reactor: Reactor, fn: Callable[[], None]) -> None:
+        self._reactor = reactor
+        self._fn = fn
+        self._timer: Timer | None = None
+
+    def schedule(self, delay_s: float) -> None:
+        """Call the function after a number of seconds, in place of its next call."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._reactor.call_later(delay_s, self._fn)
+
+
 class Feed:
     """Follow the store, or the peer that reads it for the zone.
 
@@ -104,7 +129,10 @@
         self._configuration_position: StorePosition | None = None
         self._era = START_POSITION.era
         self._has_begun = False
-        self._is_pulling = False
+        self._instances_loop = CallLoop(reactor, self._sync_instances)
+        self._configuration_loop = CallLoop(reactor, self._sync_configuration)
+        # A read from a peer is under way at most until then.
+        self._pull_ends_by = -math.inf
         self._store_seen_at = -math.inf
         self._instances_seen_at = -math.inf
         self._failures = 0
@@ -163,8 +191,8 @@
         self._has_begun = True
         steps = min(self._peer_table.rank_among_known(), MAX_STAGGER_STEPS)
         wait_s = STARTUP_STAGGER_S * (steps + 0.2)
-        self._reactor.call_later(wait_s, self._sync_instances)
-        self._reactor.call_later(wait_s, self._sync_configuration)
+        self._instances_loop.schedule(wait_s)
+        self._configuration_loop.schedule(wait_s)
 
     def _follows_peer(self) -> bool:
         if not self.is_synced:
@@ -179,8 +207,9 @@
         if self._is_relist_due():
             self._needs_snapshot = True
         elif self._follows_peer():
-            self._reactor.call_later(FOLLOW_CHECK_S, self._sync_instances)
+            self._instances_loop.schedule(FOLLOW_CHECK_S)
             return
+        self._instances_loop.schedule(OVERDUE_CALL_S)
         if self._needs_snapshot:
             self._source.read_instances(self._on_instance_updates)
         else:
@@ -195,14 +224,15 @@
         if updates is None:
             self._needs_snapshot = True
             self._record_failure(exc)
-            self._reactor.call_later(self._retry_delay_s(), self._sync_instances)
+            self._instances_loop.schedule(self._retry_delay_s())
             return
+        # Scheduled first, so that the feed goes on if applying the updates fails.
+        self._instances_loop.schedule(BATCH_PAUSE_S)
         self._record_contact()
         self._instances_seen_at = self._store_seen_at
         self._observe_era(updates.position.era)
         self._apply_updates(updates)
         self._report_sync()
-        self._reactor.call_later(BATCH_PAUSE_S, self._sync_instances)
 
     def _is_relist_due(self) -> bool:
         """Return whether withheld removals have to be checked now.
@@ -300,8 +330,10 @@
 
     def _sync_configuration(self) -> None:
         if self._follows_peer():
-            self._reactor.call_later(FOLLOW_CHECK_S, self._sync_configuration)
-        elif self._configuration_position is None:
+            self._configuration_loop.schedule(FOLLOW_CHECK_S)
+            return
+        self._configuration_loop.schedule(OVERDUE_CALL_S)
+        if self._configuration_position is None:
             self._source.read_configuration(self._on_configuration_update)
         else:
             after = self._configuration_position
@@ -316,15 +348,16 @@
             # Read the full configuration next, as the watch history may be gone.
             self._configuration_position = None
             self._record_failure(exc)
-            self._reactor.call_later(self._retry_delay_s(), self._sync_configuration)
+            self._configuration_loop.schedule(self._retry_delay_s())
             return
+        is_known = self.configuration is not None or update.configuration is not None
+        # Scheduled first, so that the feed goes on if applying the update fails.
+        self._configuration_loop.schedule(BATCH_PAUSE_S if is_known else RETRY_S)
         self._record_contact()
         self._observe_era(update.position.era)
         self._configuration_position = update.position
         self._apply_configuration(update.configuration)
         self._report_sync()
-        delay_s = BATCH_PAUSE_S if self.configuration else RETRY_S
-        self._reactor.call_later(delay_s, self._sync_configuration)
 
     def _apply_configuration(self, configuration: Configuration | None) -> None:
         """Put a configuration in force if it is newer than the current one."""
@@ -354,10 +387,11 @@
         )
         if not is_newer and self._has_snapshot:
             return
-        if self._is_pulling:
+        now = self._reactor.clock.monotonic()
+        if now < self._pull_ends_by:
             return
-        self._is_pulling = True
         pause_s = BATCH_PAUSE_S * self._rng.random() if self._has_snapshot else 0.0
+        self._pull_ends_by = now + pause_s + OVERDUE_PULL_S
         self._reactor.call_later(pause_s, self._pull, heartbeat.host.relay_address)
 
     def _is_full_pull_due(self) -> bool:
@@ -370,7 +404,7 @@
         self._relay_client.read(address, after, self.version, self._on_relayed)
 
     def _on_relayed(self, state: RelayedState | None) -> None:
-        self._is_pulling = False
+        self._pull_ends_by = -math.inf
         if state is None:
             return
         if state.position.era < self._era:
--- a/dogwoodtack/feed/tests/test_feed.py
+++ b/dogwoodtack/feed/tests/test_feed.py
@@ -6,6 +6,7 @@
 import unittest
 from collections import Counter
 from typing import NamedTuple
+from unittest import mock
 
 from hypothesis import example, given, settings, strategies as st
 from nose2.tools import params
@@ -38,6 +39,8 @@
 REWRITE_S = 1.8
 EXPIRY_S = 4.0
 COPY_INTERVAL_S = 0.2
+# How often a callback of the feed raises an exception.
+CALLBACK_FAILURES = 3
 # Goes back to the oldest copy.
 ALL_COPIES = 1000
 
@@ -460,6 +463,66 @@
 )
 
 
+class CallbackError(Exception):
+    """Raised by a callback of the feed."""
+
+
+class FailingCallbackTest(unittest.TestCase):
+    def run_in_spite_of_failures(self, world, seconds):
+        """Run as the reactor does, which isolates a callback that raises."""
+        end = world.reactor.clock.now + seconds
+        while world.reactor.clock.now < end:
+            try:
+                world.reactor.run_to(end)
+            except CallbackError:
+                self.failures += 1
+
+    @staticmethod
+    def fail_at_first(fn):
+        """Return a function that raises at first and then calls another one."""
+        outcomes = itertools.chain(
+            [CallbackError()] * CALLBACK_FAILURES, itertools.repeat(mock.DEFAULT)
+        )
+        return mock.Mock(side_effect=outcomes, wraps=fn)
+
+    def test_host_reads_from_peers_after_a_read_has_failed(self):
+        """The follower took the read that had raised for one that was under way."""
+        world = World(3)
+        self.failures = 0
+        world.run(3.0)
+        for host in world.hosts:
+            host.feed._relay_client = mock.Mock(read=self.fail_at_first(host.read))
+        for number in range(CALLBACK_FAILURES + 1):
+            world.store.put(f"i-{20 + number}")
+            self.run_in_spite_of_failures(world, 3.0)
+        self.assertEqual(self.failures, CALLBACK_FAILURES)
+        for host in world.hosts:
+            known = {one.id for one in host.registry.all()}
+            self.assertEqual(known, set(world.store.state.instances))
+
+    @params(*itertools.product(("on_configuration", "on_instances"), (1, 2)))
+    def test_host_follows_the_store_after_a_callback_has_failed(self, name, hosts):
+        """The feed called the store no more once applying a reply had failed."""
+        world = World(3, hosts=hosts)
+        self.failures = 0
+        world.run(3.0)
+        for host in world.hosts:
+            callbacks = host.feed._callbacks
+            failing = self.fail_at_first(getattr(callbacks, name))
+            host.feed._callbacks = callbacks._replace(**{name: failing})
+        for number in range(CALLBACK_FAILURES + 1):
+            world.store.configure()
+            world.store.put(f"i-{20 + number}")
+            self.run_in_spite_of_failures(world, 3.0)
+        world.store.remove("i-0")
+        self.run_in_spite_of_failures(world, 5.0)
+        self.assertEqual(self.failures, hosts * CALLBACK_FAILURES)
+        for host in world.hosts:
+            self.assertEqual(host.feed.version, world.store.version)
+            known = {one.id for one in host.registry.all()}
+            self.assertEqual(known, set(world.store.state.instances))
+
+
 class FeedTest(unittest.TestCase):
     @settings(max_examples=150, deadline=None, derandomize=True)
     @given(seed=st.integers(0, 10_000), steps=STEPS)
