--- a/dogwoodtack/logs.py
+++ b/dogwoodtack/logs.py
@@ -10,7 +10,7 @@
 
 from loguru import logger
 
-__all__ = ["LimitedLog", "LineSink", "log_event", "set_up_logs"]
+__all__ = ["LimitedLog", "LineSink", "log_event", "log_failure", "set_up_logs"]
 
 LINE_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} {message}"
 QUOTED_CHARS = set(' "=\\\t\r\n')
@@ -103,6 +103,23 @@
     logger.opt(depth=1).log(level, "{}", format_event(event, **fields))
 
 
+def log_failure(event: str, exc: Exception, **fields: object) -> None:
+    """Log an exception that nobody expected, with where it was raised."""
+    log_event(
+        event, level="ERROR", error=repr(exc), trace=_format_traceback(exc), **fields
+    )
+
+
+def _format_traceback(exc: Exception) -> str:
+    frames = []
+    tb = exc.__traceback__
+    while tb is not None:
+        code = tb.tb_frame.f_code
+        frames.append(f"{os.path.basename(code.co_filename)}:{tb.tb_lineno}")
+        tb = tb.tb_next
+    return ">".join(frames)
+
+
 class LimitedLog:
     """Logs one event in LIMITED_INTERVAL_S at most, for bad input that keeps coming.
 
--- a/dogwoodtack/reactor.py
+++ b/dogwoodtack/reactor.py
@@ -17,15 +17,26 @@
 from circuits.core.pollers import EPoll
 
 from .clock import Clock
-from .logs import log_event
+from .logs import log_event, log_failure
 from .misc import Address
 
-__all__ = ["ConnectAttempt", "FdHandler", "Listener", "Reactor", "Timer"]
+__all__ = [
+    "ConnectAttempt",
+    "FdHandler",
+    "Listener",
+    "Reactor",
+    "Timer",
+    "is_local_error",
+]
 
 LISTEN_BACKLOG = 1024
 MAX_ACCEPTS_PER_EVENT = 64
 ACCEPT_RETRY_DELAY_S = 0.1
 MIN_COMPACTION_TIMERS = 1024
+# Errors of connecting that lie with this process or machine, not with the other end.
+LOCAL_ERROR_CODES = frozenset(
+    {errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+)
 
 
 class FdHandler(Protocol):
@@ -173,22 +184,7 @@
             fn()
         except Exception as exc:
             self.failed_callbacks += 1
-            log_event(
-                "callback-failed",
-                level="ERROR",
-                error=repr(exc),
-                trace=_format_traceback(exc),
-            )
-
-
-def _format_traceback(exc: Exception) -> str:
-    frames = []
-    tb = exc.__traceback__
-    while tb is not None:
-        code = tb.tb_frame.f_code
-        frames.append(f"{os.path.basename(code.co_filename)}:{tb.tb_lineno}")
-        tb = tb.tb_next
-    return ">".join(frames)
+            log_failure("callback-failed", exc)
 
 
 class Listener:
@@ -250,7 +246,8 @@
     """Connect to an address without blocking the loop.
 
     The outcome is passed to `on_done(sock, exc)`, exactly one of which is None.
-    It is never called before the constructor has returned.
+    It is never called before the constructor has returned, which never raises: callers
+    count their attempts and rely on `on_done` alone.
     """
 
     def __init__(
@@ -262,23 +259,41 @@
     ) -> None:
         self._reactor = reactor
         self._on_done = on_done
+        self._sock: socket.socket | None = None
+        self._timer = reactor.call_later(timeout_s, self._on_timeout)
+        try:
+            self._connect(address)
+        except OSError as exc:
+            reactor.call_soon(self._finish, exc)
+        except (OverflowError, TypeError, ValueError) as exc:
+            # The address is not an IP address and a port.
+            reactor.call_soon(self._finish, OSError(errno.EINVAL, str(exc)))
+
+    def _connect(self, address: Address) -> None:
+        """Begin to connect.
+
+        Raises:
+            OSError: there is no descriptor left, or the connection failed at once.
+            OverflowError, TypeError, ValueError: the address is invalid.
+        """
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setblocking(False)
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._fd = self._sock.fileno()
-        self._timer = reactor.call_later(timeout_s, self._on_timeout)
         code = self._sock.connect_ex(address)
-        if code in (0, errno.EINPROGRESS):
-            reactor.watch(self._fd, self, write=True)
-        else:
-            reactor.call_soon(self._finish, OSError(code, os.strerror(code)))
+        if code not in (0, errno.EINPROGRESS):
+            raise OSError(code, os.strerror(code))
+        self._reactor.watch(self._sock.fileno(), self, write=True)
 
     def cancel(self) -> None:
         """Abort the attempt; `on_done` is not called any more."""
         self._timer.cancel()
-        self._reactor.unwatch(self._fd)
         self._on_done = _ignore
-        self._sock.close()
+        self._close()
+
+    def _close(self) -> None:
+        if self._sock is not None and self._sock.fileno() >= 0:
+            self._reactor.unwatch(self._sock.fileno())
+            self._sock.close()
 
     def on_readable(self) -> None:
         """Do nothing: a connect completes when the socket is writable."""
@@ -298,14 +313,19 @@
 
     def _finish(self, exc: OSError | None) -> None:
         self._timer.cancel()
-        self._reactor.unwatch(self._fd)
         on_done, self._on_done = self._on_done, _ignore
         if exc is None:
+            self._reactor.unwatch(self._sock.fileno())
             on_done(self._sock, None)
             return
-        self._sock.close()
+        self._close()
         on_done(None, exc)
 
 
+def is_local_error(exc: OSError) -> bool:
+    """Return whether a failure to connect says nothing about the other end."""
+    return exc.errno in LOCAL_ERROR_CODES
+
+
 def _ignore(sock: socket.socket | None, exc: OSError | None) -> None:
     """Discard the outcome of an attempt that has ended or was cancelled."""
