Answer each request at its deadline, also if a step of it raises

Cause: a request that is neither in the queue nor in an attempt has no timer of its own, and an exception in one of its steps ran through whatever had called the step.

Change: each step of an exchange that others call ends this request alone when it raises (logged as request-failed, status 500), and a timer answers each request 50 ms after its deadline, whatever it waits for.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -2,13 +2,14 @@
 
 import functools
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from ..backends import ConnectionPool
-from ..errors import ErrorKind
+from ..errors import ErrorKind, answer_for
 from ..fleet import Fleet
 from ..frontend.conn import RequestHead, ServerConn
 from ..frontend.headers import response_headers
+from ..logs import log_failure
 from ..placement import (
     NOT_RUN_OUTCOMES,
     AttemptContext,
@@ -83,6 +84,9 @@
     AttemptOutcome.FAILED: ErrorKind.BACKEND_CUT,
 }
 
+# Attempts that time out at a request's deadline get to report this first.
+DEADLINE_GRACE_S = 0.05
+
 RouteFinder = Callable[[str, str], tuple[Route | None, int]]
 
 
@@ -130,6 +134,23 @@
     response_kb: dict[str, float]
 
 
+def _isolated(step: Callable[..., None]) -> Callable[..., None]:
+    """Wrap a step of an exchange so that an exception ends only this request.
+
+    Steps are called by what is shared with other requests, such as the queue or the
+    store's feed, and leave slots and attempts behind if they end halfway.
+    """
+
+    @functools.wraps(step)
+    def run(self: "Exchange", *args: Any) -> None:
+        try:
+            step(self, *args)
+        except Exception as exc:
+            self._on_step_failed(exc)
+
+    return run
+
+
 class Exchange:
     """Handle one request: place it, send it, and respond to its caller exactly once.
 
@@ -167,6 +188,7 @@
         self._req: OutgoingRequest | None = None
         self._digest = ""
         self._deadline = 0.0
+        self._deadline_timer: Timer | None = None
         self._queued_request: QueuedRequest | None = None
         self._in_flight: dict[Attempt, list[Timer]] = {}
         # Attempts that were cut, while it is found out whether the instance crashed.
@@ -189,6 +211,7 @@
 
     # Receiving the request.
 
+    @_isolated
     def on_body(self, data: bytes) -> None:
         """Buffer a piece of the body, so that the request can be retried."""
         if self.is_done:
@@ -200,6 +223,7 @@
             return
         self._body += data
 
+    @_isolated
     def on_body_end(self) -> None:
         """Route the complete request and ask for its placement."""
         if self.is_done:
@@ -223,6 +247,9 @@
         self._deadline = self._arrived_at + time_limit_s(
             self._head, header_names, route
         )
+        self._deadline_timer = self._deps.reactor.call_later(
+            self._deadline + DEADLINE_GRACE_S - self._now(), self._on_deadline
+        )
         self._req = OutgoingRequest(
             self._request_id,
             self._head.method.encode(),
@@ -235,6 +262,30 @@
         )
         self._request_placement()
 
+    @_isolated
+    def _on_deadline(self) -> None:
+        """Respond, whatever the request still waits for."""
+        if self.is_done:
+            return
+        if self._best_result is None and self._may_have_run:
+            self._send_error(ErrorKind.BACKEND_TIMEOUT)
+        else:
+            self._abandon(ErrorKind.DEADLINE_PASSED)
+
+    def _on_step_failed(self, exc: Exception) -> None:
+        request_id = self._request_id.decode("latin-1")
+        log_failure("request-failed", exc, request=request_id)
+        if self.is_done:
+            return
+        try:
+            self._send_error(ErrorKind.INTERNAL)
+        finally:
+            if not self.is_done:
+                # The response had begun already.
+                self._conn.abort()
+                status = answer_for(ErrorKind.INTERNAL).status
+                self._close(str(ErrorKind.INTERNAL), status)
+
     # Placement.
 
     def _placement_request(
@@ -278,6 +329,7 @@
         else:
             self._place_or_hand_over()
 
+    @_isolated
     def _place_or_hand_over(self) -> None:
         if self.is_done or self._reject_quarantined() or self._hand_over():
             return
@@ -309,6 +361,7 @@
             )
         return True
 
+    @_isolated
     def _on_placement(self, placed: Instance | Rejection) -> None:
         self._queued_request = None
         if isinstance(placed, Rejection):
@@ -421,6 +474,7 @@
             HEDGE_SERVICE_TIME_FACTOR * service_time_s,
         )
 
+    @_isolated
     def _on_overdue(self, attempt: Attempt) -> None:
         """Report an instance as timed out before the request's deadline."""
         if attempt in self._in_flight and attempt.bytes_sent:
@@ -435,6 +489,7 @@
                 # Established connections may be dead while new ones still work.
                 self._deps.pool.close_idle(attempt.target.address)
 
+    @_isolated
     def _on_hedge_timer(self) -> None:
         """Hedge an idempotent request: send it to a second instance as well.
 
@@ -479,6 +534,7 @@
 
     # Attempts.
 
+    @_isolated
     def _on_attempt_end(self, attempt: Attempt, result: AttemptResult) -> None:
         self._deps.evidence.record(
             attempt, result, self._service, self._request_id.decode("latin-1")
@@ -504,6 +560,7 @@
             self._deps.crashes.check(cut)
             self._continue(result)
 
+    @_isolated
     def _on_checked(self, result: AttemptResult) -> None:
         self._pending_checks -= 1
         self._continue(result)
@@ -709,13 +766,15 @@
 
     def _close(self, reason: str, status: int) -> None:
         self.is_done = True
+        self._on_done(self)
+        if self._deadline_timer is not None:
+            self._deadline_timer.cancel()
         if self._queued_request is not None:
             self._deps.placer.cancel(self._queued_request)
             self._queued_request = None
         for attempt in list(self._in_flight):
             attempt.cancel()
             self._close_attempt(attempt, None)
-        self._on_done(self)
         now = self._now()
         first_dispatch_at = (
             self._first_dispatch_at if self._first_dispatch_at is not None else now
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -1,11 +1,14 @@
 """Random tests of requests at hosts that fail, hand over and lose their paths."""
 
+import itertools
 import random
 import unittest
 from collections import Counter
 from typing import NamedTuple
 from unittest import mock
 
+from nose2.tools import params
+
 from dogwoodtack.backends import ResponseHead
 from dogwoodtack.entry.buffers import ResponseBuffers
 from dogwoodtack.entry.evidence import Evidence
@@ -325,5 +328,54 @@
                         self.assertEqual(runs, 0, statuses)
 
 
+class LostCallbackTest(unittest.TestCase):
+    """A component fails, and what a request waits for never comes."""
+
+    def make_world(self):
+        world = World(0)
+        world.behaviours = ["cut"]
+        world.rng = mock.Mock(wraps=random.Random(1))
+        world.rng.choice.side_effect = lambda options: options[0]
+        # Connections are made at once, and the instance cuts each of them.
+        world.rng.random.side_effect = itertools.repeat(0.4)
+        world.hosts[0].handover_hosts = lambda exclude: []
+        deps = world.hosts[0]._deps
+        deps.fleet.handover_hosts = lambda exclude: []
+        return world, world.hosts[0]
+
+    @params(
+        # component, method, whether it raises or does nothing, status
+        ("paths", "when_settled", False, 502),
+        ("paths", "when_settled", True, 500),
+        ("crashes", "check", False, 502),
+        ("crashes", "check", True, 500),
+        ("placer", "place", False, 503),
+        ("placer", "place", True, 500),
+        ("pool", "acquire", False, 503),
+        ("pool", "acquire", True, 500),
+        ("evidence", "record", True, 500),
+        ("fleet", "report_instance", True, 500),
+    )
+    def test_request_has_its_answer_at_its_deadline(
+        self, component, method, raises, status
+    ):
+        """Such requests were never answered, and their slots never released."""
+        world, host = self.make_world()
+        effect = RuntimeError("odd") if raises else lambda *args, **kwargs: None
+        owner = getattr(host._deps, component)
+        with mock.patch.object(owner, method, side_effect=effect):
+            responses = []
+            headers = [
+                (b"host", b"shop.example"),
+                (HEADERS.request_id, b"id"),
+                (HEADERS.deadline_ms, b"1000"),
+            ]
+            head = RequestHead("GET", "/look/", headers)
+            host.start(head, lambda status, headers, body: responses.append(status))
+            world.reactor.run_for(1.2)
+        self.assertEqual(responses, [status])
+        self.assertFalse(any(host.placer.occupancy.own.values()))
+
+
 if __name__ == "__main__":
     unittest.main()
