Read a deadline of other digits or of great length without failing

Such a header counts as none, as other unusable ones do; in dogwoodtackd it is rejected with 400 as before.

--- a/dogwoodtack/entry/request.py
+++ b/dogwoodtack/entry/request.py
@@ -3,6 +3,7 @@
 from ..backends import Header
 from ..frontend.conn import RequestHead
 from ..frontend.headers import drop_hop_by_hop
+from ..misc import parse_count
 from ..routing import Route
 from .wire import HeaderNames
 
@@ -32,8 +33,8 @@
         header_names: header names on the wire.
         route: the matched route, whose timeout may lower the limit.
     """
-    text = head.header(header_names.deadline_ms) or ""
-    limit_s = int(text) / 1000 if text.isdigit() else DEFAULT_TIME_LIMIT_S
+    deadline_ms = parse_count(head.header(header_names.deadline_ms) or "")
+    limit_s = DEFAULT_TIME_LIMIT_S if deadline_ms is None else deadline_ms / 1000
     if route.timeout_s is not None:
         limit_s = min(limit_s, route.timeout_s)
     return max(MIN_ATTEMPT_S, limit_s - RESPONSE_MARGIN_S)
@@ -46,9 +47,8 @@
         head: the request of the other entry host.
         route: the matched route.
     """
-    text = head.header(ATTEMPTS_LEFT_HEADER) or ""
-    left = int(text) if text.isdigit() else 1
-    return max(1, min(left, route.max_attempts))
+    left = parse_count(head.header(ATTEMPTS_LEFT_HEADER) or "")
+    return max(1, min(1 if left is None else left, route.max_attempts))
 
 
 def forwarded_headers(
--- a/dogwoodtack/frontend/headers.py
+++ b/dogwoodtack/frontend/headers.py
@@ -1,6 +1,7 @@
 """Header names, and which headers are forwarded, dropped or added."""
 
 from ..backends import Header
+from ..misc import parse_count
 from .conn import RequestHead
 
 __all__ = [
@@ -107,6 +108,7 @@
     text = head.header(DEADLINE_MS)
     if text is None:
         return default_s
-    if not text.isdigit() or int(text) == 0:
+    deadline_ms = parse_count(text)
+    if not deadline_ms:
         raise ValueError(f"{DEADLINE_MS.decode()} must be a whole number above 0")
-    return min(default_s, int(text) / 1000)
+    return min(default_s, deadline_ms / 1000)
--- a/dogwoodtack/misc.py
+++ b/dogwoodtack/misc.py
@@ -4,10 +4,12 @@
 import secrets
 from typing import NamedTuple
 
-__all__ = ["Address", "new_token", "parse_address", "secrets_match"]
+__all__ = ["Address", "new_token", "parse_address", "parse_count", "secrets_match"]
 
 TOKEN_BYTES = 16
 MAX_PORT = 65535
+# Whole numbers of this length fit any arithmetic, also with floating point numbers.
+MAX_COUNT_DIGITS = 15
 
 
 class Address(NamedTuple):
@@ -35,6 +37,15 @@
     return Address(host, number)
 
 
+def parse_count(text: str) -> int | None:
+    """Return the whole number in a text, or None if it has none or too large a one.
+
+    Other digits than 0 to 9, which `str.isdigit` accepts, are no number.
+    """
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_DIGITS
+    return int(text) if is_number else None
+
+
 def new_token() -> str:
     """Return a random hexadecimal token that is unique among processes."""
     return secrets.token_hex(TOKEN_BYTES)
