Don't blame instances when this host can open no connection

Change: a failure that lies with this process or machine (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL) is an outcome of its own, host-exhausted. It is no observation of the instance or of the paths, and the request is rejected at once with 503 and Retry-After if no attempt may have run it. An earlier attempt that may have run turns every kind that says not-run into 502, no longer a list of two.

Tests: test_host_without_descriptors_rejects_at_once, test_host_without_descriptors_is_not_cut_off and two rows of NextActionTest; both tests failed before (502 after six attempts; cut off).

--- a/dogwoodtack/backends/pool.py
+++ b/dogwoodtack/backends/pool.py
@@ -4,8 +4,9 @@
 from collections.abc import Callable
 
 from ..errors import ErrorKind, WireError
+from ..logs import LimitedLog
 from ..misc import Address
-from ..reactor import ConnectAttempt, Reactor
+from ..reactor import ConnectAttempt, Reactor, is_local_error
 from .connection import BackendConnection
 
 __all__ = ["ConnectionPool"]
@@ -29,6 +30,7 @@
         self._reactor = reactor
         self._dial_timeout_s = dial_timeout_s
         self._idle: dict[Address, deque[BackendConnection]] = {}
+        self._limited_log = LimitedLog(reactor.clock.monotonic)
 
     def acquire(
         self,
@@ -69,8 +71,12 @@
     def _dial(self, address: Address, on_connection: OnConnection) -> None:
         def on_done(sock, exc):
             if exc is not None:
-                error = WireError(ErrorKind.BACKEND_REFUSED, str(exc), bytes_sent=False)
-                on_connection(None, error)
+                if is_local_error(exc):
+                    self._limited_log.warn("connect-failed", error=exc)
+                    kind = ErrorKind.HOST_EXHAUSTED
+                else:
+                    kind = ErrorKind.BACKEND_REFUSED
+                on_connection(None, WireError(kind, str(exc), bytes_sent=False))
                 return
             on_connection(BackendConnection(self._reactor, sock, address), None)
 
--- a/dogwoodtack/entry/attempt.py
+++ b/dogwoodtack/entry/attempt.py
@@ -11,7 +11,7 @@
     ResponseHead,
     ResponseRules,
 )
-from ..errors import WireError
+from ..errors import ErrorKind, WireError
 from ..misc import Address
 from ..placement import AttemptOutcome, Instance, InstanceNotice
 from ..reactor import Reactor, Timer
@@ -174,14 +174,19 @@
     def _on_connection(
         self, conn: BackendConnection | None, exc: WireError | None
     ) -> None:
-        if conn is None or not conn.was_used:
+        is_exhausted = exc is not None and exc.kind is ErrorKind.HOST_EXHAUSTED
+        if not is_exhausted and (conn is None or not conn.was_used):
             self._on_connect(conn is not None)
         if self._on_end is None:
             if conn is not None:
                 self._pool.release(conn)
             return
         if conn is None:
-            self._finish(AttemptOutcome.NOT_SENT)
+            self._finish(
+                AttemptOutcome.HOST_EXHAUSTED
+                if is_exhausted
+                else AttemptOutcome.NOT_SENT
+            )
             return
         now = self._reactor.clock.monotonic()
         self._conn = conn
--- a/dogwoodtack/entry/evidence.py
+++ b/dogwoodtack/entry/evidence.py
@@ -46,6 +46,8 @@
         What may only show that this host's paths are lost is not told.
         """
         observation = observation_for(outcome)
+        if observation is None:
+            return None
         is_path_suspect = self._paths.is_suspect
         now = self._clock.monotonic()
         self._placer.health.observe(instance_id, observation, now, is_path_suspect)
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -5,7 +5,7 @@
 from typing import Any, NamedTuple
 
 from ..backends import ConnectionPool
-from ..errors import ErrorKind, answer_for
+from ..errors import ErrorKind, Outcome, answer_for
 from ..fleet import Fleet
 from ..frontend.conn import RequestHead, ServerConn
 from ..frontend.headers import response_headers
@@ -81,6 +81,7 @@
     AttemptOutcome.NOT_EXECUTED: ErrorKind.BACKEND_SHED,
     AttemptOutcome.MISDIRECTED: ErrorKind.BACKEND_SHED,
     AttemptOutcome.NOT_SENT: ErrorKind.BACKEND_REFUSED,
+    AttemptOutcome.HOST_EXHAUSTED: ErrorKind.HOST_EXHAUSTED,
     AttemptOutcome.FAILED: ErrorKind.BACKEND_CUT,
 }
 
@@ -698,7 +699,8 @@
             self._send_error(KIND_BY_OUTCOME[result.outcome], retry_after_s)
             return
         kind = KIND_BY_OUTCOME[result.outcome]
-        if kind in (ErrorKind.BACKEND_SHED, ErrorKind.BACKEND_REFUSED):
+        if answer_for(kind).outcome is Outcome.NOT_RUN:
+            # An earlier attempt may have run it.
             kind = ErrorKind.BACKEND_CUT
         self._send_error(kind)
 
--- a/dogwoodtack/entry/explain.py
+++ b/dogwoodtack/entry/explain.py
@@ -17,6 +17,7 @@
     "no-route": "The configuration in force has no route for this host and path.",
     "backend-shed": "Every instance that was tried rejected the request unexecuted.",
     "backend-refused": "No instance could be reached; nothing was sent.",
+    "host-exhausted": "The entry host could open no connection; nothing was sent.",
     "backend-cut": "The connection ended before a complete response; "
     "the request may have run.",
     "backend-malformed": "The bytes received were not a valid response to the request; "
--- a/dogwoodtack/entry/paths.py
+++ b/dogwoodtack/entry/paths.py
@@ -6,9 +6,9 @@
 import socket
 from collections.abc import Callable
 
-from ..logs import log_event
+from ..logs import LimitedLog, log_event
 from ..placement import Instance, InstanceRegistry, Reachability
-from ..reactor import ConnectAttempt, Reactor
+from ..reactor import ConnectAttempt, Reactor, is_local_error
 
 __all__ = ["PathMonitor"]
 
@@ -43,6 +43,7 @@
         self._rng = rng
         self._on_change = on_change
         self._reachability = Reachability()
+        self._limited_log = LimitedLog(reactor.clock.monotonic)
         self._pending_probes = 0
         self._round_at = -math.inf
         self._waiting: list[Callable[[], None]] = []
@@ -132,6 +133,12 @@
             sock.close()
         self._pending_probes -= 1
         was_cut_off = self.is_cut_off
+        if exc is not None and is_local_error(exc):
+            # It says nothing about the paths, nor would further probes.
+            self._limited_log.warn("path-probe-failed", error=exc)
+            if not self._pending_probes:
+                self._settle()
+            return
         self._record(instance, sock is not None)
         if self._pending_probes and not self.is_cut_off:
             return
--- a/dogwoodtack/entry/replies.py
+++ b/dogwoodtack/entry/replies.py
@@ -17,6 +17,7 @@
     ErrorKind.BACKEND_SHED: 503,
     ErrorKind.BACKEND_REFUSED: 503,
     ErrorKind.DEADLINE_PASSED: 503,
+    ErrorKind.HOST_EXHAUSTED: 503,
     ErrorKind.BACKEND_TIMEOUT: 504,
     ErrorKind.BACKEND_CUT: 502,
     ErrorKind.BACKEND_MALFORMED: 502,
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -343,6 +343,38 @@
         deps.fleet.handover_hosts = lambda exclude: []
         return world, world.hosts[0]
 
+    def send_lookup(self, world, host):
+        """Send a lookup with a deadline of 1 s and return the list of its statuses."""
+        responses = []
+        headers = [
+            (b"host", b"shop.example"),
+            (HEADERS.request_id, b"id"),
+            (HEADERS.deadline_ms, b"1000"),
+        ]
+        head = RequestHead("GET", "/look/", headers)
+        host.start(head, lambda status, headers, body: responses.append(status))
+        return responses
+
+    def test_host_without_descriptors_rejects_at_once(self):
+        """It reported healthy instances as unreachable and held the request."""
+        world, host = self.make_world()
+        exc = WireError(ErrorKind.HOST_EXHAUSTED, "too many open files")
+        host.paths.on_connect = mock.Mock()
+
+        def acquire(address, on_connection, max_idle_s):
+            world.reactor.call_soon(on_connection, None, exc)
+
+        with mock.patch.object(host._deps.pool, "acquire", acquire):
+            responses = self.send_lookup(world, host)
+            world.reactor.run_for(0.01)
+        self.assertEqual(responses, [503])
+        host.paths.on_connect.assert_not_called()
+        observations = [
+            call.args[1] for call in host._deps.fleet.report_instance.call_args_list
+        ]
+        self.assertEqual(set(observations), {None})
+        self.assertFalse(any(host.placer.occupancy.own.values()))
+
     @params(
         # component, method, whether it raises or does nothing, status
         ("paths", "when_settled", False, 502),
@@ -364,14 +396,7 @@
         effect = RuntimeError("odd") if raises else lambda *args, **kwargs: None
         owner = getattr(host._deps, component)
         with mock.patch.object(owner, method, side_effect=effect):
-            responses = []
-            headers = [
-                (b"host", b"shop.example"),
-                (HEADERS.request_id, b"id"),
-                (HEADERS.deadline_ms, b"1000"),
-            ]
-            head = RequestHead("GET", "/look/", headers)
-            host.start(head, lambda status, headers, body: responses.append(status))
+            responses = self.send_lookup(world, host)
             world.reactor.run_for(1.2)
         self.assertEqual(responses, [status])
         self.assertFalse(any(host.placer.occupancy.own.values()))
--- a/dogwoodtack/entry/tests/test_paths.py
+++ b/dogwoodtack/entry/tests/test_paths.py
@@ -1,5 +1,6 @@
 """Tests of the monitor of a host's paths to the instances."""
 
+import errno
 import random
 import unittest
 from unittest import mock
@@ -28,6 +29,7 @@
         self.timers = []
         self.connects = []
         self.reached = set()
+        self.error = OSError(errno.ETIMEDOUT, "timed out")
 
     def monotonic(self):
         return self.now
@@ -48,7 +50,7 @@
                 if address in self.reached:
                     on_done(mock.Mock(), None)
                 else:
-                    on_done(None, OSError("timed out"))
+                    on_done(None, self.error)
             due = [timer for timer in self.timers if timer[0] <= self.now]
             self.timers = [timer for timer in self.timers if timer[0] > self.now]
             for _, fn, args in due:
@@ -101,6 +103,18 @@
         self.assertEqual(settled, [True])
         self.assertEqual(self.changes, [True] if expected else [])
 
+    def test_host_without_descriptors_is_not_cut_off(self):
+        """It reported healthy instances as unreached, and handed requests over."""
+        monitor = self.make_monitor(22)
+        self.reactor.reached = set()
+        self.reactor.error = OSError(errno.EMFILE, "too many open files")
+        monitor.check()
+        settled = []
+        monitor.when_settled(lambda: settled.append(True))
+        self.reactor.run(3.0)
+        self.assertFalse(monitor.is_cut_off or monitor.is_suspect)
+        self.assertEqual((settled, monitor.pending_probes), ([True], 0))
+
     def test_probes_show_that_the_paths_work_again(self):
         monitor = self.make_monitor(22)
         reached, self.reactor.reached = self.reactor.reached, set()
--- a/dogwoodtack/errors.py
+++ b/dogwoodtack/errors.py
@@ -57,6 +57,7 @@
     CUT_OFF = "cut-off"
     DEADLINE_PASSED = "deadline-passed"
     BACKEND_REFUSED = "backend-refused"
+    HOST_EXHAUSTED = "host-exhausted"
     BACKEND_SHED = "backend-shed"
     BACKEND_TIMEOUT = "backend-timeout"
     BACKEND_CUT = "backend-cut"
@@ -149,6 +150,9 @@
     ErrorKind.BACKEND_REFUSED: Answer(
         502, _NOT_RUN, 1, "No back end took a connection."
     ),
+    ErrorKind.HOST_EXHAUSTED: Answer(
+        503, _NOT_RUN, 1, "This entry host can open no further connection."
+    ),
     ErrorKind.BACKEND_SHED: Answer(
         503, _NOT_RUN, 1, "The back ends are shedding load."
     ),
--- a/dogwoodtack/placement/outcomes.py
+++ b/dogwoodtack/placement/outcomes.py
@@ -24,6 +24,8 @@
         NOT_EXECUTED: the instance reports that it did not run the request.
         MISDIRECTED: another instance has the address now; it did not run the request.
         NOT_SENT: no byte of the request left this host.
+        HOST_EXHAUSTED: the same, as this host could open no connection; it says nothing
+            about the instance.
         CUT: the connection ended before a complete response.
         MALFORMED: the bytes received are no usable response to this request.
         TIMED_OUT: no complete response in time.
@@ -34,6 +36,7 @@
     NOT_EXECUTED = "not-executed"
     MISDIRECTED = "misdirected"
     NOT_SENT = "not-sent"
+    HOST_EXHAUSTED = "host-exhausted"
     CUT = "cut"
     MALFORMED = "malformed"
     TIMED_OUT = "timed-out"
@@ -52,13 +55,18 @@
 
 # Outcomes after which the request has certainly not run at the instance.
 NOT_RUN_OUTCOMES = frozenset(
-    {AttemptOutcome.NOT_EXECUTED, AttemptOutcome.MISDIRECTED, AttemptOutcome.NOT_SENT}
+    {
+        AttemptOutcome.NOT_EXECUTED,
+        AttemptOutcome.MISDIRECTED,
+        AttemptOutcome.NOT_SENT,
+        AttemptOutcome.HOST_EXHAUSTED,
+    }
 )
 
 
-def observation_for(outcome: AttemptOutcome) -> Observation:
-    """Return what an outcome shows about the instance."""
-    return _OBSERVATIONS[outcome]
+def observation_for(outcome: AttemptOutcome) -> Observation | None:
+    """Return what an outcome shows about the instance, or None."""
+    return _OBSERVATIONS.get(outcome)
 
 
 class NextAction(enum.StrEnum):
@@ -110,7 +118,11 @@
     if ctx.outcome is AttemptOutcome.ANSWERED:
         return NextAction.FORWARD
     may_retry = ctx.is_idempotent or not ctx.may_have_run
-    has_attempts_left = ctx.attempts < ctx.max_attempts
+    has_attempts_left = (
+        ctx.attempts < ctx.max_attempts
+        # Connecting to another instance would fail in the same way.
+        and ctx.outcome is not AttemptOutcome.HOST_EXHAUSTED
+    )
     if may_retry and has_attempts_left and ctx.has_retry_budget and ctx.has_time:
         return NextAction.RETRY
     if ctx.outcome is AttemptOutcome.FAILED:
--- a/dogwoodtack/placement/tests/test_outcomes.py
+++ b/dogwoodtack/placement/tests/test_outcomes.py
@@ -25,6 +25,7 @@
     AttemptOutcome.NOT_EXECUTED,
     AttemptOutcome.MISDIRECTED,
     AttemptOutcome.NOT_SENT,
+    AttemptOutcome.HOST_EXHAUSTED,
 )
 
 
@@ -65,6 +66,11 @@
             {"outcome": AttemptOutcome.NOT_EXECUTED, "has_retry_budget": False},
             NextAction.FAIL,
         ),
+        (
+            {"outcome": AttemptOutcome.HOST_EXHAUSTED, "may_have_run": False},
+            NextAction.REJECT,
+        ),
+        ({"outcome": AttemptOutcome.HOST_EXHAUSTED}, NextAction.FAIL),
     )
     def test_next_action(self, changes, expected):
         self.assertIs(next_action(CONTEXT._replace(**changes)), expected)
--- a/lab/reference.py
+++ b/lab/reference.py
@@ -19,7 +19,9 @@
 PACKAGE = ROOT / "dogwoodtack"
 METRIC_TYPES = ("Counter", "Gauge", "Histogram", "Summary")
 # Calls that log an event, and their levels where they name none.
-LOG_CALLS = {"log_event": "INFO", "warn": "WARNING"}
+LOG_CALLS = {"log_event": "INFO", "log_failure": "ERROR", "warn": "WARNING"}
+# Fields that a call logs besides those that it is given.
+IMPLIED_FIELDS = {"log_failure": ["error", "trace"]}
 
 
 class Event(NamedTuple):
@@ -79,13 +81,14 @@
     names = _strings(call.args[0])
     if not names:
         return None
-    level = LOG_CALLS[_callee_name(call)]
+    callee = _callee_name(call)
+    level = LOG_CALLS[callee]
     level_nodes = call.args[1:2] or [
         keyword.value for keyword in call.keywords if keyword.arg == "level"
     ]
-    if level_nodes:
+    if level_nodes and callee not in IMPLIED_FIELDS:
         level = " or ".join(_strings(level_nodes[0]))
-    fields = [
+    fields = IMPLIED_FIELDS.get(callee, []) + [
         keyword.arg if keyword.arg else "..."
         for keyword in call.keywords
         if keyword.arg != "level"
