Keep descriptors for instances when callers need more than there are

The callers' port and the port for handovers accepted 2,500 connections each, those for discovery and for other hosts any number, while a process may have 4,100 descriptors in all, of which 200 are for files (DEPLOY.md).

Change: maxFds is read from the settings, and a pure function divides it among the ports. Beyond three quarters of its share a port closes a connection after its first response, so that callers that keep theirs don't shut out others, as a hard limit alone would; beyond all of it, callers get a 503 as before, and connections to discovery are closed. Rejected: closing the longest idle connection, which may cross its caller's next request.

--- a/dogwoodtack/entry/frontend.py
+++ b/dogwoodtack/entry/frontend.py
@@ -21,6 +21,7 @@
         address: where callers connect.
         limits: returns the limits in force.
         max_connections: most connections of callers at a time.
+        max_rejections: most connections beyond these that are being rejected.
         is_handover: whether the callers are other entry hosts, which hand over
             requests that they can't serve.
     """
@@ -31,12 +32,13 @@
         address: Address,
         limits: Callable[[], CallerLimits],
         max_connections: int,
+        max_rejections: int,
         is_handover: bool = False,
     ) -> None:
         self._deps = deps
         self._is_handover = is_handover
         self._caller_limits = limits
-        super().__init__(deps.reactor, address, max_connections)
+        super().__init__(deps.reactor, address, max_connections, max_rejections)
 
     def _make_conn(self, sock: socket.socket, peer: Address) -> ServerConn:
         limits = self._caller_limits()
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -24,6 +24,7 @@
 from .buffers import ResponseBuffers
 from .crash_records import CrashRecords
 from .crashes import CrashMonitor
+from .descriptors import connection_limits
 from .evidence import Evidence
 from .exchange import ExchangeDependencies
 from .frontend import EntryFrontend
@@ -52,7 +53,6 @@
 FEED_START_TIMEOUT_S = 0.3
 SETTINGS_POLL_S = 1.0
 LOG_FLUSH_S = 1.0
-MAX_CALLER_CONNECTIONS = 2500
 # A link of this speed carries the traffic that one processor core can handle.
 LINK_MBPS_PER_CORE = 40.0
 
@@ -201,22 +201,34 @@
             request_log=self.request_log,
             response_kb={},
         )
+        limits = connection_limits(cfg.max_descriptors)
         self.frontend = EntryFrontend(
-            deps, cfg.callers, self._caller_limits, MAX_CALLER_CONNECTIONS
+            deps,
+            cfg.callers,
+            self._caller_limits,
+            limits.callers,
+            limits.rejections,
         )
         self.handover_frontend = EntryFrontend(
             deps,
             self.local_host.handover_address,
             self._caller_limits,
-            MAX_CALLER_CONNECTIONS,
+            limits.handovers,
+            limits.rejections,
             is_handover=True,
         )
         self._frontends = (self.frontend, self.handover_frontend)
-        Responder(self.reactor, cfg.readiness, self._handle_query)
-        if cfg.directory != cfg.readiness:
-            Responder(self.reactor, cfg.directory, self._handle_query)
+        is_shared = cfg.directory == cfg.readiness
+        self.directory = Responder(
+            self.reactor, cfg.directory, self._handle_query, limits.directory
+        )
+        if not is_shared:
+            Responder(self.reactor, cfg.readiness, self._handle_query, limits.readiness)
         Responder(
-            self.reactor, self.local_host.relay_address, self._handle_peer_request
+            self.reactor,
+            self.local_host.relay_address,
+            self._handle_peer_request,
+            limits.relay,
         )
 
     def begin(self) -> None:
@@ -318,6 +330,7 @@
             "in_flight": self._in_flight(),
             "caller_connections": self.frontend.connections,
             "handover_connections": self.handover_frontend.connections,
+            "directory_connections": self.directory.connections,
             "response_buffer_bytes": self.buffers.total_bytes,
             "instance_paths_lost": float(self.paths.is_cut_off),
             "instances_unreached": self.paths.unreached,
--- a/dogwoodtack/entry/responder.py
+++ b/dogwoodtack/entry/responder.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from ..errors import ErrorKind
-from ..frontend.conn import RequestHead, ServerConn
+from ..frontend import KEPT_CONNECTIONS_SHARE, RequestHead, ServerConn
 from ..misc import Address
 from ..reactor import Listener, Reactor
 
@@ -32,23 +32,46 @@
 class Responder:
     """Respond to each request with the result of a handler.
 
+    When most connections are in use, a new one is closed after its first response, so
+    that clients that keep theirs don't shut out others.
+
     Args:
         reactor: event loop.
         address: where to listen.
         handle: returns the response for a method and target, or None for status 404.
+        max_connections: most connections at a time; further ones are closed.
     """
 
     def __init__(
-        self, reactor: Reactor, address: Address, handle: RequestHandler
+        self,
+        reactor: Reactor,
+        address: Address,
+        handle: RequestHandler,
+        max_connections: int,
     ) -> None:
         self._reactor = reactor
         self._handle = handle
+        self._max_connections = max_connections
+        self._conns: set[ServerConn] = set()
         self._request_heads: dict[ServerConn, RequestHead] = {}
         self._listener = Listener(reactor, address, self._on_accept)
         self.address = self._listener.address
 
+    @property
+    def connections(self) -> int:
+        """Return how many clients are connected."""
+        return len(self._conns)
+
     def _on_accept(self, sock: socket.socket, peer: Address) -> None:
-        ServerConn(self._reactor, sock, peer, self, HEAD_TIMEOUT_S, IDLE_TIMEOUT_S)
+        if len(self._conns) >= self._max_connections:
+            sock.close()
+            return
+        conn = ServerConn(
+            self._reactor, sock, peer, self, HEAD_TIMEOUT_S, IDLE_TIMEOUT_S
+        )
+        self._conns.add(conn)
+        if len(self._conns) > KEPT_CONNECTIONS_SHARE * self._max_connections:
+            conn.close_after_response()
 
     def on_request(self, conn: ServerConn, head: RequestHead) -> None:
         """Keep the head until the request is complete."""
@@ -82,4 +105,5 @@
 
     def on_conn_closed(self, conn: ServerConn) -> None:
         """Forget the request of a client that disconnected."""
+        self._conns.discard(conn)
         self._request_heads.pop(conn, None)
--- a/dogwoodtack/entry/settings.py
+++ b/dogwoodtack/entry/settings.py
@@ -38,6 +38,7 @@
         store: address of the platform's store.
         cores: processor cores for the process, a fraction or more than one.
         link_mbps: speed of the host's network link in Mbit/s.
+        max_descriptors: how many descriptors the process may have.
         bounds: guaranteed time bounds and the retry budget.
     """
 
@@ -50,6 +51,7 @@
     store: Address
     cores: float
     link_mbps: float
+    max_descriptors: int
     bounds: Bounds
 
     @property
--- a/dogwoodtack/frontend/__init__.py
+++ b/dogwoodtack/frontend/__init__.py
@@ -1,6 +1,11 @@
 """The HTTP frontend for callers, which sends one response to each request."""
 
-from .callers import CallerExchange, CallerFrontend
+from .callers import (
+    KEPT_CONNECTIONS_SHARE,
+    MAX_PENDING_REJECTIONS,
+    CallerExchange,
+    CallerFrontend,
+)
 from .conn import RequestHead, ServerConn, ServerOwner
 from .exchange import Exchange, ExchangeDependencies
 from .frontend import DISCOVERY_PREFIX, Frontend
@@ -13,6 +18,8 @@
     "Exchange",
     "ExchangeDependencies",
     "Frontend",
+    "KEPT_CONNECTIONS_SHARE",
+    "MAX_PENDING_REJECTIONS",
     "RequestHead",
     "RequestHistory",
     "RequestRecord",
--- a/dogwoodtack/frontend/callers.py
+++ b/dogwoodtack/frontend/callers.py
@@ -9,9 +9,17 @@
 from .conn import RequestHead, ServerConn
 from .rejection import ConnectionRejection
 
-__all__ = ["CallerExchange", "CallerFrontend"]
+__all__ = [
+    "KEPT_CONNECTIONS_SHARE",
+    "MAX_PENDING_REJECTIONS",
+    "CallerExchange",
+    "CallerFrontend",
+]
 
 MAX_PENDING_REJECTIONS = 256
+# Connections beyond this share of the most that are accepted are closed after their
+# first response, so that callers that keep theirs don't shut out others.
+KEPT_CONNECTIONS_SHARE = 0.75
 
 
 class CallerExchange(Protocol):
@@ -45,13 +53,20 @@
         reactor: event loop.
         address: where callers connect.
         max_connections: most connections at a time; further ones are rejected.
+        max_rejections: most rejections under way at a time; connections beyond them are
+            closed without a response.
     """
 
     def __init__(
-        self, reactor: Reactor, address: Address, max_connections: int
+        self,
+        reactor: Reactor,
+        address: Address,
+        max_connections: int,
+        max_rejections: int = MAX_PENDING_REJECTIONS,
     ) -> None:
         self._reactor = reactor
         self._max_connections = max_connections
+        self._max_rejections = max_rejections
         self._conns: dict[ServerConn, ExchangeT | None] = {}
         self._exchanges: set[ExchangeT] = set()
         self._rejections: set[ConnectionRejection] = set()
@@ -114,11 +129,14 @@
             return
         conn = self._make_conn(sock, peer)
         self._conns[conn] = None
-        if self._is_stopping:
+        is_nearly_full = (
+            len(self._conns) > KEPT_CONNECTIONS_SHARE * self._max_connections
+        )
+        if self._is_stopping or is_nearly_full:
             conn.close_after_response()
 
     def _reject(self, sock: socket.socket) -> None:
-        if len(self._rejections) >= MAX_PENDING_REJECTIONS:
+        if len(self._rejections) >= self._max_rejections:
             sock.close()
             return
         rejection = ConnectionRejection(self._reactor, sock, self._rejections.discard)
--- a/dogwoodtack/platform/settings.py
+++ b/dogwoodtack/platform/settings.py
@@ -2,6 +2,7 @@
 
 import math
 import os
+import resource
 import tomllib
 from typing import Any
 
@@ -57,14 +58,25 @@
             # The CPU share is given per core.
             cores=float(limits["cpuShare"]) * float(limits["cores"]),
             link_mbps=float(limits["linkMbps"]),
+            max_descriptors=_max_descriptors(limits),
             bounds=_bounds(fields.get("bounds", [])),
         )
     except KeyError as exc:
         raise SettingsError(f"field {exc} is missing") from exc
-    except (TypeError, ValueError, AttributeError) as exc:
+    except (AttributeError, OverflowError, TypeError, ValueError) as exc:
         raise SettingsError(f"a field has an invalid value: {exc}") from exc
 
 
+def _max_descriptors(limits: dict[str, Any]) -> int:
+    """Return the limit of descriptors, by default that of the process itself."""
+    if "maxFds" not in limits:
+        return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    value = int(limits["maxFds"])
+    if value < 1:
+        raise SettingsError(f"field maxFds is not a positive number: {value}")
+    return value
+
+
 def _store_address(fields: dict[str, Any]) -> Address:
     return parse_address(fields["platform"]["address"])
 
--- a/dogwoodtack/platform/tests/test_wire.py
+++ b/dogwoodtack/platform/tests/test_wire.py
@@ -1,6 +1,7 @@
 """Tests of decoding the platform's objects, settings and queries."""
 
 import math
+import resource
 import unittest
 
 from nose2.tools import params
@@ -140,6 +141,12 @@
 
 
 class SettingsTest(unittest.TestCase):
+    @params((4100, 4100), (None, resource.getrlimit(resource.RLIMIT_NOFILE)[0]))
+    def test_limit_of_descriptors(self, value, expected):
+        limits = {**SETTINGS["limits"], **({"maxFds": value} if value else {})}
+        found = decode_entry_settings({**SETTINGS, "limits": limits})
+        self.assertEqual(found.max_descriptors, expected)
+
     def test_valid_settings(self):
         found = decode_entry_settings(SETTINGS)
         self.assertEqual(found.callers, Address("10.1.0.10", 8161))
@@ -166,6 +173,9 @@
         ("bounds", ["maxPauseS=-1"]),
         ("bounds", ["maxPauseS=inf"]),
         ("bounds", ["maxPauseS=nan"]),
+        ("limits.maxFds", "many"),
+        ("limits.maxFds", 0),
+        ("limits.maxFds", math.inf),
     )
     def test_invalid_settings_are_rejected(self, path, value):
         with self.assertRaises(SettingsError):
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -59,6 +60,8 @@
 
 class EntryHostTest(unittest.TestCase):
     instances = 2
+    # The limit of descriptors in the settings and of the process; None for its default.
+    max_descriptors = None
 
     def setUp(self):
         self.store = StoreStandIn()
@@ -89,8 +92,10 @@
             f'ready = "127.0.0.1:{ready}"',
             f'directory = "127.0.0.1:{directory}"',
             "[limits]\ncpuShare = 0.86\ncores = 1\nlinkMbps = 1000.0",
-            f'[platform]\naddress = "{self.store.address}"',
         ]
+        if self.max_descriptors:
+            lines.append(f"maxFds = {self.max_descriptors}")
+        lines.append(f'[platform]\naddress = "{self.store.address}"')
         boot.write_text("\n".join(lines))
         env = {**os.environ, "DOGWOODTACK_SETTINGS": str(boot)}
         with open(self.log, "a") as out:
@@ -100,10 +105,16 @@
                 env=env,
                 stdout=out,
                 stderr=subprocess.STDOUT,
+                preexec_fn=self.limit_descriptors,
             )
         self.addCleanup(self.process.wait)
         self.addCleanup(self.process.kill)
 
+    def limit_descriptors(self):
+        if self.max_descriptors:
+            limits = (self.max_descriptors, self.max_descriptors)
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
     def call(
         self,
         method,
