--- a/dogwoodtack/feed/feed.py
+++ b/dogwoodtack/feed/feed.py
@@ -1,5 +1,6 @@
 """Feed of instances and configuration from the store, directly or through a peer."""
 
+import functools
 import math
 import random
 from collections.abc import Callable
@@ -11,8 +12,9 @@
 from ..misc import Address
 from ..placement import InstanceChange, InstanceRegistry
 from ..position import START_POSITION, StorePosition
-from ..reactor import Reactor, Timer
+from ..reactor import Reactor
 from ..routing import Configuration
+from .call_loop import CallLoop
 from .relay import RelayClient, RelayedState
 from .updates import ConfigurationUpdate, InstanceUpdates, Source
 
@@ -24,6 +26,8 @@
 # Longest wait of a watch. A longer silence would prove nothing: its connection may be
 # dead.
 WATCH_WAIT_S = 0.8
+# The wait of a watch whose response is needed for more than its changes.
+SHORT_WATCH_WAIT_S = 0.1
 RETRY_S = 0.25
 # A starting host waits this long for each higher-ranked host, so that those read the
 # store first: a read takes some milliseconds, and a heartbeat and a response to a
@@ -37,14 +41,15 @@
 MAX_RETRY_S = 0.5
 FOLLOWER_MAX_RETRY_S = 2.0
 FOLLOW_CHECK_S = 0.5
-# Calls to the store end sooner. If the reply of one is not handled by then, as its
-# handling has failed, the store is called again.
-OVERDUE_CALL_S = 5.0
-# The same for a read from a peer.
+# A read from a peer ends sooner; after this time its reply counts as lost.
 OVERDUE_PULL_S = 1.0
 # Entries that expired during a store outage, or that a restored copy lacks, are written
 # again within this time.
 RECOVERY_GRACE_S = 2.2
+# The store may have been away if no host of the zone has heard from it for so long.
+# Entries of live instances don't expire in a shorter time: they are written every 1.5 s
+# and kept for three times as long.
+MAX_CONTACT_GAP_S = 2.5
 # Consecutive failed calls after which the store counts as lost.
 LOST_AFTER_FAILURES = 2
 
@@ -67,26 +72,6 @@
     on_store_restored: Callable[[], None]
 
 
-class CallLoop:
-    """Repeated call of a function, which schedules its own next call.
-
-    Args:
-        reactor: runs timers.
-        fn: the function.
-    """
-
-    def __init__(self, reactor: Reactor, fn: Callable[[], None]) -> None:
-        self._reactor = reactor
-        self._fn = fn
-        self._timer: Timer | None = None
-
-    def schedule(self, delay_s: float) -> None:
-        """Call the function after a number of seconds, in place of its next call."""
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer = self._reactor.call_later(delay_s, self._fn)
-
-
 class Feed:
     """Follow the store, or the peer that reads it for the zone.
 
@@ -134,9 +119,13 @@
         # A read from a peer is under way at most until then.
         self._pull_ends_by = -math.inf
         self._store_seen_at = -math.inf
+        # When the store last responded to any host of the zone.
+        self._zone_contact_at = -math.inf
         self._instances_seen_at = -math.inf
         self._failures = 0
         self._recovering_until = -math.inf
+        # Until when a peer withholds removals because it has lost contact itself.
+        self._peer_recovering_until = -math.inf
         self._needs_snapshot = True
         self._has_snapshot = False
         self._has_reported_sync = False
@@ -195,11 +184,13 @@
         self._configuration_loop.schedule(wait_s)
 
     def _follows_peer(self) -> bool:
+        now = self._reactor.clock.monotonic()
         if not self.is_synced:
             return False
-        return (
-            self._peer_table.store_reader(self._reactor.clock.monotonic()) is not None
-        )
+        if now < self._peer_recovering_until and not self._is_recovering():
+            # The peer withholds removals that this host can read at once.
+            return False
+        return self._peer_table.store_reader(now) is not None
 
     # Instances.
 
@@ -209,26 +200,39 @@
         elif self._follows_peer():
             self._instances_loop.schedule(FOLLOW_CHECK_S)
             return
-        self._instances_loop.schedule(OVERDUE_CALL_S)
+        call = self._instances_loop.begin_call()
+        on_done = functools.partial(self._on_instance_updates, call)
         if self._needs_snapshot:
-            self._source.read_instances(self._on_instance_updates)
+            self._source.read_instances(on_done)
         else:
             position = self.registry.position
-            self._source.watch_instances(
-                position, WATCH_WAIT_S, self._on_instance_updates
-            )
+            self._source.watch_instances(position, self._watch_wait_s(), on_done)
+
+    def _watch_wait_s(self) -> float:
+        """Return for how long the next watch of instances may wait."""
+        now = self._reactor.clock.monotonic()
+        if now - self._store_seen_at > 2 * WATCH_WAIT_S:
+            # Peers learn soon that the store is there, also if nothing has changed.
+            return SHORT_WATCH_WAIT_S
+        if self._has_withheld_removals:
+            return min(WATCH_WAIT_S, max(SHORT_WATCH_WAIT_S, self._grace_left_s()))
+        return WATCH_WAIT_S
 
     def _on_instance_updates(
-        self, updates: InstanceUpdates | None, exc: StoreError | None
+        self, call: int, updates: InstanceUpdates | None, exc: StoreError | None
     ) -> None:
+        is_latest = self._instances_loop.is_latest(call)
         if updates is None:
+            if not is_latest:
+                return
             self._needs_snapshot = True
             self._record_failure(exc)
             self._instances_loop.schedule(self._retry_delay_s())
             return
-        # Scheduled first, so that the feed goes on if applying the updates fails.
-        self._instances_loop.schedule(BATCH_PAUSE_S)
-        self._record_contact()
+        if is_latest:
+            # Scheduled first, so that the feed goes on if applying the updates fails.
+            self._instances_loop.schedule(BATCH_PAUSE_S)
+        self._record_contact(self._configuration_loop)
         self._instances_seen_at = self._store_seen_at
         self._observe_era(updates.position.era)
         self._apply_updates(updates)
@@ -243,6 +247,11 @@
         return self._has_withheld_removals and not self._is_recovering()
 
     def recovery_left_s(self) -> float:
+        """Return how many more seconds removals may be unknown here."""
+        left_s = self._grace_left_s()
+        return max(left_s, BATCH_PAUSE_S) if self._has_withheld_removals else left_s
+
+    def _grace_left_s(self) -> float:
         """Return how many more seconds entries may be missing in the store."""
         return max(0.0, self._recovering_until - self._reactor.clock.monotonic())
 
@@ -332,28 +341,31 @@
         if self._follows_peer():
             self._configuration_loop.schedule(FOLLOW_CHECK_S)
             return
-        self._configuration_loop.schedule(OVERDUE_CALL_S)
+        call = self._configuration_loop.begin_call()
+        on_done = functools.partial(self._on_configuration_update, call)
         if self._configuration_position is None:
-            self._source.read_configuration(self._on_configuration_update)
+            self._source.read_configuration(on_done)
         else:
             after = self._configuration_position
-            self._source.watch_configuration(
-                after, WATCH_WAIT_S, self._on_configuration_update
-            )
+            self._source.watch_configuration(after, WATCH_WAIT_S, on_done)
 
     def _on_configuration_update(
-        self, update: ConfigurationUpdate | None, exc: StoreError | None
+        self, call: int, update: ConfigurationUpdate | None, exc: StoreError | None
     ) -> None:
+        is_latest = self._configuration_loop.is_latest(call)
         if update is None:
+            if not is_latest:
+                return
             # Read the full configuration next, as the watch history may be gone.
             self._configuration_position = None
             self._record_failure(exc)
             self._configuration_loop.schedule(self._retry_delay_s())
             return
         is_known = self.configuration is not None or update.configuration is not None
-        # Scheduled first, so that the feed goes on if applying the update fails.
-        self._configuration_loop.schedule(BATCH_PAUSE_S if is_known else RETRY_S)
-        self._record_contact()
+        if is_latest:
+            # Scheduled first, so that the feed goes on if applying the update fails.
+            self._configuration_loop.schedule(BATCH_PAUSE_S if is_known else RETRY_S)
+        self._record_contact(self._instances_loop)
         self._observe_era(update.position.era)
         self._configuration_position = update.position
         self._apply_configuration(update.configuration)
@@ -379,6 +391,9 @@
 
         Without a snapshot of its own, this host reads from any peer.
         """
+        if heartbeat.store_age_s < MAX_AGE_S:
+            now = self._reactor.clock.monotonic()
+            self._observe_contact(now - heartbeat.store_age_s)
         position = self.registry.position
         is_newer = (
             heartbeat.version > self.version
@@ -428,7 +443,19 @@
             self._has_withheld_peer_removals = False
         if state.is_snapshot:
             changes = changes + self._find_peer_removals(state)
-        self._apply_changes(changes, state.position)
+        self._apply_changes(changes, self._position_after(state))
+
+    def _position_after(self, state: RelayedState) -> StorePosition:
+        """Return up to where all changes are known with a peer's state.
+
+        While the peer withholds removals, this is not the peer's position: it applies
+        them later as of that position, and would not be read from again.
+        """
+        if not state.recovery_left_s:
+            return state.position
+        now = self._reactor.clock.monotonic()
+        self._peer_recovering_until = now + state.recovery_left_s
+        return self.registry.position
 
     def _find_peer_removals(self, state: RelayedState) -> list[InstanceChange]:
         """Return removals of the known instances that a peer's full state lacks.
@@ -446,7 +473,8 @@
             )
             self._has_withheld_peer_removals = True
             return []
-        self.registry.record_full_snapshot(state.position)
+        if not state.recovery_left_s:
+            self.registry.record_full_snapshot(state.position)
         return removals
 
     # The store's era.
@@ -489,13 +517,39 @@
         pause_s = min(max_s, RETRY_S * 2.0 ** min(self._failures - 1, 8))
         return pause_s * (0.5 + self._rng.random())
 
-    def _record_contact(self) -> None:
+    def _record_contact(self, other_loop: CallLoop) -> None:
+        """Record that the store has responded.
+
+        Args:
+            other_loop: the loop that did not make the call.
+        """
         now = self._reactor.clock.monotonic()
         if self._failures >= LOST_AFTER_FAILURES:
-            self._recovering_until = now + RECOVERY_GRACE_S
-            log_event("store-regained", failures=self._failures)
+            # Its call may still wait on a connection that has been dead since.
+            other_loop.schedule(0.0)
+            age_s = min(now - self._zone_contact_at, MAX_AGE_S)
+            log_event("store-regained", failures=self._failures, zone_age_s=age_s)
+            if self._zone_contact_at == -math.inf:
+                # This host has started in the meantime.
+                self._recovering_until = now + RECOVERY_GRACE_S
         self._failures = 0
         self._store_seen_at = now
+        self._observe_contact(now)
+
+    def _observe_contact(self, at: float) -> None:
+        """Record when the store responded to a host of the zone.
+
+        If it has responded to none for long, it was away, and live instances may be
+        missing in it for a while.  Otherwise only paths to it were lost.
+        """
+        if at <= self._zone_contact_at:
+            return
+        gap_s = at - self._zone_contact_at
+        self._zone_contact_at = at
+        if MAX_CONTACT_GAP_S < gap_s < math.inf:
+            until = at + RECOVERY_GRACE_S
+            self._recovering_until = max(self._recovering_until, until)
+            log_event("store-was-away", seconds=gap_s)
 
     def _record_failure(self, exc: StoreError | None) -> None:
         if isinstance(exc, (EndedEra, HistoryGone)):
--- a/dogwoodtack/feed/tests/test_feed.py
+++ b/dogwoodtack/feed/tests/test_feed.py
@@ -23,6 +23,7 @@
     InstanceChange,
     InstanceRegistry,
 )
+from dogwoodtack.platform.objects import WATCH_TIMEOUT_MARGIN_S
 from dogwoodtack.position import StorePosition
 from dogwoodtack.routing import CallerLimits, Configuration
 from lab.virtual import VirtualLoop
@@ -39,6 +40,8 @@
 REWRITE_S = 1.8
 EXPIRY_S = 4.0
 COPY_INTERVAL_S = 0.2
+# No request may reach an instance so long after its entry was removed.
+DRAIN_S = 2.0
 # How often a callback of the feed raises an exception.
 CALLBACK_FAILURES = 3
 # Goes back to the oldest copy.
@@ -165,6 +168,8 @@
     def __init__(self, reactor, store, rng):
         self.fault_level = 0.0
         self.is_cut = False
+        self.cuts = 0
+        self._is_silent = False
         self.instances_delay_s = 0.0
         self.configuration_delay_s = 0.0
         self.era = 0
@@ -175,20 +180,37 @@
     def observe_era(self, era):
         self.era = max(self.era, era)
 
+    def cut(self, how):
+        """Let calls fail at once (`refused`), or get no answer, those under way too."""
+        self.is_cut = True
+        self._is_silent = how == "silent"
+        self.cuts += 1
+
+    def restore(self):
+        """Let the path work again."""
+        self.is_cut = self._is_silent = False
+
     def _call(self, wait_s, respond, on_done):
         """Make a call whose response reads the state now or later and is delayed."""
         rng = self._rng
         draw = rng.random()
-        if draw < self.fault_level / 2:
+        if self._is_silent or draw < self.fault_level / 2:
             error = StoreError("no answer")
             self._reactor.call_later(CALL_TIMEOUT_S, on_done, None, error)
         elif draw < self.fault_level or self.is_cut or self._store.is_away:
             self._reactor.call_later(0.01, on_done, None, StoreError("status 503"))
         else:
             extra_s = rng.random() * self.fault_level
-            self._reactor.call_later(wait_s + extra_s, self._respond, respond, on_done)
+            self._reactor.call_later(
+                wait_s + extra_s, self._respond, self.cuts, respond, on_done
+            )
 
-    def _respond(self, respond, on_done):
+    def _respond(self, cuts, respond, on_done):
+        if cuts != self.cuts:
+            # Its connection was cut while it waited.
+            error = StoreError("no answer")
+            self._reactor.call_later(WATCH_TIMEOUT_MARGIN_S, on_done, None, error)
+            return
         if self._store.is_away:
             on_done(None, StoreError("status 503"))
             return
@@ -523,6 +545,97 @@
             self.assertEqual(known, set(world.store.state.instances))
 
 
+class CutReaderTest(unittest.TestCase):
+    """The host that reads the store for its zone loses its path to the store."""
+
+    def make_world(self, seed, is_busy):
+        world = World(seed, hosts=3)
+        if not is_busy:
+            # No instance writes its entry again, and nothing else changes.
+            world.write_heartbeats = lambda: None
+        world.run(3.0 + 0.1 * seed)
+        now = world.reactor.clock.now
+        reader = next(
+            one for one in world.hosts if one.peer_table.store_reader(now) is None
+        )
+        return world, reader, [one for one in world.hosts if one is not reader]
+
+    @params(
+        *itertools.product(
+            # seconds for which the path is cut, and from its return to the removal
+            (0.5, 1.3, 2.0, 4.0),
+            (-1.0, 0.0, 0.5, 1.0, 1.4, 2.0),
+            ("silent", "refused"),
+            (True, False),
+        )
+    )
+    def test_others_learn_of_a_removal_in_time(self, cut_s, after_s, how, is_busy):
+        """They read up to the reader's position, but not the removals it withheld."""
+        for seed in range(4):
+            world, reader, others = self.make_world(seed, is_busy)
+            world.reactor.call_later(cut_s + max(after_s, 0.1 - cut_s), self.remove)
+            self.store, self.clock = world.store, world.reactor.clock
+            reader.source.cut(how)
+            world.run(cut_s)
+            reader.source.restore()
+            world.run(max(0.0, after_s) + 0.01)
+            removed_at = self.removed_at
+            world.run(removed_at + DRAIN_S - self.clock.now)
+            for host in others:
+                self.assertIsNone(host.registry.get("i-0"), f"seed {seed}")
+            world.run(RECOVERY_S)
+            for host in world.hosts:
+                self.assertIsNone(host.registry.get("i-0"), f"seed {seed}")
+                self.assertEqual(len(host.registry.all()), 2)
+
+    def remove(self):
+        self.store.remove("i-0")
+        self.removed_at = self.clock.now
+
+
+class OutageTest(unittest.TestCase):
+    """The store is away from all hosts, and live instances' entries expire in it."""
+
+    @params(
+        *itertools.product(
+            (3.5, 5.0, 9.0),
+            # seconds from the store's return to that of each host's path
+            ((0.0, 0.0, 0.0), (0.0, 0.3, 0.6), (0.6, 0.3, 0.0), (0.0, 1.2, 2.5)),
+            ("silent", "refused"),
+        )
+    )
+    def test_no_host_takes_live_instances_away(self, away_s, delays_s, how):
+        for seed in range(6):
+            world = World(seed, hosts=3)
+            world.run(3.0 + 0.1 * seed)
+            for host, delay_s in zip(world.hosts, delays_s):
+                host.source.cut(how)
+                world.reactor.call_later(away_s + delay_s, host.source.restore)
+            expired = sorted(world.store.live)
+            live, world.store.live = world.store.live, {}
+            for name in expired:
+                world.reactor.call_later(away_s - 0.2, world.store.expire, name)
+            world.run(away_s)
+            world.store.live = live
+            for name in expired:
+                wait_s = REWRITE_S * world.rng.random()
+                world.reactor.call_later(wait_s, world.store.write_heartbeat, name)
+            for tenth in range(80):
+                world.run(0.1)
+                for host in world.hosts:
+                    known = len(host.registry.all())
+                    self.assertEqual(known, 3, f"seed {seed}, {tenth / 10} s later")
+
+    @params(1, 2, 3)
+    def test_first_contact_is_not_the_end_of_an_outage(self, hosts):
+        world = World(4, hosts=hosts)
+        for _ in range(40):
+            world.run(0.1)
+            for host in world.hosts:
+                self.assertEqual(host.feed.recovery_left_s(), 0.0)
+                self.assertFalse(host.feed.withholds_removals)
+
+
 class FeedTest(unittest.TestCase):
     @settings(max_examples=150, deadline=None, derandomize=True)
     @given(seed=st.integers(0, 10_000), steps=STEPS)
