Read the list of instances in spite of any odd entry

Reported by other operators, and shown here: another writer's entry that was nested very deeply or had a number of 5,000 digits, or bytes that are no UTF-8, made the whole list unreadable: a host that started got ready never (4 cases), and a running one stopped following the list. One whose slots had 400 digits, and a name that no header or path can hold, made placing any request raise; an address with a host name was looked up, which stops the event loop; one without an IP address, or with 0.0.0.0, was used.

Cause: the JSON decoder limits depth and digits, and raised RecursionError, which nothing caught, or ValueError for the reply as a whole. The entry's fields were checked for their types at most. Related: hosts pass entries on to each other unchecked, and one odd one made the state of a peer unusable as a whole; an odd strength of a host's record made ranking raise; an exception of whoever reads from a peer was taken for an unusable state, and the callback called again; a call whose head can't be sent waited for its time-out.

Change: replies that can't be decoded are decoded again without the parts that exceed the limits. check_instance is the one place that says which entries can be used, for those of the store and of peers. Addresses are IPv4 addresses with a port, everywhere but in the operators' tool. Names are printable and short. Logged values are cut at 2,000 characters.

--- a/dogwoodtack/calls.py
+++ b/dogwoodtack/calls.py
@@ -12,6 +12,7 @@
     ResponseHead,
 )
 from .errors import ErrorKind, WireError
+from .jsontext import parse_json_leniently
 from .misc import Address
 from .reactor import Reactor, Timer
 
@@ -112,14 +113,14 @@
             self._conn.close()
 
     def _on_connection(
-        self, conn: BackendConnection | None, exc: WireError | None
+        self, conn: BackendConnection | None, error: WireError | None
     ) -> None:
         if self._on_reply is None:
             if conn is not None:
                 self._client.release(conn)
             return
-        if exc is not None:
-            self._finish(None, exc)
+        if error is not None:
+            self._finish(None, error)
             return
         self._conn = conn
         body = b"" if self._call.body is None else json.dumps(self._call.body).encode()
@@ -131,10 +132,14 @@
         if body:
             headers.append((b"content-type", b"application/json"))
         self._client.bytes_sent += len(body) + _head_bytes(headers)
-        method = self._call.method.encode()
-        conn.send_request(
-            OutgoingHead(method, self._call.target.encode(), headers), self, body
+        head = OutgoingHead(
+            self._call.method.encode(), self._call.target.encode(), headers
         )
+        try:
+            conn.send_request(head, self, body)
+        except WireError as exc:
+            self._finish(None, exc)
+            return
         conn.end_body()
 
     def on_head(self, head: ResponseHead) -> None:
@@ -153,7 +158,7 @@
         """Decode the complete response and pass it to the callback."""
         self._client.release(self._conn)
         try:
-            body = json.loads(self._body) if self._body else None
+            body = parse_json_leniently(self._body) if self._body else None
         except ValueError as exc:
             self._finish(None, WireError(ErrorKind.BACKEND_MALFORMED, str(exc)))
             return
--- a/dogwoodtack/catalog/tests/test_catalog.py
+++ b/dogwoodtack/catalog/tests/test_catalog.py
@@ -23,6 +23,11 @@
         ("jobtrack", {"instances": [INSTANCE, INSTANCE]}, "more than once"),
         ("jobtrack", {"instances": [{**INSTANCE, "slots": 0}]}, "slots must be"),
         ("jobtrack", {"instances": [{**INSTANCE, "address": "x"}]}, "address"),
+        (
+            "jobtrack",
+            {"instances": [{**INSTANCE, "address": "no-such-host.example:80"}]},
+            "address",
+        ),
         ("jobtrack", {"routes": [{"host": "x", "prefix": "a"}]}, "start with /"),
         ("jobtrack", {"caution": 2}, "caution must be from"),
         ("jobtrack", {"caution": float("nan")}, "caution must be from"),
--- a/dogwoodtack/cmdline.py
+++ b/dogwoodtack/cmdline.py
@@ -16,6 +16,7 @@
 from .entry.explain import explain_request
 from .errors import DogwoodtackError, ErrorKind
 from .intents import Plan
+from .jsontext import parse_json
 from .misc import parse_address
 
 __all__ = ["COMMANDS", "Command", "Context", "ExitCode", "UsageError", "main", "run"]
@@ -288,7 +289,7 @@
 def _read_json(source: str) -> Any:
     try:
         text = sys.stdin.read() if source == "-" else Path(source).read_text()
-        return json.loads(text)
+        return parse_json(text)
     except (OSError, ValueError) as exc:
         raise UsageError(f"{source}: {exc}") from exc
 
@@ -335,7 +336,7 @@
             f"--config FILE, or the key in ${ACCESS_KEY_VARIABLE}"
         )
     try:
-        addresses = [parse_address(text) for text in texts]
+        addresses = [parse_address(text, allow_name=True) for text in texts]
     except ValueError as exc:
         raise UsageError(f"addresses: {exc}") from exc
     plans_dir = Path(FLAGS.plans_dir or cfg.get("plans_dir", "plans"))
--- a/dogwoodtack/control.py
+++ b/dogwoodtack/control.py
@@ -12,6 +12,7 @@
 from circuits.web.http import HTTP
 
 from .errors import ErrorKind, RequestError, answer_for
+from .jsontext import parse_json
 from .logs import log_event
 from .misc import Address, secrets_match
 
@@ -163,6 +164,6 @@
     if not data:
         return None
     try:
-        return json.loads(data)
+        return parse_json(data)
     except ValueError as exc:
         raise RequestError(ErrorKind.BAD_REQUEST, f"body is not JSON: {exc}") from exc
--- a/dogwoodtack/errors.py
+++ b/dogwoodtack/errors.py
@@ -20,7 +20,14 @@
 ]
 
 # Raised while decoding what lacks members, or has others than expected.
-DECODE_ERRORS = (AttributeError, LookupError, OverflowError, TypeError, ValueError)
+DECODE_ERRORS = (
+    AttributeError,
+    LookupError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 class Outcome(enum.StrEnum):
--- a/dogwoodtack/feed/relay.py
+++ b/dogwoodtack/feed/relay.py
@@ -8,8 +8,14 @@
 from ..calls import Call, Client, Reply
 from ..errors import DECODE_ERRORS, WireError
 from ..logs import log_event
-from ..misc import Address
-from ..placement import EntryVersion, Instance, InstanceChange, InstanceRegistry
+from ..misc import Address, parse_address
+from ..placement import (
+    EntryVersion,
+    Instance,
+    InstanceChange,
+    InstanceRegistry,
+    check_instance,
+)
 from ..position import START_POSITION, StorePosition, decode_position
 from ..routing import (
     CallerLimits,
@@ -79,11 +85,12 @@
                 log_event("relay-failed", level="DEBUG", peer=address, error=exc)
                 on_done(None)
                 return
+            state = None
             try:
-                on_done(decode_state(reply.body))
+                state = decode_state(reply.body)
             except DECODE_ERRORS as error:
                 log_event("relay-unusable", level="WARNING", error=repr(error))
-                on_done(None)
+            on_done(state)
 
         call = Call(address, "GET", target, None, RELAY_TIMEOUT_S)
         self._client.call(call, on_reply)
@@ -142,20 +149,28 @@
 
 
 def _decode_change(fields: list[Any], entry: list[int]) -> InstanceChange:
-    """Decode a change.
+    """Decode a change; an instance that can't be used counts as removed.
 
     Args:
         fields: id, revision and instance.
         entry: era, start and sequence of the instance's entry.
     """
     name, revision, values = fields
+    if not isinstance(name, str):
+        raise TypeError("the id of an instance is not a string")
     era, born_ms, sequence = (int(value) for value in entry)
     position = StorePosition(era, int(revision))
     entry_version = EntryVersion(born_ms, sequence)
     if values is None:
         return InstanceChange(name, position, None, entry_version)
-    host, _sep, port = str(values[2]).rpartition(":")
-    instance = Instance(values[0], values[1], Address(host, int(port)), *values[3:])
+    try:
+        instance = Instance(*values)
+        instance = instance._replace(address=parse_address(instance.address))
+        check_instance(instance)
+    except DECODE_ERRORS as exc:
+        # Hosts of earlier builds pass on what they can't use either.
+        log_event("relayed-instance-unusable", level="WARNING", error=repr(exc))
+        instance = None
     return InstanceChange(name, position, instance, entry_version)
 
 
--- a/dogwoodtack/feed/tests/test_relay.py
+++ b/dogwoodtack/feed/tests/test_relay.py
@@ -3,6 +3,7 @@
 import json
 import math
 import unittest
+from unittest import mock
 
 from nose2.tools import params
 
@@ -104,6 +105,34 @@
         client.read(Address("10.0.0.1", 1), START_POSITION, 0, results.append)
         self.assertEqual(results, [None])
 
+    @params(
+        # place in the instance's fields, and what a host of an earlier build took there
+        (2, "10.0.0.\ufffd:80"),
+        (2, "shop.example:80"),
+        (2, "10.0.0.1:70000"),
+        (2, 17),
+        (4, 10**400),
+        (4, "2"),
+        (6, math.nan),
+        (7, 10**400),
+        (0, "i\r\n"),
+    )
+    def test_odd_instance_of_a_peer_does_not_hide_others(self, place, value):
+        fields = json.loads(request_state("/state?revision=0&version=0"))
+        fields["instances"][0][2][place] = value
+        state = decode_state(fields)
+        known = [change.instance is not None for change in state.changes]
+        self.assertEqual(known, [False, False, True])
+
+    def test_exception_of_the_reader_is_not_taken_for_an_unusable_state(self):
+        """The callback was called a second time, with None."""
+        body = json.loads(request_state("/state?revision=0&version=0"))
+        client = RelayClient(OneReplyClient(Reply(200, [], body)))
+        on_done = mock.Mock(side_effect=ValueError("odd"))
+        with self.assertRaises(ValueError):
+            client.read(Address("10.0.0.1", 1), START_POSITION, 0, on_done)
+        on_done.assert_called_once()
+
     def test_state_of_a_host_without_eras(self):
         """Hosts of earlier builds send neither the era nor the entries' versions."""
         fields = json.loads(request_state("/state?revision=0&version=0"))
--- a/dogwoodtack/fleet/records.py
+++ b/dogwoodtack/fleet/records.py
@@ -5,9 +5,10 @@
 from typing import Any, NamedTuple
 
 from ..errors import DECODE_ERRORS
+from ..jsontext import parse_json
 from ..logs import log_event
 from ..misc import Address, parse_address
-from ..placement import Observation, RateLimitReport
+from ..placement import Observation, RateLimitReport, check_name
 from ..position import StorePosition, decode_position
 from ..quarantine import CrashReport, crash_reports_from_json, crash_reports_to_json
 
@@ -26,6 +27,10 @@
 ]
 
 
+# Of one full core with a fast link; no machine has more cores.
+MAX_CAPACITY = 10_000.0
+
+
 class HostRecord(NamedTuple):
     """An entry host and its addresses.
 
@@ -184,17 +189,22 @@
 def decode_host(fields: Any) -> HostRecord | None:
     """Return the host record in JSON fields, or None if they are invalid."""
     try:
-        return HostRecord(
-            str(fields["name"]),
-            str(fields["zone"]),
+        record = HostRecord(
+            fields["name"],
+            fields["zone"],
             parse_address(fields["callers"]),
             parse_address(fields["peers"]),
             parse_address(fields["relay"]),
             float(fields["strength"]),
         )
+        check_name(record.name)
+        check_name(record.zone)
+        if not 0.0 <= record.capacity <= MAX_CAPACITY:
+            raise ValueError("strength is no capacity")
     except DECODE_ERRORS as exc:
         log_event("host-record-unusable", level="WARNING", error=repr(exc))
         return None
+    return record
 
 
 @singledispatch
@@ -271,7 +281,7 @@
 def decode_message(data: bytes) -> Message | None:
     """Return the message in a datagram's payload, or None if it is invalid."""
     try:
-        fields = json.loads(data)
+        fields = parse_json(data)
         if "news" in fields:
             return _decode_peer_report(fields)
         if "beat" in fields:
--- a/dogwoodtack/fleet/tests/test_records.py
+++ b/dogwoodtack/fleet/tests/test_records.py
@@ -1,6 +1,7 @@
 """Tests of the messages between hosts and their encoding."""
 
 import json
+import math
 import unittest
 
 from nose2.tools import params
@@ -11,7 +12,9 @@
     ServingHost,
     ZoneHosts,
     ZoneReport,
+    decode_host,
     decode_message,
+    encode_host,
     encode_message,
 )
 from dogwoodtack.fleet.tests.test_peers import make_heartbeat, make_host
@@ -85,6 +88,28 @@
     def test_invalid_datagram_is_dropped(self, data):
         self.assertIsNone(decode_message(data))
 
+    @params(
+        ("name", 7),
+        ("name", "h\n"),
+        ("zone", None),
+        ("callers", "10.0.0.1:70000"),
+        ("peers", "no-such-host.example:80"),
+        ("relay", "10.0.0.\ufffd:80"),
+        ("strength", math.nan),
+        ("strength", math.inf),
+        ("strength", -1.0),
+        ("strength", 10**400),
+        ("strength", "much"),
+    )
+    def test_odd_host_record_is_dropped(self, name, value):
+        """Ranking such a host, or sending to it, raised an exception."""
+        fields = encode_host(make_host("h-1"))
+        self.assertIsNotNone(decode_host(fields))
+        self.assertIsNone(decode_host({**fields, name: value}))
+
+    def test_deeply_nested_datagram_is_dropped(self):
+        self.assertIsNone(decode_message(b"[" * 60_000))
+
     @params(
         # fields of a heartbeat that replace valid ones
         {"era": -1},
--- a/dogwoodtack/logs.py
+++ b/dogwoodtack/logs.py
@@ -14,6 +14,8 @@
 
 LINE_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} {message}"
 QUOTED_CHARS = set(' "=\\\t\r\n')
+# An error may quote the whole of an odd value.
+MAX_VALUE_CHARS = 2000
 # Lines buffered for a slow reader: a few seconds of logs of a busy host.
 MAX_BUFFERED_LINES = 2000
 # A writable pipe accepts this many bytes without blocking (POSIX).
@@ -82,6 +84,8 @@
     if isinstance(value, float):
         return f"{value:.6g}"
     text = str(value)
+    if len(text) > MAX_VALUE_CHARS:
+        text = text[:MAX_VALUE_CHARS] + "..."
     if text and not QUOTED_CHARS.intersection(text) and text.isprintable():
         return text
     escaped = text.replace("\\", "\\\\").replace('"', '\\"')
--- a/dogwoodtack/misc.py
+++ b/dogwoodtack/misc.py
@@ -1,13 +1,22 @@
 """Small helpers shared by several modules."""
 
 import hmac
+import ipaddress
 import secrets
 from typing import NamedTuple
 
-__all__ = ["Address", "new_token", "parse_address", "parse_count", "secrets_match"]
+__all__ = [
+    "Address",
+    "new_token",
+    "check_address",
+    "parse_address",
+    "parse_count",
+    "secrets_match",
+]
 
 TOKEN_BYTES = 16
 MAX_PORT = 65535
+MAX_SHOWN_CHARS = 80
 # Whole numbers of this length fit any arithmetic, also with floating point numbers.
 MAX_COUNT_DIGITS = 15
 
@@ -22,19 +31,36 @@
         return f"{self.host}:{self.port}"
 
 
-def parse_address(text: str) -> Address:
-    """Parse `host:port`.
+def parse_address(text: str, allow_name: bool = False) -> Address:
+    """Parse `IP:port`.
+
+    Args:
+        text: the text.
+        allow_name: whether a host name may take the place of the IP address.  The event
+            loop can't look up names, which blocks; a command-line tool can.
 
     Raises:
-        ValueError: the text has no host, or no port from 1 to 65535.
+        ValueError: the text has no IPv4 address, or no port from 1 to 65535.
     """
     host, sep, port = text.strip().rpartition(":")
-    if not sep or not host or not port.isdigit():
-        raise ValueError(f"{text!r} is not host:port")
-    number = int(port)
-    if not 0 < number <= MAX_PORT:
-        raise ValueError(f"port {number} is not from 1 to {MAX_PORT}")
-    return Address(host, number)
+    number = parse_count(port)
+    if not sep or not host or number is None:
+        raise ValueError(f"{text[:MAX_SHOWN_CHARS]!r} is not an IP address and a port")
+    address = Address(host, number)
+    check_address(address, allow_name)
+    return address
+
+
+def check_address(address: Address, allow_name: bool = False) -> None:
+    """Check that it is possible to connect to an address.
+
+    Raises:
+        ValueError: it has no IPv4 address, or no port from 1 to 65535.
+    """
+    if not allow_name:
+        ipaddress.IPv4Address(address.host)
+    if not 0 < address.port <= MAX_PORT:
+        raise ValueError(f"port {address.port} is not from 1 to {MAX_PORT}")
 
 
 def parse_count(text: str) -> int | None:
--- a/dogwoodtack/placement/__init__.py
+++ b/dogwoodtack/placement/__init__.py
@@ -5,7 +5,14 @@
 
 from .health_estimate import HealthEstimate, Observation
 from .health_tracker import PATH_FAILURES, HealthTracker
-from .instances import EntryVersion, Instance, InstanceChange, InstanceRegistry
+from .instances import (
+    EntryVersion,
+    Instance,
+    InstanceChange,
+    InstanceRegistry,
+    check_instance,
+    check_name,
+)
 from .notices import InstanceNotice, InstanceNotices
 from .occupancy import Occupancy
 from .outcomes import (
@@ -54,6 +61,8 @@
     "RetryRules",
     "SelectionMode",
     "WaitQueue",
+    "check_instance",
+    "check_name",
     "next_action",
     "observation_for",
     "select_candidate",
--- a/dogwoodtack/placement/instances.py
+++ b/dogwoodtack/placement/instances.py
@@ -1,13 +1,31 @@
 """Backend instances that a host knows, merged from all sources by store position."""
 
+import ipaddress
 from collections import Counter
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
-from ..misc import Address
+from ..misc import Address, check_address
 from ..position import START_POSITION, StorePosition
 
-__all__ = ["EntryVersion", "Instance", "InstanceChange", "InstanceRegistry"]
+__all__ = [
+    "EntryVersion",
+    "Instance",
+    "InstanceChange",
+    "InstanceRegistry",
+    "check_instance",
+    "check_name",
+]
+
+# An instance with one of these values would attract all requests, or can't be computed
+# with; no sound one has them.
+MAX_NAME_CHARS = 256
+# Stands for bytes that could not be read.
+REPLACEMENT_CHARACTER = "\ufffd"
+MAX_SLOTS = 10_000
+MAX_WARMUP_S = 86_400.0
+MAX_BORN_MS = 2**53
+BROADCAST_ADDRESS = ipaddress.IPv4Address("255.255.255.255")
 
 
 class Instance(NamedTuple):
@@ -34,6 +52,43 @@
     born_ms: int
 
 
+def check_instance(instance: Instance) -> None:
+    """Check that requests can be placed at an instance that another program describes.
+
+    Raises:
+        ValueError: a field has another type or an impossible value.
+    """
+    for name in (instance.id, instance.service, instance.zone):
+        check_name(name)
+    ip = ipaddress.IPv4Address(instance.address.host)
+    if ip.is_unspecified or ip.is_multicast or ip == BROADCAST_ADDRESS:
+        raise ValueError(f"{ip} is not the address of one machine")
+    check_address(instance.address)
+    _check_number("slots", instance.slots, int, 1, MAX_SLOTS)
+    _check_number("warmup_s", instance.warmup_s, float, 0.0, MAX_WARMUP_S)
+    _check_number("born_ms", instance.born_ms, int, 0, MAX_BORN_MS)
+
+
+def check_name(name: Any) -> None:
+    """Check that a text can name something in headers, paths and log lines.
+
+    Raises:
+        ValueError: it is no text, or an odd one.
+    """
+    if not isinstance(name, str) or not 0 < len(name) <= MAX_NAME_CHARS:
+        raise ValueError("a name is no short text")
+    if not name.isprintable() or REPLACEMENT_CHARACTER in name:
+        raise ValueError("a name has unreadable characters")
+
+
+def _check_number(
+    name: str, value: Any, kind: type[int] | type[float], low: float, high: float
+) -> None:
+    is_number = isinstance(value, (int, kind)) and not isinstance(value, bool)
+    if not is_number or not low <= value <= high:
+        raise ValueError(f"{name} is no number from {low} to {high}")
+
+
 class EntryVersion(NamedTuple):
     """How recently an instance wrote its entry; a later write compares as greater.
 
--- a/dogwoodtack/platform/objects.py
+++ b/dogwoodtack/platform/objects.py
@@ -106,8 +106,8 @@
             on_done(Listing(items, positions[0]), None)
 
         def request_page(after: str) -> None:
-            query = f"?after={quote(after, safe='')}" if after else ""
-            target = f"{kind}{query}"
+            query = f"?after={_quote(after)}" if after else ""
+            target = f"{_path(kind)}{query}"
             self._send("GET", target, None, self._timeout_s, self._decode_page, on_page)
 
         request_page("")
@@ -134,7 +134,8 @@
             on_done: called with the events or None, the position to continue from,
                 and the error or None.
         """
-        target = f"{kind}?watch={after.revision}&waitMs={round(wait_s * 1000)}"
+        wait_ms = round(wait_s * 1000)
+        target = f"{_path(kind)}?watch={after.revision}&waitMs={wait_ms}"
 
         def on_page(page: _EventPage | None, exc: StoreError | None) -> None:
             if page is not None and page.position.era != after.era:
@@ -151,7 +152,7 @@
     def create(self, kind: str, name: str, spec: Any, on_done: OnObject) -> None:
         """Create an object; the error is a StoreConflict if the name is taken."""
         body = {"metadata": {"name": name, "finalizers": []}, "spec": spec}
-        self._send("POST", kind, body, self._timeout_s, _decode_body, on_done)
+        self._send("POST", _path(kind), body, self._timeout_s, _decode_body, on_done)
 
     def replace(
         self, kind: str, name: str, item: Any, spec: Any, on_done: OnObject
@@ -210,8 +211,13 @@
         self._client.call(call, on_call_reply)
 
 
-def _path(kind: str, name: str) -> str:
-    return f"{kind}/{quote(name, safe='')}"
+def _path(kind: str, name: str = "") -> str:
+    return f"{_quote(kind)}/{_quote(name)}" if name else _quote(kind)
+
+
+def _quote(text: str) -> str:
+    # Any text that JSON can hold may be a name.
+    return quote(text, safe="", errors="surrogatepass")
 
 
 def _decode_body(reply: Reply) -> Any:
--- a/dogwoodtack/platform/tests/test_wire.py
+++ b/dogwoodtack/platform/tests/test_wire.py
@@ -77,6 +77,14 @@
     return copy
 
 
+def nested(depth):
+    """Return lists in lists, as deep as a JSON decoder returns them."""
+    value = []
+    for _ in range(depth):
+        value = [value]
+    return value
+
+
 class InstanceTest(unittest.TestCase):
     def test_valid_entry(self):
         instance = decode_instance(ENTRY)
@@ -98,12 +106,85 @@
         ("status.warmupLeftS", "soon"),
         ("spec", 17),
         ("metadata", None),
+        # Addresses to which no connection can be made.
+        ("spec.address", "10.128.0.\ufffd:8080"),
+        ("spec.address", "shop.example:8080"),
+        ("spec.address", "localhost:8080"),
+        ("spec.address", "10.128.0:8080"),
+        ("spec.address", "10.128.0.9.9:8080"),
+        ("spec.address", "[::1]:8080"),
+        ("spec.address", "0.0.0.0:8080"),
+        ("spec.address", "255.255.255.255:8080"),
+        ("spec.address", "224.0.0.1:8080"),
+        ("spec.address", "10.128.0.9:0"),
+        ("spec.address", "10.128.0.9:65536"),
+        ("spec.address", "10.128.0.9:-1"),
+        ("spec.address", "10.128.0.9:" + "9" * 400),
+        ("spec.address", "10.128.0.9:\uff18\uff10"),
+        ("spec.address", "10.128.0.9\0:8080"),
+        ("spec.address", ["10.128.0.9", 8080]),
+        # Numbers that can't be computed with, or that attract all requests.
+        ("spec.info.slots", 10**400),
+        ("spec.info.slots", 10**6),
+        ("spec.info.slots", -1),
+        ("spec.info.slots", 2.5),
+        ("spec.info.slots", math.inf),
+        ("spec.info.slots", math.nan),
+        ("spec.born", 10**400),
+        ("spec.born", -1),
+        ("spec.born", 1.5),
+        ("spec.born", math.nan),
+        ("spec.born", "1796346000000"),
+        ("spec.born", True),
+        ("status.sequence", 10**400),
+        ("status.sequence", math.nan),
+        ("status.sequence", "4"),
+        ("status.warmupLeftS", 10**400),
+        ("status.warmupLeftS", math.inf),
+        ("status.warmupLeftS", math.nan),
+        ("status.warmupLeftS", "1"),
+        ("status.warmupLeftS", True),
+        # Texts that fit no header, path or log line, and other types.
+        ("metadata.name", "i-1\r\nx: y"),
+        ("metadata.name", "i-\ud800"),
+        ("metadata.name", "i" * 300),
+        ("metadata.name", ["i-1"]),
+        ("spec.info.service", ""),
+        ("spec.info.service", ["jobs"]),
+        ("spec.info.zone", "a\nb"),
+        ("spec.info.zone", {}),
+        ("spec.info.version", 7),
+        ("status.state", ["ready"]),
+        ("spec.info", "jobs"),
+        ("status", []),
+        ("spec.address", nested(900)),
+        ("spec.info.slots", nested(900)),
+        ("status.state", nested(900)),
+        ("spec.info.service", nested(900)),
     )
     def test_entry_of_another_program_is_rejected(self, path, value):
         with self.assertRaises(WireFormatError):
             decode_instance(with_field(ENTRY, path, value))
 
-    @params(("spec.born", math.inf), ("status.sequence", math.inf), ("spec", 17))
+    @params(
+        ("status.warmupLeftS", -0.01),
+        ("status.warmupLeftS", 0),
+        ("status.warmupLeftS", None),
+        ("status.sequence", None),
+        ("spec.born", None),
+        ("spec.info.version", None),
+        ("spec.note", nested(900)),
+    )
+    def test_usable_entry(self, path, value):
+        self.assertEqual(decode_instance(with_field(ENTRY, path, value)).slots, 2)
+
+    @params(
+        ("spec.born", math.inf),
+        ("status.sequence", math.inf),
+        ("status.sequence", 10**400),
+        ("spec", 17),
+        ("status.sequence", nested(900)),
+    )
     def test_unusable_version_counts_as_unknown(self, path, value):
         entry_version = decode_entry_version(with_field(ENTRY, path, value))
         self.assertEqual(entry_version, EntryVersion())
--- a/dogwoodtack/platform/wire.py
+++ b/dogwoodtack/platform/wire.py
@@ -4,7 +4,7 @@
 
 from ..errors import DECODE_ERRORS, DogwoodtackError
 from ..misc import parse_address
-from ..placement import EntryVersion, Instance
+from ..placement import EntryVersion, Instance, check_instance, check_name
 from ..routing import (
     CallerLimits,
     Configuration,
@@ -22,6 +22,8 @@
 ]
 
 VERSION_BASE = 16
+# The largest whole number that every JSON decoder reads exactly.
+MAX_WHOLE_NUMBER = 2**53
 
 
 class WireFormatError(DogwoodtackError):
@@ -95,24 +97,25 @@
         info = record["info"]
         state = status["state"]
         if state not in ("ready", "draining"):
-            raise ValueError(f"state {state!r}")
-        slots = info["slots"]
-        if not isinstance(slots, int) or isinstance(slots, bool) or slots < 1:
-            raise ValueError(f"slots {slots!r}")
-        if not isinstance(info["service"], str) or not isinstance(info["zone"], str):
-            raise ValueError("service or zone is not a string")
-        return Instance(
-            id=str(item["metadata"]["name"]),
+            raise ValueError("unknown state")
+        if "version" in info:
+            check_name(info["version"])
+        warmup_s = status.get("warmupLeftS") or 0.0
+        instance = Instance(
+            id=item["metadata"]["name"],
             service=info["service"],
             address=parse_address(record["address"]),
             zone=info["zone"],
-            slots=slots,
+            slots=info["slots"],
             is_draining=state == "draining",
-            warmup_s=float(status.get("warmupLeftS") or 0.0),
+            warmup_s=0.0 if warmup_s < 0 else warmup_s,
             born_ms=_entry_born_ms(item, record),
         )
+        _whole_number(status.get("sequence") or 0)
+        check_instance(instance)
     except DECODE_ERRORS as exc:
         raise WireFormatError(f"instance: {exc!r}") from exc
+    return instance
 
 
 def decode_entry_version(item: Any) -> EntryVersion:
@@ -122,7 +125,7 @@
     """
     try:
         record, status = _entry_parts(item)
-        sequence = int(status.get("sequence") or 0)
+        sequence = _whole_number(status.get("sequence") or 0)
         return EntryVersion(_entry_born_ms(item, record), sequence)
     except DECODE_ERRORS:
         # `decode_instance` reports entries that are unusable.
@@ -140,4 +143,19 @@
 
 
 def _entry_born_ms(item: dict[str, Any], record: dict[str, Any]) -> int:
-    return int(record.get("born") or item.get("born") or 0)
+    return _whole_number(record.get("born") or item.get("born") or 0)
+
+
+def _whole_number(value: Any) -> int:
+    """Return a number of an entry.
+
+    Raises:
+        TypeError, ValueError, OverflowError: the value is no whole number that numbers
+            of entries can be.
+    """
+    if isinstance(value, (bool, str)):
+        raise TypeError("a number has another type")
+    number = int(value)
+    if not 0 <= number == value <= MAX_WHOLE_NUMBER:
+        raise ValueError("a number is out of range")
+    return number
--- a/dogwoodtack/tests/test_logs.py
+++ b/dogwoodtack/tests/test_logs.py
@@ -21,6 +21,8 @@
         (0.1234567891, "event=e key=0.123457"),
         (7, "event=e key=7"),
         (True, "event=e key=True"),
+        ("x" * 300_000, "event=e key=" + "x" * 2000 + "..."),
+        ("\ud800", 'event=e key="\\xd800"'),
     )
     def test_line_can_be_split(self, value, expected):
         line = format_event("e", key=value)
--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -106,6 +106,8 @@
 
     Attributes:
         era: era that answers name; None leaves the header out.
+        raw_values: bytes that responses have in place of strings, which may be what no
+            JSON encoder writes.
     """
 
     def __init__(self) -> None:
@@ -116,6 +118,7 @@
         self.revision = FIRST_REVISION
         self.era: int | None = 1
         self.is_down = False
+        self.raw_values: dict[str, bytes] = {}
         self.calls: Counter[str] = Counter()
         self._server = _Server(("127.0.0.1", 0), _StoreHandler)
         self._server.owner = self
@@ -267,7 +270,10 @@
         headers = {"Content_Type": "application/json"}
         if answer.era is not None:
             headers["Store_Era"] = str(answer.era)
-        self.reply(answer.status, json.dumps(answer.body).encode(), **headers)
+        data = json.dumps(answer.body).encode()
+        for text, raw in self.server.owner.raw_values.items():
+            data = data.replace(json.dumps(text).encode(), raw)
+        self.reply(answer.status, data, **headers)
 
     def _reject_if_down(self) -> bool:
         store = self.server.owner
--- a/lab/load.py
+++ b/lab/load.py
@@ -69,7 +69,7 @@
 
 def resolve_target(text: str) -> Target:
     """Return a target, with its key prefix if `--keys_of` is set."""
-    address = parse_address(text)
+    address = parse_address(text, allow_name=True)
     if not FLAGS.keys_of:
         return Target(address, "")
     conn = http.client.HTTPConnection(*address, timeout=10)
