Count the store as away after 1.8 s without contact, and take over sooner

Change: the gap is what a host needs that takes over for one without a path (1.3 s, plus the interval at which it looks, now 0.25 s, plus a short watch), 1.8 s in all.

--- a/dogwoodtack/feed/feed.py
+++ b/dogwoodtack/feed/feed.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from ..errors import EndedEra, HistoryGone, StoreError
-from ..fleet import Heartbeat, PeerTable
+from ..fleet import MAX_STORE_AGE_S, Heartbeat, PeerTable
 from ..logs import log_event
 from ..misc import Address
 from ..placement import InstanceChange, InstanceRegistry
@@ -40,16 +40,15 @@
 # and hosts that aren't synced retry often, the others seldom.
 MAX_RETRY_S = 0.5
 FOLLOWER_MAX_RETRY_S = 2.0
-FOLLOW_CHECK_S = 0.5
+FOLLOW_CHECK_S = 0.25
 # A read from a peer ends sooner; after this time its reply counts as lost.
 OVERDUE_PULL_S = 1.0
 # Entries that expired during a store outage, or that a restored copy lacks, are written
 # again within this time.
 RECOVERY_GRACE_S = 2.2
-# The store may have been away if no host of the zone has heard from it for so long.
-# Entries of live instances don't expire in a shorter time: they are written every 1.5 s
-# and kept for three times as long.
-MAX_CONTACT_GAP_S = 2.5
+# The store may have been away if no host of the zone has heard from it for so long. A
+# host that takes over for one that has lost its path hears from it sooner.
+MAX_CONTACT_GAP_S = MAX_STORE_AGE_S + FOLLOW_CHECK_S + 0.25
 # Consecutive failed calls after which the store counts as lost.
 LOST_AFTER_FAILURES = 2
 
--- a/dogwoodtack/fleet/__init__.py
+++ b/dogwoodtack/fleet/__init__.py
@@ -1,7 +1,7 @@
 """Heartbeats and reports between entry hosts, and the table of a zone's hosts."""
 
 from .fleet import Fleet, GetSyncStatus
-from .peers import Peer, PeerTable
+from .peers import MAX_STORE_AGE_S, Peer, PeerTable
 from .records import (
     Heartbeat,
     HostRecord,
@@ -18,6 +18,7 @@
     "Heartbeat",
     "HostRecord",
     "InstanceReport",
+    "MAX_STORE_AGE_S",
     "Peer",
     "PeerReport",
     "PeerTable",
--- a/dogwoodtack/fleet/peers.py
+++ b/dogwoodtack/fleet/peers.py
@@ -7,7 +7,7 @@
 
 from .records import Heartbeat, HostRecord, ServingHost, ZoneHosts
 
-__all__ = ["Peer", "PeerTable"]
+__all__ = ["MAX_STORE_AGE_S", "Peer", "PeerTable"]
 
 # A host is alive until it misses three heartbeats; the rest allows for network delay.
 MISSED_HEARTBEATS = 3.2
