Take a response for a request's own only if it names the request

Reported by other operators, and shown here: a faulty instance writes an earlier response once more on a kept connection.

Cause: a response that echoes no id was accepted on every connection; only one with another id was skipped.

Change: on a connection that has carried a request, or a skipped response, a response belongs to the request only if it echoes its id, and no other id besides. Others are skipped and logged (response-skipped); the instance's own response, or the end of its connection, decides. A request without an id gets a new connection. A host that serves a handed-over request adds the id if the instance did not echo it.

--- a/dogwoodtack/backends/__init__.py
+++ b/dogwoodtack/backends/__init__.py
@@ -8,13 +8,14 @@
     ResponseHead,
     ResponseRules,
 )
-from .pool import ConnectionPool
+from .pool import NO_REUSE, ConnectionPool
 
 __all__ = [
     "BackendConnection",
     "ConnectionOwner",
     "ConnectionPool",
     "Header",
+    "NO_REUSE",
     "OutgoingHead",
     "ResponseHead",
     "ResponseRules",
--- a/dogwoodtack/backends/pool.py
+++ b/dogwoodtack/backends/pool.py
@@ -9,11 +9,13 @@
 from ..reactor import ConnectAttempt, Reactor, is_local_error
 from .connection import BackendConnection
 
-__all__ = ["ConnectionPool"]
+__all__ = ["NO_REUSE", "ConnectionPool"]
 
 MAX_IDLE_PER_ADDRESS = 8
 MAX_IDLE_S = 30.0
 RECENT_IDLE_S = 1.0
+# As the longest idle time: no connection is reused.
+NO_REUSE = -1.0
 
 OnConnection = Callable[[BackendConnection | None, WireError | None], None]
 
@@ -48,9 +50,12 @@
             fresh: whether to reuse only a connection that was idle for at most
                 RECENT_IDLE_S, because the other side may be closing an older one at
                 this moment; `max_idle_s` is then ignored.
-            max_idle_s: longest idle time of a connection to reuse, in seconds.
+            max_idle_s: longest idle time of a connection to reuse, in seconds; NO_REUSE
+                for a new connection.
         """
-        conn = self._pop_idle(address, RECENT_IDLE_S if fresh else max_idle_s)
+        conn = None
+        if fresh or max_idle_s != NO_REUSE:
+            conn = self._pop_idle(address, RECENT_IDLE_S if fresh else max_idle_s)
         if conn is not None:
             on_connection(conn, None)
             return
--- a/dogwoodtack/entry/attempt.py
+++ b/dogwoodtack/entry/attempt.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from ..backends import (
+    NO_REUSE,
     BackendConnection,
     ConnectionPool,
     Header,
@@ -12,6 +13,7 @@
     ResponseRules,
 )
 from ..errors import ErrorKind, WireError
+from ..logs import log_event
 from ..misc import Address
 from ..placement import AttemptOutcome, Instance, InstanceNotice
 from ..reactor import Reactor, Timer
@@ -124,6 +126,7 @@
         self._head: ResponseHead | None = None
         self._body = ResponseBody()
         self._reused = False
+        self._has_skipped_response = False
         self._idle_s = 0.0
         self._deadline = 0.0
         self._timer: Timer | None = None
@@ -150,6 +153,9 @@
         self._deadline = deadline
         wait_s = deadline - self._reactor.clock.monotonic()
         self._timer = self._reactor.call_later(wait_s, self._on_timeout)
+        if not req.request_id:
+            # No response can name the request, so it has to be the first one.
+            max_idle_s = NO_REUSE
         self._pool.acquire(
             self.target.address, self._on_connection, max_idle_s=max_idle_s
         )
@@ -215,9 +221,29 @@
         ]
 
     def _belongs_to_request(self, head: ResponseHead) -> bool:
-        """Return whether a response echoes the request id, or none at all."""
-        echoed = head.header(self._header_names.request_id)
-        return echoed is None or echoed == self._req.request_id
+        """Return whether a response is certainly the one to this request.
+
+        It echoes the request's id and no other.  One without an id may be an earlier
+        response written once more, unless it is the first one on its connection.
+        """
+        name = self._header_names.request_id
+        echoed = [value for key, value in head.headers if key == name]
+        belongs = (
+            all(value == self._req.request_id for value in echoed)
+            if echoed
+            else not self._reused and not self._has_skipped_response
+        )
+        if not belongs:
+            self._has_skipped_response = True
+            log_event(
+                "response-skipped",
+                level="WARNING",
+                instance=self.target.name,
+                request=self._req.request_id.decode("latin-1"),
+                status=head.status,
+                echoed=b" ".join(echoed).decode("latin-1"),
+            )
+        return belongs
 
     def on_head(self, head: ResponseHead) -> None:
         """Keep the response's head; end the attempt if it is no success to forward."""
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -726,6 +726,10 @@
         if self._head.method == "HEAD":
             length = result.head.header(b"content-length") or b"0"
         headers.append((b"content-length", length))
+        request_id_header = self._deps.header_names.request_id
+        if self._is_handed_over and result.head.header(request_id_header) is None:
+            # The host that handed the request over has to know whose response it is.
+            headers.append((request_id_header, self._request_id))
         if not self._is_caller_gone:
             self._conn.send_head(result.head.status, headers)
             if result.body:
