--- a/dogwoodtack/backends/pool.py
+++ b/dogwoodtack/backends/pool.py
@@ -4,15 +4,18 @@
 from collections.abc import Callable
 
 from ..errors import ErrorKind, WireError
+from ..logs import LimitedLog
 from ..misc import Address
-from ..reactor import ConnectAttempt, Reactor
+from ..reactor import ConnectAttempt, Reactor, is_local_error
 from .connection import BackendConnection
 
-__all__ = ["ConnectionPool"]
+__all__ = ["NO_REUSE", "ConnectionPool"]
 
 MAX_IDLE_PER_ADDRESS = 8
 MAX_IDLE_S = 30.0
 RECENT_IDLE_S = 1.0
+# As the longest idle time: no connection is reused.
+NO_REUSE = -1.0
 
 OnConnection = Callable[[BackendConnection | None, WireError | None], None]
 
@@ -29,6 +32,7 @@
         self._reactor = reactor
         self._dial_timeout_s = dial_timeout_s
         self._idle: dict[Address, deque[BackendConnection]] = {}
+        self._limited_log = LimitedLog(reactor.clock.monotonic)
 
     def acquire(
         self,
@@ -46,9 +50,12 @@
             fresh: whether to reuse only a connection that was idle for at most
                 RECENT_IDLE_S, because the other side may be closing an older one at
                 this moment; `max_idle_s` is then ignored.
-            max_idle_s: longest idle time of a connection to reuse, in seconds.
+            max_idle_s: longest idle time of a connection to reuse, in seconds; NO_REUSE
+                for a new connection.
         """
-        conn = self._pop_idle(address, RECENT_IDLE_S if fresh else max_idle_s)
+        conn = None
+        if fresh or max_idle_s != NO_REUSE:
+            conn = self._pop_idle(address, RECENT_IDLE_S if fresh else max_idle_s)
         if conn is not None:
             on_connection(conn, None)
             return
@@ -69,8 +76,12 @@
     def _dial(self, address: Address, on_connection: OnConnection) -> None:
         def on_done(sock, exc):
             if exc is not None:
-                error = WireError(ErrorKind.BACKEND_REFUSED, str(exc), bytes_sent=False)
-                on_connection(None, error)
+                if is_local_error(exc):
+                    self._limited_log.warn("connect-failed", error=exc)
+                    kind = ErrorKind.HOST_EXHAUSTED
+                else:
+                    kind = ErrorKind.BACKEND_REFUSED
+                on_connection(None, WireError(kind, str(exc), bytes_sent=False))
                 return
             on_connection(BackendConnection(self._reactor, sock, address), None)
 
--- a/dogwoodtack/feed/feed.py
+++ b/dogwoodtack/feed/feed.py
@@ -1,25 +1,33 @@
 """Feed of instances and configuration from the store, directly or through a peer."""
 
+import functools
+import math
 import random
 from collections.abc import Callable
 from typing import NamedTuple
 
 from ..errors import EndedEra, HistoryGone, StoreError
-from ..fleet import Heartbeat, PeerTable
+from ..fleet import MAX_STORE_AGE_S, Heartbeat, PeerTable
 from ..logs import log_event
 from ..misc import Address
 from ..placement import InstanceChange, InstanceRegistry
 from ..position import START_POSITION, StorePosition
 from ..reactor import Reactor
 from ..routing import Configuration
+from .call_loop import CallLoop
 from .relay import RelayClient, RelayedState
 from .updates import ConfigurationUpdate, InstanceUpdates, Source
 
 __all__ = ["Feed", "FeedCallbacks"]
 
+# Stands for the age of what was never read.
+MAX_AGE_S = 1e6
+
 # Longest wait of a watch. A longer silence would prove nothing: its connection may be
 # dead.
 WATCH_WAIT_S = 0.8
+# The wait of a watch whose response is needed for more than its changes.
+SHORT_WATCH_WAIT_S = 0.1
 RETRY_S = 0.25
 # A starting host waits this long for each higher-ranked host, so that those read the
 # store first: a read takes some milliseconds, and a heartbeat and a response to a
@@ -32,10 +40,15 @@
 # and hosts that aren't synced retry often, the others seldom.
 MAX_RETRY_S = 0.5
 FOLLOWER_MAX_RETRY_S = 2.0
-FOLLOW_CHECK_S = 0.5
+FOLLOW_CHECK_S = 0.25
+# A read from a peer ends sooner; after this time its reply counts as lost.
+OVERDUE_PULL_S = 1.0
 # Entries that expired during a store outage, or that a restored copy lacks, are written
 # again within this time.
 RECOVERY_GRACE_S = 2.2
+# The store may have been away if no host of the zone has heard from it for so long. A
+# host that takes over for one that has lost its path hears from it sooner.
+MAX_CONTACT_GAP_S = MAX_STORE_AGE_S + FOLLOW_CHECK_S + 0.25
 # Consecutive failed calls after which the store counts as lost.
 LOST_AFTER_FAILURES = 2
 
@@ -73,6 +86,10 @@
         registry: receives the changes of instances.
         rng: spreads retries and reads over time.
         callbacks: called for changes.
+
+    Attributes:
+        registry: the known instances.
+        configuration: the configuration in force, if any.
     """
 
     def __init__(
@@ -96,10 +113,18 @@
         self._configuration_position: StorePosition | None = None
         self._era = START_POSITION.era
         self._has_begun = False
-        self._is_pulling = False
-        self._store_seen_at = -1e9
+        self._instances_loop = CallLoop(reactor, self._sync_instances)
+        self._configuration_loop = CallLoop(reactor, self._sync_configuration)
+        # A read from a peer is under way at most until then.
+        self._pull_ends_by = -math.inf
+        self._store_seen_at = -math.inf
+        # When the store last responded to any host of the zone.
+        self._zone_contact_at = -math.inf
+        self._instances_seen_at = -math.inf
         self._failures = 0
-        self._recovering_until = -1e9
+        self._recovering_until = -math.inf
+        # Until when a peer withholds removals because it has lost contact itself.
+        self._peer_recovering_until = -math.inf
         self._needs_snapshot = True
         self._has_snapshot = False
         self._has_reported_sync = False
@@ -123,6 +148,17 @@
         """Return whether this host reads the store itself, and not from a peer."""
         return not self._follows_peer()
 
+    @property
+    def withholds_removals(self) -> bool:
+        """Return whether known instances may be missing from what was last read."""
+        return self._has_withheld_removals or self._has_withheld_peer_removals
+
+    @property
+    def instances_age_s(self) -> float:
+        """Return the seconds since instances were read from the store or a peer."""
+        age_s = self._reactor.clock.monotonic() - self._instances_seen_at
+        return min(age_s, MAX_AGE_S)
+
     def _report_sync(self) -> None:
         if self.is_synced and not self._has_reported_sync:
             self._has_reported_sync = True
@@ -131,7 +167,7 @@
     def sync_status(self) -> tuple[int, StorePosition, float]:
         """Return version, position, and seconds since the store last responded."""
         age_s = self._reactor.clock.monotonic() - self._store_seen_at
-        return self.version, self.registry.position, min(age_s, 1e6)
+        return self.version, self.registry.position, min(age_s, MAX_AGE_S)
 
     def begin(self) -> None:
         """Read the full state from a peer or the store, then follow changes.
@@ -143,15 +179,17 @@
         self._has_begun = True
         steps = min(self._peer_table.rank_among_known(), MAX_STAGGER_STEPS)
         wait_s = STARTUP_STAGGER_S * (steps + 0.2)
-        self._reactor.call_later(wait_s, self._sync_instances)
-        self._reactor.call_later(wait_s, self._sync_configuration)
+        self._instances_loop.schedule(wait_s)
+        self._configuration_loop.schedule(wait_s)
 
     def _follows_peer(self) -> bool:
+        now = self._reactor.clock.monotonic()
         if not self.is_synced:
             return False
-        return (
-            self._peer_table.store_reader(self._reactor.clock.monotonic()) is not None
-        )
+        if now < self._peer_recovering_until and not self._is_recovering():
+            # The peer withholds removals that this host can read at once.
+            return False
+        return self._peer_table.store_reader(now) is not None
 
     # Instances.
 
@@ -159,29 +197,45 @@
         if self._is_relist_due():
             self._needs_snapshot = True
         elif self._follows_peer():
-            self._reactor.call_later(FOLLOW_CHECK_S, self._sync_instances)
+            self._instances_loop.schedule(FOLLOW_CHECK_S)
             return
+        call = self._instances_loop.begin_call()
+        on_done = functools.partial(self._on_instance_updates, call)
         if self._needs_snapshot:
-            self._source.read_instances(self._on_instance_updates)
+            self._source.read_instances(on_done)
         else:
             position = self.registry.position
-            self._source.watch_instances(
-                position, WATCH_WAIT_S, self._on_instance_updates
-            )
+            self._source.watch_instances(position, self._watch_wait_s(), on_done)
+
+    def _watch_wait_s(self) -> float:
+        """Return for how long the next watch of instances may wait."""
+        now = self._reactor.clock.monotonic()
+        if now - self._store_seen_at > 2 * WATCH_WAIT_S:
+            # Peers learn soon that the store is there, also if nothing has changed.
+            return SHORT_WATCH_WAIT_S
+        if self._has_withheld_removals:
+            return min(WATCH_WAIT_S, max(SHORT_WATCH_WAIT_S, self._grace_left_s()))
+        return WATCH_WAIT_S
 
     def _on_instance_updates(
-        self, updates: InstanceUpdates | None, exc: StoreError | None
+        self, call: int, updates: InstanceUpdates | None, exc: StoreError | None
     ) -> None:
+        is_latest = self._instances_loop.is_latest(call)
         if updates is None:
+            if not is_latest:
+                return
             self._needs_snapshot = True
             self._record_failure(exc)
-            self._reactor.call_later(self._retry_delay_s(), self._sync_instances)
+            self._instances_loop.schedule(self._retry_delay_s())
             return
-        self._record_contact()
+        if is_latest:
+            # Scheduled first, so that the feed goes on if applying the updates fails.
+            self._instances_loop.schedule(BATCH_PAUSE_S)
+        self._record_contact(self._configuration_loop)
+        self._instances_seen_at = self._store_seen_at
         self._observe_era(updates.position.era)
         self._apply_updates(updates)
         self._report_sync()
-        self._reactor.call_later(BATCH_PAUSE_S, self._sync_instances)
 
     def _is_relist_due(self) -> bool:
         """Return whether withheld removals have to be checked now.
@@ -192,6 +246,11 @@
         return self._has_withheld_removals and not self._is_recovering()
 
     def recovery_left_s(self) -> float:
+        """Return how many more seconds removals may be unknown here."""
+        left_s = self._grace_left_s()
+        return max(left_s, BATCH_PAUSE_S) if self._has_withheld_removals else left_s
+
+    def _grace_left_s(self) -> float:
         """Return how many more seconds entries may be missing in the store."""
         return max(0.0, self._recovering_until - self._reactor.clock.monotonic())
 
@@ -279,31 +338,37 @@
 
     def _sync_configuration(self) -> None:
         if self._follows_peer():
-            self._reactor.call_later(FOLLOW_CHECK_S, self._sync_configuration)
-        elif self._configuration_position is None:
-            self._source.read_configuration(self._on_configuration_update)
+            self._configuration_loop.schedule(FOLLOW_CHECK_S)
+            return
+        call = self._configuration_loop.begin_call()
+        on_done = functools.partial(self._on_configuration_update, call)
+        if self._configuration_position is None:
+            self._source.read_configuration(on_done)
         else:
             after = self._configuration_position
-            self._source.watch_configuration(
-                after, WATCH_WAIT_S, self._on_configuration_update
-            )
+            self._source.watch_configuration(after, WATCH_WAIT_S, on_done)
 
     def _on_configuration_update(
-        self, update: ConfigurationUpdate | None, exc: StoreError | None
+        self, call: int, update: ConfigurationUpdate | None, exc: StoreError | None
     ) -> None:
+        is_latest = self._configuration_loop.is_latest(call)
         if update is None:
+            if not is_latest:
+                return
             # Read the full configuration next, as the watch history may be gone.
             self._configuration_position = None
             self._record_failure(exc)
-            self._reactor.call_later(self._retry_delay_s(), self._sync_configuration)
+            self._configuration_loop.schedule(self._retry_delay_s())
             return
-        self._record_contact()
+        is_known = self.configuration is not None or update.configuration is not None
+        if is_latest:
+            # Scheduled first, so that the feed goes on if applying the update fails.
+            self._configuration_loop.schedule(BATCH_PAUSE_S if is_known else RETRY_S)
+        self._record_contact(self._instances_loop)
         self._observe_era(update.position.era)
         self._configuration_position = update.position
         self._apply_configuration(update.configuration)
         self._report_sync()
-        delay_s = BATCH_PAUSE_S if self.configuration else RETRY_S
-        self._reactor.call_later(delay_s, self._sync_configuration)
 
     def _apply_configuration(self, configuration: Configuration | None) -> None:
         """Put a configuration in force if it is newer than the current one."""
@@ -325,6 +390,9 @@
 
         Without a snapshot of its own, this host reads from any peer.
         """
+        if heartbeat.store_age_s < MAX_AGE_S:
+            now = self._reactor.clock.monotonic()
+            self._observe_contact(now - heartbeat.store_age_s)
         position = self.registry.position
         is_newer = (
             heartbeat.version > self.version
@@ -333,10 +401,11 @@
         )
         if not is_newer and self._has_snapshot:
             return
-        if self._is_pulling:
+        now = self._reactor.clock.monotonic()
+        if now < self._pull_ends_by:
             return
-        self._is_pulling = True
         pause_s = BATCH_PAUSE_S * self._rng.random() if self._has_snapshot else 0.0
+        self._pull_ends_by = now + pause_s + OVERDUE_PULL_S
         self._reactor.call_later(pause_s, self._pull, heartbeat.host.relay_address)
 
     def _is_full_pull_due(self) -> bool:
@@ -349,7 +418,7 @@
         self._relay_client.read(address, after, self.version, self._on_relayed)
 
     def _on_relayed(self, state: RelayedState | None) -> None:
-        self._is_pulling = False
+        self._pull_ends_by = -math.inf
         if state is None:
             return
         if state.position.era < self._era:
@@ -361,6 +430,7 @@
 
     def _apply_peer_instances(self, state: RelayedState) -> None:
         self._observe_era(state.position.era)
+        self._instances_seen_at = self._reactor.clock.monotonic()
         if not self._has_snapshot:
             # The peer may know instances that the store does not list again yet.
             peer_until = self._reactor.clock.monotonic() + state.recovery_left_s
@@ -372,7 +442,19 @@
             self._has_withheld_peer_removals = False
         if state.is_snapshot:
             changes = changes + self._find_peer_removals(state)
-        self._apply_changes(changes, state.position)
+        self._apply_changes(changes, self._position_after(state))
+
+    def _position_after(self, state: RelayedState) -> StorePosition:
+        """Return up to where all changes are known with a peer's state.
+
+        While the peer withholds removals, this is not the peer's position: it applies
+        them later as of that position, and would not be read from again.
+        """
+        if not state.recovery_left_s:
+            return state.position
+        now = self._reactor.clock.monotonic()
+        self._peer_recovering_until = now + state.recovery_left_s
+        return self.registry.position
 
     def _find_peer_removals(self, state: RelayedState) -> list[InstanceChange]:
         """Return removals of the known instances that a peer's full state lacks.
@@ -390,7 +472,8 @@
             )
             self._has_withheld_peer_removals = True
             return []
-        self.registry.record_full_snapshot(state.position)
+        if not state.recovery_left_s:
+            self.registry.record_full_snapshot(state.position)
         return removals
 
     # The store's era.
@@ -433,13 +516,39 @@
         pause_s = min(max_s, RETRY_S * 2.0 ** min(self._failures - 1, 8))
         return pause_s * (0.5 + self._rng.random())
 
-    def _record_contact(self) -> None:
+    def _record_contact(self, other_loop: CallLoop) -> None:
+        """Record that the store has responded.
+
+        Args:
+            other_loop: the loop that did not make the call.
+        """
         now = self._reactor.clock.monotonic()
         if self._failures >= LOST_AFTER_FAILURES:
-            self._recovering_until = now + RECOVERY_GRACE_S
-            log_event("store-regained", failures=self._failures)
+            # Its call may still wait on a connection that has been dead since.
+            other_loop.schedule(0.0)
+            age_s = min(now - self._zone_contact_at, MAX_AGE_S)
+            log_event("store-regained", failures=self._failures, zone_age_s=age_s)
+            if self._zone_contact_at == -math.inf:
+                # This host has started in the meantime.
+                self._recovering_until = now + RECOVERY_GRACE_S
         self._failures = 0
         self._store_seen_at = now
+        self._observe_contact(now)
+
+    def _observe_contact(self, at: float) -> None:
+        """Record when the store responded to a host of the zone.
+
+        If it has responded to none for long, it was away, and live instances may be
+        missing in it for a while.  Otherwise only paths to it were lost.
+        """
+        if at <= self._zone_contact_at:
+            return
+        gap_s = at - self._zone_contact_at
+        self._zone_contact_at = at
+        if MAX_CONTACT_GAP_S < gap_s < math.inf:
+            until = at + RECOVERY_GRACE_S
+            self._recovering_until = max(self._recovering_until, until)
+            log_event("store-was-away", seconds=gap_s)
 
     def _record_failure(self, exc: StoreError | None) -> None:
         if isinstance(exc, (EndedEra, HistoryGone)):
