Show that a response cut in its head is no success

Reported by other operators: an instance stops in the middle of its answer's head and closes, and clients get a 200 with an empty or short body, framed as whole. It can't happen here: a head without its empty line is an error at the end of the connection, and a response is sent on only when it is complete.

--- a/dogwoodtack/backends/tests/test_response_rules.py
+++ b/dogwoodtack/backends/tests/test_response_rules.py
@@ -1,5 +1,6 @@
 """Which bytes a connection accepts as the response to its request."""
 
+import itertools
 import socket
 import unittest
 
@@ -105,3 +106,68 @@
     def test_default_rules_are_strict(self, pieces, outcome):
         self.feed(pieces, ResponseRules(), closes=True)
         self.assertEqual(self.owner.outcome, outcome)
+
+
+ENTRY_RULES = ResponseRules(
+    lambda head: head.header(b"x-id") == b"mine",
+    allow_close_delimited=True,
+    allow_trailing_bytes=True,
+)
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nye\r\n1;a=b\r\ns\r\n0\r\nX-End: 1\r\n\r\n"
+)
+HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+UNFRAMED = response(b"mine", length=False)
+EMPTY = response(b"mine", b"")
+BARE_NEWLINES = OWN.replace(b"\r\n", b"\n")
+
+
+class CutResponseTest(unittest.TestCase):
+    """An instance stops in the middle of a response, and closes."""
+
+    @params(
+        *itertools.product(
+            (
+                # response, and how many of its bytes make it complete
+                ("length", OWN, len(OWN)),
+                ("no-body", EMPTY, len(EMPTY)),
+                ("chunked", CHUNKED, len(CHUNKED)),
+                # Its body may end anywhere.
+                ("unframed", UNFRAMED, UNFRAMED.index(b"\r\n\r\n") + 4),
+                ("after-hints", HINTS + OWN, len(HINTS + OWN)),
+                ("after-another", OTHER + OWN, len(OTHER + OWN)),
+                ("bare-newlines", BARE_NEWLINES, len(BARE_NEWLINES)),
+            ),
+            ("close", "reset"),
+            (True, False),
+        )
+    )
+    def test_cut_anywhere_is_not_complete(self, case, end, is_first):
+        """Callers got a 200 with an empty or short body, framed as whole."""
+        _name, data, complete = case
+        for cut in range(complete):
+            owner = self.receive(data[:cut], end, is_first)
+            with self.subTest(cut=cut, received=data[:cut]):
+                self.assertIn(owner.outcome, ("backend-cut", "backend-malformed"))
+
+    def receive(self, data, end, is_first):
+        """Receive bytes and the end of the connection, and return the owner."""
+        near, far = socket.socketpair(socket.AF_UNIX)
+        near.setblocking(False)
+        conn = BackendConnection(FakeReactor(), _SocketWithoutOptions(near), ADDRESS)
+        owner = Owner()
+        for one in (owner,) if is_first else (Owner(), owner):
+            conn.send_request(OUT, one, b"", ENTRY_RULES)
+            conn.end_body()
+            if one is not owner:
+                conn.on_bytes(OWN)
+        if data:
+            conn.on_bytes(data)
+        if end == "close":
+            conn.on_eof()
+        else:
+            conn.on_closed()
+        conn.close()
+        far.close()
+        return owner
