Close a connection whose back end shed a request without naming it

Such a connection is not reused; a response that names another request was rejected before. Rejected: to believe only sheds that echo the id, as back ends that don't would no longer be relieved by a retry (test_shed_request_is_retried_for_any_response_size).

--- a/dogwoodtack/frontend/attempt.py
+++ b/dogwoodtack/frontend/attempt.py
@@ -6,7 +6,7 @@
 from ..errors import ErrorKind, WireError
 from ..limits import Slot
 from ..reactor import Reactor, Timer
-from .headers import REQUEST_ID
+from .headers import NOT_EXECUTED, REQUEST_ID
 
 __all__ = ["Attempt", "AttemptOwner"]
 
@@ -71,6 +71,7 @@
         self._out: OutgoingHead | None = None
         self._body: bytes | None = b""
         self._is_head_sent = False
+        self._is_unnamed_shed = False
         self._timer: Timer = reactor.call_later(timeout_s, self._on_timeout)
 
     @property
@@ -168,6 +169,7 @@
             detail = "the answer names another request"
             self._fail(WireError(ErrorKind.BACKEND_MALFORMED, detail))
             return
+        self._is_unnamed_shed = echoed is None and head.header(NOT_EXECUTED) is not None
         self.head_at = self._reactor.clock.monotonic()
         self._owner.on_attempt_head(self, head)
 
@@ -179,7 +181,12 @@
     def on_end(self) -> None:
         """Release the connection and the slot, then notify the owner."""
         self._timer.cancel()
-        self._pool.release(self._conn)
+        if self._is_unnamed_shed:
+            # If the back end repeated it, it would be taken for the response to the
+            # connection's next request, which then ran a second time elsewhere.
+            self._conn.close()
+        else:
+            self._pool.release(self._conn)
         self.slot.release()
         owner, self._owner = self._owner, None
         if owner is not None:
--- a/dogwoodtack/frontend/tests/test_responses.py
+++ b/dogwoodtack/frontend/tests/test_responses.py
@@ -109,6 +109,16 @@
             self.assertEqual(self.outcome(peer), (200, "ran"))
             self.assertNotIn(b"sss", peer.data)
 
+    def test_connection_of_an_unnamed_shed_is_not_reused(self):
+        """A back end repeated it there, while it ran the next request."""
+        harness = self.start()
+        harness.script(Reply(SHED + b"0\r\n\r\n"), Reply(OK))
+        self.assertEqual(self.outcome(harness.send(POST)), (503, "not-run"))
+        self.assertEqual(self.outcome(harness.send(POST)), (200, "ran"))
+        self.assertEqual(len(harness.backends[0].peers), 2)
+        self.assertEqual(self.outcome(harness.send(POST)), (200, "ran"))
+        self.assertEqual(len(harness.backends[0].peers), 2)
+
     def test_large_response_that_is_cut_is_aborted(self):
         harness = self.start()
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BIG
