Set the next timer first in the other loops too

The check for being cut off and the entry host's flushing of logs set their timers last as well. All other loops set theirs first, or have nothing to call before (read one by one).

--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -355,11 +355,11 @@
 
     def _flush_logs(self) -> None:
         """Write log lines that were held back because their reader was slow."""
+        self.reactor.call_later(LOG_FLUSH_S, self._flush_logs)
         now = self.reactor.clock.monotonic()
         for instance_id in self.placer.notices.pop_ended_pauses(now):
             log_event("instance-pause-ended", instance=instance_id)
         self._sink.flush()
-        self.reactor.call_later(LOG_FLUSH_S, self._flush_logs)
 
     # Settings and shutdown.
 
--- a/dogwoodtack/membership/gossip.py
+++ b/dogwoodtack/membership/gossip.py
@@ -158,8 +158,8 @@
         self._membership.set_cut_off(self._cut_off_logger.check())
 
     def _on_cut_off_check(self) -> None:
-        self._update_cut_off()
         self._reactor.call_later(CUT_OFF_CHECK_INTERVAL_S, self._on_cut_off_check)
+        self._update_cut_off()
 
     def _on_round(self) -> None:
         self._reactor.call_later(ROUND_INTERVAL_S, self._on_round)
--- a/dogwoodtack/replication/watcher.py
+++ b/dogwoodtack/replication/watcher.py
@@ -104,12 +104,13 @@
         self._overdue_timer.cancel()
         self._poll_number += 1
         self._log_failing(exc)
+        # The next poll is scheduled first, as handling this one may raise an exception.
         if exc is not None:
-            self._on_failure()
             self._reactor.call_later(RETRY_S, self._poll)
+            self._on_failure()
             return
-        self._on_snapshot(snapshot)
         self._reactor.call_soon(self._poll)
+        self._on_snapshot(snapshot)
 
     def _log_failing(self, exc: StoreError | None) -> None:
         """Log when the store begins to fail and when it recovers."""
