--- a/soak/mixed.py
+++ b/soak/mixed.py
@@ -43,6 +43,8 @@
     "host-record-unusable",
     "instance-entry-unusable",
     "relay-unusable",
+    "relayed-instance-unusable",
+    "request-failed",
     "service-unreadable",
     "view-failed",
 )
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -41,6 +41,8 @@
 CRASHES = 3
 LATE_SENDS = 3
 NOT_RUN_STATUSES = (408, 429, 503)
+# Log events of exceptions that nobody expected.
+UNEXPECTED_EVENTS = ("callback-failed", "request-failed")
 BEHAVIOURS = ("error", "shed", "cut", "stray", "late", "no-signature", "unframed")
 
 
@@ -321,8 +323,9 @@
     if not any(call.status == 200 for call in calls[-CALLERS:]):
         violations.append("no request succeeds after the faults")
     for host in site.hosts:
-        if "event=callback-failed" in host.log_text():
-            violations.append(f"{host.name} logged callback-failed")
+        for event in UNEXPECTED_EVENTS:
+            if f"event={event} " in host.log_text():
+                violations.append(f"{host.name} logged {event}")
     return violations
 
 
