--- a/dogwoodtack/entry/attempt.py
+++ b/dogwoodtack/entry/attempt.py
@@ -29,6 +29,7 @@
     "OutgoingRequest",
 ]
 
+BODY_PIECE_BYTES = 65536
 HTTP_MISDIRECTED = 421
 HTTP_SERVER_ERROR = 500
 SUCCESS_STATUSES = range(200, 300)
@@ -41,7 +42,7 @@
     method: bytes
     target: bytes
     headers: list[Header]
-    body: bytes
+    body: bytes | bytearray
 
 
 class AttemptTarget(NamedTuple):
@@ -127,6 +128,8 @@
         self._body = ResponseBody()
         self._reused = False
         self._has_skipped_response = False
+        self._sent_bytes = 0
+        self._is_body_ended = False
         self._idle_s = 0.0
         self._deadline = 0.0
         self._timer: Timer | None = None
@@ -205,12 +208,32 @@
         )
         out = OutgoingHead(self._req.method, self._req.target, self._headers(now))
         try:
-            conn.send_request(out, self, self._req.body, rules)
+            conn.send_request(out, self, self._next_piece(), rules)
         except WireError:
             self._conn = None
             self._finish(AttemptOutcome.NOT_SENT)
             return
-        conn.end_body()
+        self._send_body()
+
+    def _send_body(self) -> None:
+        """Send as much of the body as the connection accepts; then mark its end.
+
+        A long body sent in one piece would be copied several times.
+        """
+        while self._sent_bytes < len(self._req.body):
+            if self._conn.is_full or not self._conn.is_open:
+                return
+            self._conn.send_body(self._next_piece())
+        if not self._is_body_ended:
+            self._is_body_ended = True
+            self._conn.end_body()
+
+    def _next_piece(self) -> bytes:
+        """Return the next piece of the body, which counts as sent."""
+        end = self._sent_bytes + BODY_PIECE_BYTES
+        piece = bytes(self._req.body[self._sent_bytes : end])
+        self._sent_bytes += len(piece)
+        return piece
 
     def _headers(self, now: float) -> list[Header]:
         left_ms = max(1, int((self._deadline - now) * 1000))
@@ -295,7 +318,9 @@
         self._finish(AttemptOutcome.CUT)
 
     def on_drained(self) -> None:
-        """Do nothing: the body was sent in one piece."""
+        """Continue to send the body."""
+        if self._on_end is not None:
+            self._send_body()
 
     def _on_timeout(self) -> None:
         if self._conn is None:
--- a/dogwoodtack/entry/buffers.py
+++ b/dogwoodtack/entry/buffers.py
@@ -1,12 +1,67 @@
-"""Memory of the responses that a host is receiving."""
+"""Memory of the requests and the responses that a host is receiving."""
 
 from typing import Protocol
 
-__all__ = ["BufferOwner", "ResponseBody", "ResponseBuffers"]
+__all__ = [
+    "BufferOwner",
+    "RequestBuffers",
+    "ResponseBody",
+    "ResponseBuffers",
+    "request_buffer_bytes",
+]
 
 # Small hosts have 200 MB in all, and a response is copied once when it is complete.
 MAX_BUFFERED_BYTES = 24 * 1024 * 1024
 BLOCK_BYTES = 65536
+# Memory of a host at rest, and of its responses with a copy of a complete one.
+OTHER_MEMORY_MB = 110
+# A body that grows has a margin, and the system holds some of it in socket buffers.
+REQUEST_SHARE = 0.7
+MB = 1_000_000
+
+
+def request_buffer_bytes(memory_mb: float) -> int:
+    """Return how many bytes of bodies a process with so much memory may hold."""
+    return int(max(0.0, memory_mb - OTHER_MEMORY_MB) * REQUEST_SHARE * MB)
+
+
+class RequestBuffers:
+    """Bound the memory of all request bodies together.
+
+    Load pattern: several callers send bodies as long as is allowed, which together
+    exceed the memory of the host.  A request whose body has no room is rejected before
+    it is read, so that it has not run; the others are not affected.  A single body is
+    always accepted.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._limit_bytes = limit_bytes
+        self._sizes: dict[object, int] = {}
+        self._total_bytes = 0
+
+    @property
+    def total_bytes(self) -> int:
+        """Return the size of all bodies, as far as it is known."""
+        return self._total_bytes
+
+    def reserve(self, owner: object, size: int) -> bool:
+        """Reserve room for an owner's body and return whether there is enough.
+
+        Args:
+            owner: the request.
+            size: the size of its body, or how much of it has been received.
+        """
+        known = self._sizes.get(owner, 0)
+        others = self._total_bytes - known
+        if others and others + size > self._limit_bytes:
+            return False
+        self._sizes[owner] = max(size, known)
+        self._total_bytes = others + max(size, known)
+        return True
+
+    def release(self, owner: object) -> None:
+        """Free the room of an owner's body."""
+        self._total_bytes -= self._sizes.pop(owner, 0)
 
 
 class ResponseBody:
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -10,6 +10,7 @@
 from ..frontend.conn import RequestHead, ServerConn
 from ..frontend.headers import response_headers
 from ..logs import log_failure
+from ..misc import parse_count
 from ..placement import (
     NOT_RUN_OUTCOMES,
     AttemptContext,
@@ -34,7 +35,7 @@
     AttemptTarget,
     OutgoingRequest,
 )
-from .buffers import ResponseBuffers
+from .buffers import RequestBuffers, ResponseBuffers
 from .crashes import CrashMonitor, CutRequest
 from .evidence import Evidence
 from .idle_limit import IdleLimit
@@ -85,6 +86,8 @@
     AttemptOutcome.FAILED: ErrorKind.BACKEND_CUT,
 }
 
+# A long body is received and sent on within this time.
+BODY_RETRY_AFTER_S = 1.0
 # Attempts that time out at a request's deadline get to report this first.
 DEADLINE_GRACE_S = 0.05
 
@@ -101,6 +104,7 @@
         pool: connections to instances.
         host_pool: connections to other entry hosts.
         buffers: memory of the responses that are being received.
+        request_buffers: memory of the requests' bodies.
         paths: whether this host reaches the instances.
         crashes: finds out which instances have crashed.
         quarantine: the requests that are sent to no instance, as they crash them.
@@ -122,6 +126,7 @@
     pool: ConnectionPool
     host_pool: ConnectionPool
     buffers: ResponseBuffers
+    request_buffers: RequestBuffers
     paths: PathMonitor
     crashes: CrashMonitor
     quarantine: Quarantine
@@ -222,8 +227,18 @@
                 ErrorKind.BODY_TOO_LARGE, f"over {self._max_body_bytes} B"
             )
             return
+        if not self._has_room(len(self._body) + len(data)):
+            self._detail = "too many long bodies"
+            self._send_error(ErrorKind.OVERLOADED, BODY_RETRY_AFTER_S)
+            return
         self._body += data
 
+    def _has_room(self, received_bytes: int) -> bool:
+        """Return whether the body fits, of which so many bytes are known to come."""
+        declared = parse_count(self._head.header(b"content-length") or "") or 0
+        size = max(received_bytes, min(declared, self._max_body_bytes))
+        return self._deps.request_buffers.reserve(self, size)
+
     @_isolated
     def on_body_end(self) -> None:
         """Route the complete request and ask for its placement."""
@@ -255,8 +270,8 @@
             self._request_id,
             self._head.method.encode(),
             self._head.target.encode(),
-            forwarded_headers(self._head, header_names, bytes(self._body)),
-            bytes(self._body),
+            forwarded_headers(self._head, header_names, len(self._body)),
+            self._body,
         )
         self._digest = request_digest(
             self._req.method, self._req.target, self._req.headers, self._req.body
@@ -781,6 +796,7 @@
         for attempt in list(self._in_flight):
             attempt.cancel()
             self._close_attempt(attempt, None)
+        self._free_bodies()
         now = self._now()
         first_dispatch_at = (
             self._first_dispatch_at if self._first_dispatch_at is not None else now
@@ -800,6 +816,13 @@
         )
         self._deps.request_log.add(entry)
 
+    def _free_bodies(self) -> None:
+        """Free memory: the caller's connection refers to its last exchange."""
+        self._deps.request_buffers.release(self)
+        self._body = bytearray()
+        self._req = None
+        self._best_result = None
+
 
 def _ignore_connect(is_reached: bool) -> None:
     """Ignore whether another entry host was reached: it shows no path to instances."""
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -21,7 +21,7 @@
 from ..quarantine import Quarantine
 from ..reactor import Reactor
 from ..routing import CallerLimits, Configuration, Route, RouteTable, TrafficSplitter
-from .buffers import ResponseBuffers
+from .buffers import RequestBuffers, ResponseBuffers, request_buffer_bytes
 from .crash_records import CrashRecords
 from .crashes import CrashMonitor
 from .descriptors import connection_limits
@@ -169,6 +169,7 @@
         cfg = self.settings
         self.pool = ConnectionPool(self.reactor, DIAL_TIMEOUT_S)
         self.buffers = ResponseBuffers()
+        self.request_buffers = RequestBuffers(request_buffer_bytes(cfg.memory_mb))
         self.paths = PathMonitor(
             self.reactor, self.registry, self.rng, self._on_paths_changed
         )
@@ -187,6 +188,7 @@
             pool=self.pool,
             host_pool=ConnectionPool(self.reactor, DIAL_TIMEOUT_S),
             buffers=self.buffers,
+            request_buffers=self.request_buffers,
             paths=self.paths,
             crashes=self.crashes,
             quarantine=self.quarantine,
@@ -332,6 +334,7 @@
             "handover_connections": self.handover_frontend.connections,
             "directory_connections": self.directory.connections,
             "response_buffer_bytes": self.buffers.total_bytes,
+            "request_buffer_bytes": self.request_buffers.total_bytes,
             "instance_paths_lost": float(self.paths.is_cut_off),
             "instances_unreached": self.paths.unreached,
             "path_probes": self.paths.pending_probes,
--- a/dogwoodtack/entry/request.py
+++ b/dogwoodtack/entry/request.py
@@ -52,14 +52,14 @@
 
 
 def forwarded_headers(
-    head: RequestHead, header_names: HeaderNames, body: bytes
+    head: RequestHead, header_names: HeaderNames, body_bytes: int
 ) -> list[Header]:
     """Return the headers that every attempt of a request sends.
 
     Args:
         head: the caller's request.
         header_names: header names on the wire; those that a host sets are left out.
-        body: the complete body, whose length is sent.
+        body_bytes: length of the complete body, which is sent.
     """
     excluded = header_names.set_by_host() | {
         b"content-length",
@@ -68,6 +68,6 @@
     }
     kept = drop_hop_by_hop(head.headers)
     headers = [pair for pair in kept if pair[0] not in excluded]
-    if body or head.method not in ("GET", "HEAD"):
-        headers.append((b"content-length", str(len(body)).encode()))
+    if body_bytes or head.method not in ("GET", "HEAD"):
+        headers.append((b"content-length", str(body_bytes).encode()))
     return headers
--- a/dogwoodtack/entry/settings.py
+++ b/dogwoodtack/entry/settings.py
@@ -39,6 +39,7 @@
         cores: processor cores for the process, a fraction or more than one.
         link_mbps: speed of the host's network link in Mbit/s.
         max_descriptors: how many descriptors the process may have.
+        memory_mb: memory of the process in megabytes.
         bounds: guaranteed time bounds and the retry budget.
     """
 
@@ -52,6 +53,7 @@
     cores: float
     link_mbps: float
     max_descriptors: int
+    memory_mb: float
     bounds: Bounds
 
     @property
--- a/dogwoodtack/entry/tests/test_buffers.py
+++ b/dogwoodtack/entry/tests/test_buffers.py
@@ -1,8 +1,14 @@
-"""Tests of the memory of responses."""
+"""Tests of the memory of requests and responses."""
 
 import unittest
 
-from dogwoodtack.entry.buffers import ResponseBuffers
+from nose2.tools import params
+
+from dogwoodtack.entry.buffers import (
+    RequestBuffers,
+    ResponseBuffers,
+    request_buffer_bytes,
+)
 
 
 class Owner:
@@ -28,5 +34,34 @@
         self.assertEqual(buffers.total_bytes, 15)
 
 
+class RequestBuffersTest(unittest.TestCase):
+    @params(
+        # sizes that requests a and b reserve in turn, which of them fit, and their sum
+        ("a60 b30 c20", "ab", 90),
+        ("a200", "a", 200),
+        ("a200 b1", "a", 200),
+        ("a60 a60 b40", "aab", 100),
+        ("a10 a50 a90 b20", "aaa", 90),
+        ("a60 b50 a-- b50", "ab", 50),
+        ("a60 b30 b50", "ab", 90),
+        ("a-- a10", "a", 10),
+    )
+    def test_bodies_have_room_together(self, steps, fitting, total):
+        buffers = RequestBuffers(limit_bytes=100)
+        accepted = ""
+        for owner, size in ((step[0], step[1:]) for step in steps.split()):
+            if size == "--":
+                buffers.release(owner)
+            elif buffers.reserve(owner, int(size)):
+                accepted += owner
+        self.assertEqual((accepted, buffers.total_bytes), (fitting, total))
+
+    @params((300.0, 64), (200.0, 60), (100.0, 0))
+    def test_share_of_the_memory(self, memory_mb, lowest_mb):
+        room = request_buffer_bytes(memory_mb)
+        self.assertGreaterEqual(room, lowest_mb * 1_000_000)
+        self.assertLess(room, memory_mb * 1_000_000 / 2)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -10,7 +10,7 @@
 from nose2.tools import params
 
 from dogwoodtack.backends import ResponseHead
-from dogwoodtack.entry.buffers import ResponseBuffers
+from dogwoodtack.entry.buffers import RequestBuffers, ResponseBuffers
 from dogwoodtack.entry.evidence import Evidence
 from dogwoodtack.entry.exchange import Exchange, ExchangeDependencies
 from dogwoodtack.entry.idle_limit import IdleLimit
@@ -123,6 +123,12 @@
         self.owner = None
         self._serve = serve
 
+    is_full = False
+    is_open = True
+
+    def send_body(self, data):
+        pass
+
     def send_request(self, out, owner, body, rules):
         self.owner = owner
         self._serve(self, out)
@@ -273,6 +279,7 @@
             pool=FakePool(world, self, world.serve_at_instance),
             host_pool=FakePool(world, self, world.serve_at_host),
             buffers=ResponseBuffers(),
+            request_buffers=RequestBuffers(1_000_000),
             paths=self.paths,
             crashes=FakeCrashes(world),
             quarantine=world.quarantine,
--- a/dogwoodtack/platform/settings.py
+++ b/dogwoodtack/platform/settings.py
@@ -13,6 +13,8 @@
 
 __all__ = ["SETTINGS_VARIABLE", "load_entry_settings", "decode_entry_settings"]
 
+# Of a host at the target size.
+DEFAULT_MEMORY_MB = 256.0
 SETTINGS_VARIABLE = "DOGWOODTACK_SETTINGS"
 # The one bound that is the operator's to choose; the others state the platform's rules.
 MAX_PAUSE_BOUND = "maxPauseS"
@@ -59,6 +61,7 @@
             cores=float(limits["cpuShare"]) * float(limits["cores"]),
             link_mbps=float(limits["linkMbps"]),
             max_descriptors=_max_descriptors(limits),
+            memory_mb=_memory_mb(limits),
             bounds=_bounds(fields.get("bounds", [])),
         )
     except KeyError as exc:
@@ -77,6 +80,13 @@
     return value
 
 
+def _memory_mb(limits: dict[str, Any]) -> float:
+    value = float(limits.get("memoryMb", DEFAULT_MEMORY_MB))
+    if not 0.0 < value < math.inf:
+        raise SettingsError(f"field memoryMb is not a positive number: {value}")
+    return value
+
+
 def _store_address(fields: dict[str, Any]) -> Address:
     return parse_address(fields["platform"]["address"])
 
--- a/dogwoodtack/platform/tests/test_wire.py
+++ b/dogwoodtack/platform/tests/test_wire.py
@@ -257,6 +257,9 @@
         ("limits.maxFds", "many"),
         ("limits.maxFds", 0),
         ("limits.maxFds", math.inf),
+        ("limits.memoryMb", 0),
+        ("limits.memoryMb", math.nan),
+        ("limits.memoryMb", "much"),
     )
     def test_invalid_settings_are_rejected(self, path, value):
         with self.assertRaises(SettingsError):
--- a/dogwoodtack/quarantine/digest.py
+++ b/dogwoodtack/quarantine/digest.py
@@ -16,7 +16,7 @@
 
 
 def request_digest(
-    method: bytes, target: bytes, headers: Iterable[Header], body: bytes
+    method: bytes, target: bytes, headers: Iterable[Header], body: bytes | bytearray
 ) -> str:
     """Return a digest that repeats of a request share, and hardly any other request.
 
--- a/tests/scripted_instance.py
+++ b/tests/scripted_instance.py
@@ -19,12 +19,14 @@
         id: its request id.
         method: its method.
         target: its path and query.
+        body: its body.
         is_first: whether it is the first one on its connection.
     """
 
     id: bytes
     method: bytes
     target: bytes
+    body: bytes
     is_first: bool
 
 
@@ -95,12 +97,15 @@
         head, _, body = data.partition(b"\r\n\r\n")
         lines = head.split(b"\r\n")
         fields = dict(line.lower().split(b": ", 1) for line in lines[1:])
-        while len(body) < int(fields.get(b"content-length", 0)):
-            body += sock.recv(65536)
+        received = bytearray(body)
+        while len(received) < int(fields.get(b"content-length", 0)):
+            piece = sock.recv(1_000_000)
+            if not piece:
+                return None
+            received += piece
         method, target, _ = lines[0].split(b" ")
-        return Request(
-            fields.get(b"x-dogwoodtack-request-id", b""), method, target, is_first
-        )
+        request_id = fields.get(b"x-dogwoodtack-request-id", b"")
+        return Request(request_id, method, target, bytes(received), is_first)
 
 
 def message(
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -62,6 +62,8 @@
     instances = 2
     # The limit of descriptors in the settings and of the process; None for its default.
     max_descriptors = None
+    # The memory in the settings; None for its default.
+    memory_mb = None
 
     def setUp(self):
         self.store = StoreStandIn()
@@ -95,6 +97,8 @@
         ]
         if self.max_descriptors:
             lines.append(f"maxFds = {self.max_descriptors}")
+        if self.memory_mb:
+            lines.append(f"memoryMb = {self.memory_mb}")
         lines.append(f'[platform]\naddress = "{self.store.address}"')
         boot.write_text("\n".join(lines))
         env = {**os.environ, "DOGWOODTACK_SETTINGS": str(boot)}
