--- a/dogwoodtack/misc.py
+++ b/dogwoodtack/misc.py
@@ -1,5 +1,6 @@
 """Small helpers shared by several modules."""
 
+import functools
 import hmac
 import ipaddress
 import secrets
@@ -7,10 +8,11 @@
 
 __all__ = [
     "Address",
-    "new_token",
     "check_address",
+    "new_token",
     "parse_address",
     "parse_count",
+    "parse_ip",
     "secrets_match",
 ]
 
@@ -58,11 +60,22 @@
         ValueError: it has no IPv4 address, or no port from 1 to 65535.
     """
     if not allow_name:
-        ipaddress.IPv4Address(address.host)
+        parse_ip(address.host)
     if not 0 < address.port <= MAX_PORT:
         raise ValueError(f"port {address.port} is not from 1 to {MAX_PORT}")
 
 
+# Entries name the same few addresses again and again.
+@functools.lru_cache(maxsize=8192)
+def parse_ip(text: str) -> ipaddress.IPv4Address:
+    """Return the IPv4 address in a text.
+
+    Raises:
+        ValueError: the text is no IPv4 address.
+    """
+    return ipaddress.IPv4Address(text)
+
+
 def parse_count(text: str) -> int | None:
     """Return the whole number in a text, or None if it has none or too large a one.
 
--- a/dogwoodtack/placement/instances.py
+++ b/dogwoodtack/placement/instances.py
@@ -1,11 +1,12 @@
 """Backend instances that a host knows, merged from all sources by store position."""
 
+import functools
 import ipaddress
 from collections import Counter
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
-from ..misc import Address, check_address
+from ..misc import Address, check_address, parse_ip
 from ..position import START_POSITION, StorePosition
 
 __all__ = [
@@ -60,15 +61,20 @@
     """
     for name in (instance.id, instance.service, instance.zone):
         check_name(name)
-    ip = ipaddress.IPv4Address(instance.address.host)
-    if ip.is_unspecified or ip.is_multicast or ip == BROADCAST_ADDRESS:
-        raise ValueError(f"{ip} is not the address of one machine")
+    _check_single_machine(instance.address.host)
     check_address(instance.address)
     _check_number("slots", instance.slots, int, 1, MAX_SLOTS)
     _check_number("warmup_s", instance.warmup_s, float, 0.0, MAX_WARMUP_S)
     _check_number("born_ms", instance.born_ms, int, 0, MAX_BORN_MS)
 
 
+@functools.lru_cache(maxsize=8192)
+def _check_single_machine(host: str) -> None:
+    ip = parse_ip(host)
+    if ip.is_unspecified or ip.is_multicast or ip == BROADCAST_ADDRESS:
+        raise ValueError(f"{ip} is not the address of one machine")
+
+
 def check_name(name: Any) -> None:
     """Check that a text can name something in headers, paths and log lines.
 
