--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -36,7 +36,7 @@
     OutgoingRequest,
 )
 from .buffers import RequestBuffers, ResponseBuffers
-from .crashes import CrashMonitor, CutRequest
+from .crashes import CrashMonitor, FailedRequest
 from .evidence import Evidence
 from .idle_limit import IdleLimit
 from .notices import NoticeReader
@@ -563,17 +563,25 @@
             self._runs += attempt.target.max_runs
         self._best_result = self._more_informative(result)
         instance = attempt.target.instance
-        if instance is None or result.outcome is not AttemptOutcome.CUT:
+        is_silent = result.outcome is AttemptOutcome.TIMED_OUT
+        if instance is None or not (is_silent or result.outcome is AttemptOutcome.CUT):
             self._continue(result)
             return
         request_id = self._request_id.decode("latin-1")
-        cut = CutRequest(request_id, self._digest, instance, attempt.started_at)
-        if self._route.kind.is_idempotent and self._has_attempts_left():
+        failed = FailedRequest(
+            request_id, self._digest, instance, attempt.started_at, is_silent
+        )
+        if (
+            not is_silent
+            and self._route.kind.is_idempotent
+            and self._has_attempts_left()
+        ):
             # Whether it is retried depends on whether the instance has crashed.
             self._pending_checks += 1
-            self._deps.crashes.check(cut, functools.partial(self._on_checked, result))
+            on_done = functools.partial(self._on_checked, result)
+            self._deps.crashes.check(failed, on_done)
         else:
-            self._deps.crashes.check(cut)
+            self._deps.crashes.check(failed)
             self._continue(result)
 
     @_isolated
