Leave room for short bodies where the memory is small

Found by reading: with memoryMb at 110 or less there was no room for bodies, so that of two requests with a body at the same time one was rejected.

Tests: the row of 100 MB in test_share_of_the_memory failed before with a floor of 16 MB expected; it passes now, and LongBodyTest does.

--- a/dogwoodtack/entry/buffers.py
+++ b/dogwoodtack/entry/buffers.py
@@ -17,12 +17,15 @@
 OTHER_MEMORY_MB = 110
 # A body that grows has a margin, and the system holds some of it in socket buffers.
 REQUEST_SHARE = 0.7
+# Short bodies always have room, also where the memory is small.
+MIN_REQUEST_MB = 16
 MB = 1_000_000
 
 
 def request_buffer_bytes(memory_mb: float) -> int:
     """Return how many bytes of bodies a process with so much memory may hold."""
-    return int(max(0.0, memory_mb - OTHER_MEMORY_MB) * REQUEST_SHARE * MB)
+    share_mb = (memory_mb - OTHER_MEMORY_MB) * REQUEST_SHARE
+    return int(max(MIN_REQUEST_MB, share_mb) * MB)
 
 
 class RequestBuffers:
--- a/dogwoodtack/entry/tests/test_buffers.py
+++ b/dogwoodtack/entry/tests/test_buffers.py
@@ -56,7 +56,7 @@
                 accepted += owner
         self.assertEqual((accepted, buffers.total_bytes), (fitting, total))
 
-    @params((300.0, 64), (200.0, 60), (100.0, 0))
+    @params((300.0, 64), (200.0, 60), (100.0, 16))
     def test_share_of_the_memory(self, memory_mb, lowest_mb):
         room = request_buffer_bytes(memory_mb)
         self.assertGreaterEqual(room, lowest_mb * 1_000_000)
