--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -41,6 +41,7 @@
 from .idle_limit import IdleLimit
 from .notices import NoticeReader
 from .paths import PathMonitor
+from .recent_ids import RecentIds
 from .replies import send_error
 from .request import (
     ATTEMPTS_LEFT_HEADER,
@@ -49,7 +50,12 @@
     forwarded_headers,
     time_limit_s,
 )
-from .request_log import AttemptRecord, RequestLog, RequestLogEntry
+from .request_log import (
+    AttemptRecord,
+    RequestLog,
+    RequestLogEntry,
+    RetryEvidence,
+)
 from .wire import HeaderNames, find_header, parse_retry_after
 
 __all__ = ["Exchange", "ExchangeDependencies", "RouteFinder"]
@@ -116,6 +122,7 @@
         splitter: chooses a service by the route's traffic split.
         idle_limit: how long an idle connection is reused for non-idempotent requests.
         request_log: log and metrics of finished requests.
+        recent_ids: ids of the last requests.
         response_kb: expected response size in kilobytes by route name, a moving
             average over past responses.
     """
@@ -137,6 +144,7 @@
     splitter: TrafficSplitter
     idle_limit: IdleLimit
     request_log: RequestLog
+    recent_ids: RecentIds
     response_kb: dict[str, float]
 
 
@@ -214,6 +222,8 @@
         self.is_done = False
         request_id = find_header(head.headers, deps.header_names.request_id) or b""
         self._request_id = request_id
+        if request_id and deps.recent_ids.add(request_id):
+            deps.request_log.add_repeated_id(request_id.decode("latin-1"))
 
     # Receiving the request.
 
@@ -602,12 +612,25 @@
             return
         action = next_action(self._attempt_context(result, is_idempotent))
         if action is NextAction.RETRY:
+            if result.head is not None and not is_idempotent:
+                self._log_retry(result)
             self._request_placement()
             return
         self._finish(
             action, result if action is NextAction.FORWARD else self._best_result
         )
 
+    def _log_retry(self, result: AttemptResult) -> None:
+        evidence = RetryEvidence(
+            request=self._request_id.decode("latin-1"),
+            target=self._attempt_records[-1].target,
+            outcome=result.outcome,
+            status=result.head.status,
+            reused=result.reused,
+            idle_ms=result.idle_s * 1000,
+        )
+        self._deps.request_log.add_retry(evidence)
+
     def _more_informative(self, result: AttemptResult) -> AttemptResult:
         """Return the result to report: the latest with a response, else the latest."""
         if self._best_result is None or result.head is not None:
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -32,6 +32,7 @@
 from .idle_limit import IdleLimit
 from .notices import NoticeReader
 from .paths import PathMonitor
+from .recent_ids import RecentIds
 from .request_log import RequestLog
 from .responder import Responder, SimpleResponse
 from .settings import EntrySettings
@@ -201,6 +202,7 @@
             splitter=TrafficSplitter(self.rng.random()),
             idle_limit=idle_limit,
             request_log=self.request_log,
+            recent_ids=RecentIds(),
             response_kb={},
         )
         limits = connection_limits(cfg.max_descriptors)
--- a/dogwoodtack/entry/request_log.py
+++ b/dogwoodtack/entry/request_log.py
@@ -8,7 +8,7 @@
 from ..clock import Clock
 from ..logs import log_event
 
-__all__ = ["AttemptRecord", "RequestLog", "RequestLogEntry"]
+__all__ = ["AttemptRecord", "RequestLog", "RequestLogEntry", "RetryEvidence"]
 
 # Requests that failed or were retried have a higher limit of their own, so that the
 # others cannot crowd them out of the log.
@@ -70,6 +70,26 @@
     detail: str
 
 
+class RetryEvidence(NamedTuple):
+    """Why a non-idempotent request that was sent may be sent once more.
+
+    Attributes:
+        request: id of the request.
+        target: id of the instance, or name of the entry host, that had it.
+        outcome: how the attempt ended.
+        status: status of the response.
+        reused: whether the connection had carried an earlier request.
+        idle_ms: milliseconds for which the connection was idle before.
+    """
+
+    request: str
+    target: str
+    outcome: str
+    status: int
+    reused: bool
+    idle_ms: float
+
+
 class RequestLog:
     """Log finished requests and count them."""
 
@@ -83,6 +103,16 @@
             "Requests by kind, reason and status.",
             registry=self.registry,
         )
+        self._retries = Counter(
+            "dogwoodtack_not_executed_retries_total",
+            "Non-idempotent requests sent once more, by outcome and reused connection.",
+            registry=self.registry,
+        )
+        self._repeated_ids = Counter(
+            "dogwoodtack_repeated_request_ids_total",
+            "Requests whose id this host has seen shortly before.",
+            registry=self.registry,
+        )
         self._dropped = Counter(
             "dogwoodtack_log_lines_dropped_total",
             "Request lines left out of the log.",
@@ -116,6 +146,26 @@
         tries = "|".join(str(record) for record in entry.tries)
         log_event("request", **{**entry._asdict(), "tries": tries})
 
+    def add_retry(self, evidence: RetryEvidence) -> None:
+        """Count a retry of a non-idempotent request, and log it within the limits."""
+        labels = {
+            "outcome": evidence.outcome,
+            "reused": str(evidence.reused).lower(),
+        }
+        self._retries.inc(labels)
+        if self._may_log(is_routine=False):
+            log_event("not-executed-retry", **evidence._asdict())
+        else:
+            self._dropped.inc({})
+
+    def add_repeated_id(self, request_id: str) -> None:
+        """Count a request whose id came before, and log it within the limits."""
+        self._repeated_ids.inc({})
+        if self._may_log(is_routine=False):
+            log_event("request-id-repeated", level="WARNING", request=request_id)
+        else:
+            self._dropped.inc({})
+
     def _may_log(self, is_routine: bool) -> bool:
         second = int(self._clock.monotonic())
         if second != self._current_second:
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -15,6 +15,7 @@
 from dogwoodtack.entry.exchange import Exchange, ExchangeDependencies
 from dogwoodtack.entry.idle_limit import IdleLimit
 from dogwoodtack.entry.notices import NoticeReader
+from dogwoodtack.entry.recent_ids import RecentIds
 from dogwoodtack.errors import ErrorKind, WireError
 from dogwoodtack.frontend.conn import RequestHead
 from dogwoodtack.misc import Address
@@ -290,6 +291,7 @@
             splitter=TrafficSplitter(rng.random()),
             idle_limit=idle_limit,
             request_log=mock.Mock(),
+            recent_ids=RecentIds(),
             response_kb={},
         )
 
