Take joined heads on a kept connection for malformed, not for a refusal

Class: what is left of an earlier response is read as the next one.

Why it works: wherever the first head breaks off, the status line of the second stands in a value or in the reason of the joined head, or the head is invalid. Such a head on a connection that has carried a response fails the attempt as one that may have run. It holds for dogwoodtackd too, which uses the same connection. Ruled out: a new connection for each non-idempotent request, which costs a handshake each; never trusting a refusal on a used connection, which would lose most retries of requests that instances shed.

--- a/dogwoodtack/backends/connection.py
+++ b/dogwoodtack/backends/connection.py
@@ -4,6 +4,7 @@
 is closed and never reused, so a response can only reach the request it is for.
 """
 
+import re
 import socket
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
@@ -11,6 +12,7 @@
 import h11
 
 from ..errors import ErrorKind, WireError
+from ..logs import log_event
 from ..misc import Address
 from ..reactor import Reactor
 from ..stream import Stream
@@ -31,6 +33,9 @@
 MAX_INFORMATIONAL_HEADS = 32
 MAX_SKIPPED_BYTES = 32 * 1024 * 1024
 BODILESS_STATUSES = frozenset({204, 304})
+# Where an earlier response breaks off in its head and another one follows, that one's
+# status line stands in a value or in the reason of the first.
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?!\d)")
 
 
 class OutgoingHead(NamedTuple):
@@ -113,6 +118,7 @@
         self._method = b""
         self._response_rules = STRICT_RULES
         self._is_unexpected = False
+        self._has_carried_response = False
         self._informational_heads = 0
         self._skipped_bytes = 0
         self._eof_received = False
@@ -289,9 +295,17 @@
     def _handle_head(self, event: h11.Response) -> None:
         headers = [(bytes(name), bytes(value)) for name, value in event.headers]
         head = ResponseHead(event.status_code, headers)
-        framing_error = self._framing_error(head)
-        if framing_error:
-            self._fail(ErrorKind.BACKEND_MALFORMED, framing_error)
+        error = self._framing_error(head)
+        if self._has_carried_response and _holds_status_line(event):
+            log_event(
+                "response-heads-joined",
+                level="WARNING",
+                address=self.address,
+                status=event.status_code,
+            )
+            error = "part of an earlier answer before it"
+        if error:
+            self._fail(ErrorKind.BACKEND_MALFORMED, error)
             return
         self._is_unexpected = (
             self._response_rules.belongs_to_request is not None
@@ -311,6 +325,7 @@
             )
             return
         self._is_unexpected = False
+        self._has_carried_response = True
         self._h11 = self._new_h11_connection()
         # The request was already sent; this only makes h11 expect a response again.
         placeholder = h11.Request(
@@ -352,6 +367,7 @@
         except h11.LocalProtocolError:
             self._stream.close()
             return
+        self._has_carried_response = True
         self.idle_since = self._clock.monotonic()
         self._stream.resume()
 
@@ -361,3 +377,9 @@
         self._stream.close()
         if owner is not None:
             owner.on_fail(WireError(kind, detail, bytes_sent=sent))
+
+
+def _holds_status_line(event: h11.Response) -> bool:
+    """Return whether a head seems to be joined of two."""
+    texts = [event.reason, *(value for _, value in event.headers)]
+    return any(STATUS_LINE.search(text) for text in texts)
--- a/dogwoodtack/backends/tests/test_response_rules.py
+++ b/dogwoodtack/backends/tests/test_response_rules.py
@@ -123,6 +123,54 @@
 BARE_NEWLINES = OWN.replace(b"\r\n", b"\n")
 
 
+def refusal(status, id_field):
+    return (
+        b"HTTP/1.1 %d Odd\r\nX-Not-Executed: 1\r\nX-Reason: full\r\n" % status
+        + id_field
+        + b"Content-Length: 0\r\n\r\n"
+    )
+
+
+class PartialRefusalTest(unittest.TestCase):
+    """Part of an earlier response comes before the response on a kept connection."""
+
+    @params(
+        *itertools.product(
+            (200, 408, 421, 429, 500, 503), (b"", b"X-Id: other\r\n"), (False, True)
+        )
+    )
+    def test_no_part_lends_its_head_to_a_response(self, status, id_field, is_split):
+        whole = refusal(status, id_field)
+        taken = []
+        for size in range(1, len(whole)):
+            pieces = [whole[:size], OWN] if is_split else [whole[:size] + OWN]
+            taken += [size for head in self.heads_after(pieces) if head.status != 200]
+            taken += [
+                size
+                for head in self.heads_after(pieces)
+                if head.header(b"x-not-executed") is not None
+            ]
+        self.assertEqual(taken, [])
+
+    def heads_after(self, pieces):
+        """Return the heads that the owner of a used connection gets."""
+        near, far = socket.socketpair(socket.AF_UNIX)
+        near.setblocking(False)
+        conn = BackendConnection(FakeReactor(), _SocketWithoutOptions(near), ADDRESS)
+        heads = []
+        owner = Owner()
+        owner.on_head = heads.append
+        for received in ([OWN], pieces):
+            heads.clear()
+            conn.send_request(OUT, owner, b"", ENTRY_RULES)
+            conn.end_body()
+            for piece in received:
+                conn.on_bytes(piece)
+        conn.close()
+        far.close()
+        return heads
+
+
 class CutResponseTest(unittest.TestCase):
     """An instance stops in the middle of a response, and closes."""
 
