Let a host that takes over a non-idempotent request run it once at most

Cause: the host that hands over tells the receiver how many instances may run the request, and told it the attempts of the route, also for a request that may run once. The receiver then went by the route's kind in its own configuration; one that knows an older configuration, in which the path belongs to an idempotent route, retried and hedged it. Class: a promise depends on what another host happens to know.

The new test failed before.

Why it works: max_runs is 1 for a non-idempotent route, wherever attempts are counted, so the number that is handed over is 1, and a receiver never runs more than that, whatever it takes the request for. Refused attempts aren't counted, so that these are retried as before. Ruled out: handing over the kind in a header of its own, as the number of runs already says it to hosts of both builds. What remains: a host that accepts a request under an older configuration can't know better.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -48,6 +48,7 @@
     MIN_ATTEMPT_S,
     attempts_left,
     forwarded_headers,
+    max_runs,
     time_limit_s,
 )
 from .request_log import (
@@ -263,11 +264,10 @@
             self._send_error(ErrorKind.NO_ROUTE)
             return
         self._route = route
-        self._max_attempts = (
-            attempts_left(self._head, route)
-            if self._is_handed_over
-            else route.max_attempts
-        )
+        self._max_attempts = max_runs(route)
+        if self._is_handed_over:
+            # The host that handed it over may know a newer configuration.
+            self._max_attempts = attempts_left(self._head, route)
         self._service = self._deps.splitter.next_service(route)
         header_names = self._deps.header_names
         self._deadline = self._arrived_at + time_limit_s(
--- a/dogwoodtack/entry/request.py
+++ b/dogwoodtack/entry/request.py
@@ -12,6 +12,7 @@
     "MIN_ATTEMPT_S",
     "attempts_left",
     "forwarded_headers",
+    "max_runs",
     "time_limit_s",
 ]
 
@@ -40,6 +41,11 @@
     return max(MIN_ATTEMPT_S, limit_s - RESPONSE_MARGIN_S)
 
 
+def max_runs(route: Route) -> int:
+    """Return how many instances may run a request of a route."""
+    return route.max_attempts if route.kind.is_idempotent else 1
+
+
 def attempts_left(head: RequestHead, route: Route) -> int:
     """Return how many instances may run a request that was handed over.
 
@@ -48,7 +54,7 @@
         route: the matched route.
     """
     left = parse_count(head.header(ATTEMPTS_LEFT_HEADER) or "")
-    return max(1, min(1 if left is None else left, route.max_attempts))
+    return max(1, min(1 if left is None else left, max_runs(route)))
 
 
 def forwarded_headers(
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -1,5 +1,6 @@
 """Random tests of requests at hosts that fail, hand over and lose their paths."""
 
+import functools
 import itertools
 import random
 import unittest
@@ -224,7 +225,7 @@
         if self.rng.random() < 0.1:
             self.reactor.call_later(self.rng.random(), conn.fail)
 
-    def send(self, number):
+    def send(self, number, hosts=None):
         request_id = f"{number:016x}".encode()
         method, prefix = self.rng.choice((("GET", "/look/"), ("POST", "/book/")))
         deadline_ms = self.rng.choice((500, 630, 1000, 4000))
@@ -238,7 +239,7 @@
             self.responses.setdefault((request_id, method), []).append(status)
 
         head = RequestHead(method, prefix, headers)
-        exchange = self.rng.choice(self.hosts).start(head, on_response)
+        exchange = self.rng.choice(hosts or self.hosts).start(head, on_response)
         if self.rng.random() < 0.1:
             delay_s = self.rng.random()
             self.reactor.call_later(delay_s, exchange.on_caller_gone)
@@ -263,6 +264,7 @@
 
     def __init__(self, world, number):
         self.record = FakeHost(f"h-{number}", Address("127.0.0.1", 8000 + number))
+        self.is_configuration_old = False
         self.paths = FakePaths(world)
         self._world = world
         clock, rng = world.reactor.clock, world.rng
@@ -305,7 +307,8 @@
         return self._world.rng.sample(others, self._world.rng.randrange(len(others)))
 
     def find_route(self, host, target):
-        kind = RouteKind.SAFE if target.startswith("/look/") else RouteKind.UNSAFE
+        is_safe = target.startswith("/look/") or self.is_configuration_old
+        kind = RouteKind.SAFE if is_safe else RouteKind.UNSAFE
         services = (WeightedService("jobs", 1.0),)
         route = Route("r", host, "/", kind, services, 2.0, 0.8, MAX_ATTEMPTS, 0)
         return route, 1
@@ -336,6 +339,23 @@
                     if statuses[0] in REJECTION_STATUSES:
                         self.assertEqual(runs, 0, statuses)
 
+    def test_request_is_handed_over_to_hosts_that_take_it_for_idempotent(self):
+        """Hosts that knew only an older configuration sent a booking twice."""
+        for seed in range(SEEDS):
+            world = World(seed)
+            for host in world.hosts[1:]:
+                host.is_configuration_old = True
+            world.hosts[0].paths.is_cut_off = True
+            for number in range(REQUESTS):
+                delay_s = world.rng.random() * SPAN_S
+                send = functools.partial(world.send, number, world.hosts[:1])
+                world.reactor.call_later(delay_s, send)
+            world.reactor.run_for(SPAN_S + 6.0)
+            with self.subTest(seed=seed):
+                for (request_id, method), statuses in world.responses.items():
+                    if method == "POST":
+                        self.assertLessEqual(world.runs[request_id], 1)
+
 
 class LostCallbackTest(unittest.TestCase):
     """A component fails, and what a request waits for never comes."""
