Count a run before any step that may raise

What callers saw: nothing is recorded.

Cause: the end of an attempt first recorded evidence, released the slot and told the fleet, and only then counted the run; an exception in between left a request without a run and without an attempt under way.

Why it works: the run counts before anything else happens. Ruled out: never saying 'not executed' after an exception, which would lose the retry of requests that certainly were not sent.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -562,15 +562,16 @@
 
     @_isolated
     def _on_attempt_end(self, attempt: Attempt, result: AttemptResult) -> None:
+        # First, as later steps may raise, and then the response depends on it.
+        if result.bytes_sent:
+            self._sent_attempts += attempt.target.max_runs
+        if result.outcome not in NOT_RUN_OUTCOMES:
+            self._runs += attempt.target.max_runs
         self._deps.evidence.record(
             attempt, result, self._service, self._request_id.decode("latin-1")
         )
         self._close_attempt(attempt, result.outcome)
         self._record_attempt(attempt, result)
-        if result.bytes_sent:
-            self._sent_attempts += attempt.target.max_runs
-        if result.outcome not in NOT_RUN_OUTCOMES:
-            self._runs += attempt.target.max_runs
         self._best_result = self._more_informative(result)
         instance = attempt.target.instance
         is_silent = result.outcome is AttemptOutcome.TIMED_OUT
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -404,6 +404,48 @@
         self.assertEqual(set(observations), {None})
         self.assertFalse(any(host.placer.occupancy.own.values()))
 
+    @params(
+        ("evidence", "record"),
+        ("evidence", "observe"),
+        ("fleet", "report_instance"),
+        ("placer", "release"),
+        ("placer", "record_service_time"),
+        ("quarantine", "on_success"),
+        ("crashes", "check"),
+    )
+    def test_fault_after_a_run_does_not_deny_it(self, component, method):
+        """The host that had handed the request over sent it to a second host."""
+        for behaviour in ("ok", "error", "cut"):
+            world, host = self.make_world()
+            world.behaviours = [behaviour]
+            responses = []
+            headers = [
+                (b"host", b"shop.example"),
+                (HEADERS.request_id, b"id"),
+                (HEADERS.deadline_ms, b"1000"),
+            ]
+            head = RequestHead("POST", "/book/", headers)
+            owner = getattr(host._deps, component)
+            original = getattr(owner, method)
+
+            def fail_after_the_run(*args, **kwargs):
+                if world.runs[b"id"]:
+                    raise RuntimeError("odd")
+                return original(*args, **kwargs)
+
+            with mock.patch.object(owner, method, fail_after_the_run):
+                host.start(
+                    head,
+                    lambda status, headers, body: responses.append((status, headers)),
+                    is_handed_over=True,
+                )
+                world.reactor.run_for(1.2)
+            with self.subTest(behaviour=behaviour):
+                self.assertEqual(world.runs[b"id"], 1)
+                [(status, headers)] = responses
+                self.assertNotIn(status, REJECTION_STATUSES)
+                self.assertNotIn(HEADERS.not_executed, dict(headers))
+
     @params(
         # component, method, whether it raises or does nothing, status
         ("paths", "when_settled", False, 502),
