Run no keyed request twice after a refusal left on a connection of dogwoodtackd

What callers saw: nothing is recorded; a request with a key ran at two back ends.

Cause: back ends of dogwoodtackd need not echo the request's id, so a response without one counted as the request's own, also on a connection whose earlier responses had all named theirs. A refusal that came late was believed, and the request went to a second back end.

Evidence: with the first response named and an unnamed refusal for the second request, 2 of 2 kinds of refusal led to a second send, and a 200 of another request was passed on, before this change; now the outcome is unknown.

Why it works: a request that is not idempotent reuses only connections whose last response named its request, and there a response without a name is not its own. Back ends that name nothing get a new connection for each such request, so that their refusals still prove that nothing ran. Ruled out: to take unnamed refusals on used connections for unknown everywhere, which would cost callers of such back ends their retries; pools by back end, as one may be replaced.

test_connection_of_an_unnamed_shed_is_not_reused showed with a third POST that the connection of an unnamed success is reused; it is reused for a GET only, so this is what it asserts now, and a new table says which POST reuses what.

What remains: an idempotent request may get an unnamed response that was left; only a back end that names nothing can do that on a connection of its own.

--- a/dogwoodtack/backends/connection.py
+++ b/dogwoodtack/backends/connection.py
@@ -107,7 +107,15 @@
 
 
 class BackendConnection:
-    """A connection to a back end, a peer or the platform."""
+    """A connection to a back end, a peer or the platform.
+
+    Attributes:
+        address: the other end.
+        idle_since: monotonic time at which its last response ended, in seconds.
+        was_used: whether a request was sent on it.
+        names_requests: whether its last response named the request it belongs to; its
+            owner sets it.
+    """
 
     def __init__(self, reactor: Reactor, sock: socket.socket, address: Address) -> None:
         self.address = address
@@ -125,6 +133,7 @@
         self._written_before_bytes = 0
         self.idle_since = reactor.clock.monotonic()
         self.was_used = False
+        self.names_requests = True
         self._stream = Stream(reactor, sock, self)
 
     @staticmethod
--- a/dogwoodtack/backends/pool.py
+++ b/dogwoodtack/backends/pool.py
@@ -40,6 +40,7 @@
         on_connection: OnConnection,
         fresh: bool = False,
         max_idle_s: float = MAX_IDLE_S,
+        only_naming: bool = False,
     ) -> None:
         """Pass an idle or a new connection to `on_connection(conn, exc)`.
 
@@ -52,22 +53,27 @@
                 this moment; `max_idle_s` is then ignored.
             max_idle_s: longest idle time of a connection to reuse, in seconds; NO_REUSE
                 for a new connection.
+            only_naming: whether to reuse only a connection whose last response named
+                its request, so that the next one is known by that, too.
         """
         conn = None
         if fresh or max_idle_s != NO_REUSE:
-            conn = self._pop_idle(address, RECENT_IDLE_S if fresh else max_idle_s)
+            max_idle_s = RECENT_IDLE_S if fresh else max_idle_s
+            conn = self._pop_idle(address, max_idle_s, only_naming)
         if conn is not None:
             on_connection(conn, None)
             return
         self._dial(address, on_connection)
 
     def _pop_idle(
-        self, address: Address, max_idle_s: float
+        self, address: Address, max_idle_s: float, only_naming: bool = False
     ) -> BackendConnection | None:
-        idle = self._idle.get(address)
+        idle = self._idle.get(address, deque())
         now = self._reactor.clock.monotonic()
-        while idle:
-            conn = idle.pop()
+        for conn in reversed(list(idle)):
+            if only_naming and not conn.names_requests:
+                continue
+            idle.remove(conn)
             if now - conn.idle_since <= max_idle_s and conn.is_quiet:
                 return conn
             conn.close()
--- a/dogwoodtack/frontend/attempt.py
+++ b/dogwoodtack/frontend/attempt.py
@@ -72,6 +72,7 @@
         self._body: bytes | None = b""
         self._is_head_sent = False
         self._is_unnamed_shed = False
+        self._must_be_named = False
         self._timer: Timer = reactor.call_later(timeout_s, self._on_timeout)
 
     @property
@@ -97,18 +98,26 @@
             end = self._reactor.clock.monotonic()
         return end - self.started_at
 
-    def start(self, out: OutgoingHead, body: bytes | None, fresh: bool) -> None:
+    def start(self, out: OutgoingHead, body: bytes | None, is_idempotent: bool) -> None:
         """Acquire a connection and send a request.
 
+        A request that is not idempotent reuses only a recently used connection whose
+        responses name their requests.
+
         Args:
             out: the request's head.
             body: the complete body, or None if `send_body` streams it afterwards.
-            fresh: whether to reuse only a recently used connection, as described in
-                `ConnectionPool.acquire`.
+            is_idempotent: whether the request may run more than once.
         """
         self._out = out
         self._body = body
-        self._pool.acquire(self.slot.instance.address, self._on_connection, fresh=fresh)
+        self._must_be_named = not is_idempotent
+        self._pool.acquire(
+            self.slot.instance.address,
+            self._on_connection,
+            fresh=not is_idempotent,
+            only_naming=not is_idempotent,
+        )
 
     def _on_connection(
         self, conn: BackendConnection | None, error: WireError | None
@@ -121,6 +130,7 @@
             self._fail(error)
             return
         self._conn = conn
+        self._must_be_named = self._must_be_named and conn.was_used
         try:
             conn.send_request(self._out, self, self._body or b"")
         except WireError as exc:
@@ -169,6 +179,12 @@
             detail = "the answer names another request"
             self._fail(WireError(ErrorKind.BACKEND_MALFORMED, detail))
             return
+        if echoed is None and self._must_be_named:
+            # Earlier ones on this connection had a name.
+            detail = "the answer names no request"
+            self._fail(WireError(ErrorKind.BACKEND_MALFORMED, detail))
+            return
+        self._conn.names_requests = echoed is not None
         self._is_unnamed_shed = echoed is None and head.header(NOT_EXECUTED) is not None
         self.head_at = self._reactor.clock.monotonic()
         self._owner.on_attempt_head(self, head)
--- a/dogwoodtack/frontend/exchange.py
+++ b/dogwoodtack/frontend/exchange.py
@@ -341,7 +341,7 @@
         self._attempt = Attempt(
             self._deps.reactor, self._deps.pool, slot, self, request_id, timeout_s
         )
-        self._attempt.start(out, body, fresh=not self._is_idempotent)
+        self._attempt.start(out, body, self._is_idempotent)
 
     def on_attempt_head_sent(self, attempt: Attempt) -> None:
         """Forward the buffered part of a streamed body."""
--- a/dogwoodtack/frontend/tests/harness.py
+++ b/dogwoodtack/frontend/tests/harness.py
@@ -41,7 +41,7 @@
     """What a scripted back end does with one request.
 
     Attributes:
-        data: raw bytes to write.
+        data: raw bytes to write; REQUEST-ID stands for the id of the request.
         then: `keep`, `close` or `reset` the connection afterwards.
         early: whether to reply as soon as the request's head is received.
     """
@@ -104,13 +104,20 @@
         peer.data = b""
         if len(self.replies) > 1:
             self.replies.pop(0)
-        peer.stream.write(reply.data)
+        peer.stream.write(reply.data.replace(b"REQUEST-ID", _request_id(head)))
         if reply.then == "close":
             peer.stream.finish()
         elif reply.then == "reset":
             peer.stream.abort()
 
 
+def _request_id(head: bytes) -> bytes:
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"x-request-id:"):
+            return line.partition(b":")[2].strip()
+    return b""
+
+
 def _is_complete(head: bytes, body: bytes) -> bool:
     for line in head.lower().split(b"\r\n"):
         if line.startswith(b"content-length:"):
--- a/dogwoodtack/frontend/tests/test_responses.py
+++ b/dogwoodtack/frontend/tests/test_responses.py
@@ -16,6 +16,7 @@
     b"5\r\nrack \r\n6\r\n7 done\r\n0\r\n\r\n"
 )
 SHED = b"HTTP/1.1 503 No\r\nX-Not-Executed: shed\r\nContent-Length: "
+NAMED_OK = OK.replace(b"Content", b"X-Request-Id: REQUEST-ID\r\nContent")
 BIG = 100_000
 
 
@@ -116,9 +117,40 @@
         self.assertEqual(self.outcome(harness.send(POST)), (503, "not-run"))
         self.assertEqual(self.outcome(harness.send(POST)), (200, "ran"))
         self.assertEqual(len(harness.backends[0].peers), 2)
-        self.assertEqual(self.outcome(harness.send(POST)), (200, "ran"))
+        self.assertEqual(self.outcome(harness.send(GET)), (200, "ran"))
         self.assertEqual(len(harness.backends[0].peers), 2)
 
+    @params(
+        # response of the back end, connections after the second request
+        (NAMED_OK, 1),
+        (OK, 2),
+    )
+    def test_other_request_reuses_a_connection_with_named_responses(
+        self, response, connections
+    ):
+        harness = self.start()
+        harness.script(Reply(response))
+        for _ in range(2):
+            self.assertEqual(self.outcome(harness.send(POST)), (200, "ran"))
+        self.assertEqual(len(harness.backends[0].peers), connections)
+
+    @params(
+        SHED + b"0\r\n\r\n",
+        SHED.replace(b"503", b"429") + b"4\r\n\r\nshed",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nrack 9",
+    )
+    def test_unnamed_response_left_on_a_connection_is_not_used(self, left):
+        """A late refusal was taken for the next request's, which ran twice."""
+        harness = self.start(backends=2)
+        harness.script(Reply(NAMED_OK))
+        while sum(bool(backend.requests) for backend in harness.backends) < 2:
+            harness.send(POST)
+        harness.script(Reply(left))
+        before = len(harness.requests)
+        peer = harness.send(POST)
+        self.assertEqual(len(harness.requests), before + 1)
+        self.assertEqual(self.outcome(peer)[1], "unknown")
+
     def test_large_response_that_is_cut_is_aborted(self):
         harness = self.start()
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BIG
