Send the rest of a body after another request's response was skipped

What callers saw: 504 at the deadline. When the response to an earlier request came while a long body was being sent, sending its rest raised, the instance never got it, and the request waited for its deadline.

Cause: skipping a response replaced the h11 connection, which then took the request for sent.

Why it works: the h11 connection that frames the request stays the sender until the next request; the new one only reads. A connection whose body has not been sent completely is closed after the response, as before.

--- a/dogwoodtack/backends/connection.py
+++ b/dogwoodtack/backends/connection.py
@@ -122,6 +122,8 @@
         self._clock = reactor.clock
         self._owner: ConnectionOwner | None = None
         self._h11 = self._new_h11_connection()
+        # Frames the request; another one after a response that was skipped.
+        self._sender = self._h11
         self._head: ResponseHead | None = None
         self._method = b""
         self._response_rules = STRICT_RULES
@@ -198,9 +200,9 @@
             request = h11.Request(
                 method=head.method, target=head.target, headers=head.headers
             )
-            data = self._h11.send(request)
+            data = self._sender.send(request)
             if body:
-                data += self._h11.send(h11.Data(data=body))
+                data += self._sender.send(h11.Data(data=body))
         except h11.LocalProtocolError as exc:
             self.close()
             raise WireError(ErrorKind.BAD_REQUEST, str(exc), bytes_sent=False) from exc
@@ -209,12 +211,12 @@
     def send_body(self, data: bytes) -> None:
         """Send a piece of the request's body."""
         if self.is_open:
-            self._stream.write(self._h11.send(h11.Data(data=data)))
+            self._stream.write(self._sender.send(h11.Data(data=data)))
 
     def end_body(self) -> None:
         """Mark the end of the request."""
         if self.is_open:
-            self._stream.write(self._h11.send(h11.EndOfMessage()))
+            self._stream.write(self._sender.send(h11.EndOfMessage()))
 
     def pause(self) -> None:
         """Stop reading the response until `resume`."""
@@ -336,7 +338,7 @@
         self._is_unexpected = False
         self._has_carried_response = True
         self._h11 = self._new_h11_connection()
-        # The request was already sent; this only makes h11 expect a response again.
+        # The request is sent by the other one; this one only expects a response.
         placeholder = h11.Request(
             method=self._method, target=b"/", headers=[(b"host", b"-")]
         )
@@ -371,11 +373,15 @@
         owner.on_end()
 
     def _make_reusable(self) -> None:
+        if self._sender.our_state is not h11.DONE:
+            self._stream.close()
+            return
         try:
             self._h11.start_next_cycle()
         except h11.LocalProtocolError:
             self._stream.close()
             return
+        self._sender = self._h11
         self._has_carried_response = True
         self.idle_since = self._clock.monotonic()
         self._stream.resume()
--- a/dogwoodtack/backends/tests/test_response_rules.py
+++ b/dogwoodtack/backends/tests/test_response_rules.py
@@ -123,6 +123,43 @@
 BARE_NEWLINES = OWN.replace(b"\r\n", b"\n")
 
 
+class UnsentBodyTest(unittest.TestCase):
+    """A response to an earlier request comes while a body is being sent."""
+
+    @params(
+        # whether the body's end is sent before the own response, connection still open
+        (True, True),
+        (False, False),
+    )
+    def test_body_is_sent_on_after_a_skipped_response(self, is_complete, is_open):
+        """Sending the rest raised, and the request waited until its deadline."""
+        near, far = socket.socketpair(socket.AF_UNIX)
+        near.setblocking(False)
+        self.addCleanup(far.close)
+        conn = BackendConnection(FakeReactor(), _SocketWithoutOptions(near), ADDRESS)
+        self.addCleanup(conn.close)
+        owner = Owner()
+        head = OutgoingHead(
+            b"POST", b"/a", [(b"host", b"x"), (b"content-length", b"6")]
+        )
+        conn.send_request(head, owner, b"abc", ENTRY_RULES)
+        conn.on_bytes(OTHER)
+        conn.send_body(b"de")
+        if is_complete:
+            conn.send_body(b"f")
+            conn.end_body()
+        conn.on_bytes(OWN)
+        self.assertEqual((owner.outcome, owner.body), ("complete", b"yes"))
+        self.assertEqual(conn.is_open, is_open)
+        sent = far.recv(10_000)
+        self.assertTrue(sent.endswith(b"abcdef" if is_complete else b"abcde"), sent)
+        if is_open:
+            conn.send_request(OUT, owner, b"", ENTRY_RULES)
+            conn.end_body()
+            conn.on_bytes(OWN)
+            self.assertEqual(owner.outcome, "complete")
+
+
 def refusal(status, id_field):
     return (
         b"HTTP/1.1 %d Odd\r\nX-Not-Executed: 1\r\nX-Reason: full\r\n" % status
