Send a request whose id came before on a new connection

Cause: a response is known by the id that it echoes, and an id that was used before on the connection says nothing: an instance wrote its refusal of the first booking once more, and it was taken for that of the second. Class: what is left of an earlier response is read as the response to the next request.

Ruled out: rejecting such requests, as a caller may have a reason to repeat an id, and nothing forbids it; ids per connection, which would have to be asked for before a connection is chosen.

--- a/dogwoodtack/entry/attempt.py
+++ b/dogwoodtack/entry/attempt.py
@@ -36,13 +36,23 @@
 
 
 class OutgoingRequest(NamedTuple):
-    """A request to instances, without the headers that differ between attempts."""
+    """A request to instances, without the headers that differ between attempts.
+
+    Attributes:
+        request_id: its id, empty if it has none.
+        method: HTTP method.
+        target: path and query.
+        headers: headers that every attempt sends.
+        body: the complete body.
+        is_id_unique: whether no other request with its id came to this host before.
+    """
 
     request_id: bytes
     method: bytes
     target: bytes
     headers: list[Header]
     body: bytes | bytearray
+    is_id_unique: bool = True
 
 
 class AttemptTarget(NamedTuple):
@@ -156,8 +166,8 @@
         self._deadline = deadline
         wait_s = deadline - self._reactor.clock.monotonic()
         self._timer = self._reactor.call_later(wait_s, self._on_timeout)
-        if not req.request_id:
-            # No response can name the request, so it has to be the first one.
+        if not req.request_id or not req.is_id_unique:
+            # No response can name this request alone, so it has to be the first one.
             max_idle_s = NO_REUSE
         self._pool.acquire(
             self.target.address, self._on_connection, max_idle_s=max_idle_s
--- a/tests/test_partial_refusals.py
+++ b/tests/test_partial_refusals.py
@@ -4,7 +4,12 @@
 
 from nose2.tools import params
 
-from tests.scripted_instance import ScriptedInstance, answer, wait_a_moment
+from tests.scripted_instance import (
+    ScriptedInstance,
+    answer,
+    message,
+    wait_a_moment,
+)
 from tests.test_entry_host import EntryHostTest, configuration
 
 REJECTION_STATUSES = (408, 421, 429, 503)
@@ -54,3 +59,40 @@
                 wrong.append((request_id, found.status, runs))
         self.assertGreater(sum(one.written for one in instances), 0)
         self.assertEqual(wrong, [], self.log.read_text()[-3000:])
+
+
+class RepeatedIdTest(EntryHostTest):
+    instances = 0
+
+    def test_refusal_is_not_taken_for_a_later_request_with_its_id(self):
+        """Callers gave two bookings one id, and one of them ran twice."""
+        request_id = "00000000000000ab"
+        fields = {
+            b"X-Dogwoodtack-Not-Executed": b"1",
+            b"X-Dogwoodtack-Request-Id": request_id.encode(),
+        }
+        refusal = message(503, fields)
+
+        def respond(instance, sock, request):
+            if request.is_first and request.target == b"/book/refused":
+                sock.sendall(refusal)
+                return True
+            instance.runs[request.target] += 1
+            if not request.is_first:
+                sock.sendall(refusal)
+                wait_a_moment()
+            sock.sendall(answer(request))
+            return True
+
+        instances = [ScriptedInstance(f"i-{n}", respond) for n in range(2)]
+        for one in instances:
+            self.addCleanup(one.close)
+            self.store.put("servers", one.name, **one.directory_entry("jobs"))
+        self.store.put("config", "main", spec=configuration(7))
+        self.wait_until(self.is_ready, "the host is ready")
+        self.call("POST", "/book/refused", request_id, b"x")
+        for number in range(4):
+            target = f"/book/{number}"
+            found, _ = self.call("POST", target, request_id, b"x")
+            runs = sum(one.runs[target.encode()] for one in instances)
+            self.assertEqual((found.status, runs), (200, 1), self.log.read_text())
