Send no request to an instance that a stopping host can't wait for

Cause: a stopping host treated requests like any other until its listeners closed, and those whose body came later, that waited in the queue or that were refused once also after that; nothing compared the time that was left with what a request takes. Class: a promise that is not derived from what the host knows of its own end.

Why it works: GracePeriod knows when the host ends. A request is sent, first or once more, only if its deadline lies before that, or if 1.25 times the slowest attempt of its route in the last minute or two does. Any other is rejected at once as not run, with Retry-After 0, since other hosts have time; this is asked at arrival, at each placement and, for what waits or is still being received, every 50 ms. A host that took over a request rejects it as not executed. What is left at the end is answered 504 instead of being cut.

Ruled out: only requests whose deadline fits, which would reject from SIGTERM on where time limits are long; handing them over, as the response still has to pass this host; shorter deadlines for instances, which abandon work that would end.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -38,6 +38,7 @@
 from .buffers import RequestBuffers, ResponseBuffers
 from .crashes import CrashMonitor, FailedRequest
 from .evidence import Evidence
+from .grace import GracePeriod
 from .idle_limit import IdleLimit
 from .notices import NoticeReader
 from .paths import PathMonitor
@@ -93,6 +94,8 @@
     AttemptOutcome.FAILED: ErrorKind.BACKEND_CUT,
 }
 
+# Other hosts serve at once what this one rejects as it leaves.
+LEAVING_RETRY_AFTER_S = 0.0
 # A long body is received and sent on within this time.
 BODY_RETRY_AFTER_S = 1.0
 # Attempts that time out at a request's deadline get to report this first.
@@ -121,6 +124,7 @@
         find_route: returns the route for a host and target, and the version of
             the configuration; version 0 means that none is known yet.
         splitter: chooses a service by the route's traffic split.
+        grace: which requests end before this host does.
         idle_limit: how long an idle connection is reused for non-idempotent requests.
         request_log: log and metrics of finished requests.
         recent_ids: ids of the last requests.
@@ -143,6 +147,7 @@
     evidence: Evidence
     find_route: RouteFinder
     splitter: TrafficSplitter
+    grace: GracePeriod
     idle_limit: IdleLimit
     request_log: RequestLog
     recent_ids: RecentIds
@@ -359,7 +364,9 @@
 
     @_isolated
     def _place_or_hand_over(self) -> None:
-        if self.is_done or self._reject_quarantined() or self._hand_over():
+        if self.is_done or self._reject_quarantined():
+            return
+        if self._reject_unfinishable() or self._hand_over():
             return
         is_cut_off = self._deps.paths.is_cut_off
         if is_cut_off and (self._is_handed_over or self._tried_hosts):
@@ -389,13 +396,59 @@
             )
         return True
 
+    def _reject_unfinishable(self) -> bool:
+        """End a request that takes longer than this host, and return whether it does.
+
+        An attempt that is under way may still end in time.
+        """
+        if self._deps.grace.can_finish(self._route.name, self._deadline):
+            return False
+        if self._in_flight:
+            return True
+        if self._best_result is not None:
+            self._respond_to_failure(self._best_result)
+        else:
+            self._send_error(ErrorKind.DRAINING, LEAVING_RETRY_AFTER_S)
+        return True
+
+    @_isolated
+    def on_stop_progress(self) -> None:
+        """Reject the request if it is not sent yet and can't be finished any more."""
+        if self.is_done or self._in_flight or self._pending_checks:
+            return
+        if self._route is not None:
+            self._reject_unfinishable()
+        elif not self._can_finish_unread():
+            self._send_error(ErrorKind.DRAINING, LEAVING_RETRY_AFTER_S)
+
+    def _can_finish_unread(self) -> bool:
+        """Return whether the request could be finished if it were complete now."""
+        host = self._head.header(b"host") or ""
+        route, _ = self._deps.find_route(host, self._head.target)
+        if route is None:
+            return True
+        limit_s = time_limit_s(self._head, self._deps.header_names, route)
+        return self._deps.grace.can_finish(route.name, self._arrived_at + limit_s)
+
+    @_isolated
+    def on_grace_over(self) -> None:
+        """Respond before the host ends, as far as is known by now."""
+        if self.is_done:
+            return
+        if self._may_have_run:
+            self._send_error(ErrorKind.BACKEND_TIMEOUT)
+        else:
+            self._send_error(ErrorKind.DRAINING, LEAVING_RETRY_AFTER_S)
+
     @_isolated
     def _on_placement(self, placed: Instance | Rejection) -> None:
         self._queued_request = None
         if isinstance(placed, Rejection):
             self._on_placement_rejected(placed)
             return
-        if not self.is_done and self._reject_quarantined():
+        if not self.is_done and (
+            self._reject_quarantined() or self._reject_unfinishable()
+        ):
             self._deps.placer.release(placed.id)
             return
         if self.is_done or self._now() >= self._deadline - MIN_ATTEMPT_S:
@@ -660,7 +713,10 @@
         service_time_s = placer.service_time_s(self._service)
         has_attempts_left = self._has_attempts_left()
         may_retry = is_idempotent or not self._may_have_run
-        has_time = now + service_time_s / 2 < self._deadline
+        has_time = (
+            now + service_time_s / 2 < self._deadline
+            and self._deps.grace.can_finish(self._route.name, self._deadline)
+        )
         has_retry_budget = True
         if result.bytes_sent and result.outcome is not AttemptOutcome.ANSWERED:
             is_retry_possible = may_retry and has_attempts_left and has_time
@@ -714,6 +770,8 @@
                 spent_s * 1000,
             )
         )
+        if result.bytes_sent and result.outcome not in NOT_RUN_OUTCOMES:
+            self._deps.grace.record(self._route.name, spent_s)
         if instance is None:
             return
         if result.outcome is AttemptOutcome.ANSWERED:
--- a/dogwoodtack/entry/frontend.py
+++ b/dogwoodtack/entry/frontend.py
@@ -66,3 +66,13 @@
             self._is_handover,
         )
         self._add_exchange(conn, exchange)
+
+    def on_stop_progress(self) -> None:
+        """Reject the requests that are not sent yet and can't be finished any more."""
+        for exchange in list(self._exchanges):
+            exchange.on_stop_progress()
+
+    def on_grace_over(self) -> None:
+        """Respond to the requests that are left, as the host ends."""
+        for exchange in list(self._exchanges):
+            exchange.on_grace_over()
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -28,6 +28,7 @@
 from .evidence import Evidence
 from .exchange import ExchangeDependencies
 from .frontend import EntryFrontend
+from .grace import GracePeriod
 from .host_records import HostRecords
 from .idle_limit import IdleLimit
 from .notices import NoticeReader
@@ -182,6 +183,7 @@
             self.fleet.report_crash,
         )
         idle_limit = IdleLimit()
+        self.grace = GracePeriod(self.reactor.clock)
         deps = ExchangeDependencies(
             reactor=self.reactor,
             placer=self.placer,
@@ -200,6 +202,7 @@
             evidence=Evidence(self.reactor.clock, self.placer, self.paths, idle_limit),
             find_route=self._find_route,
             splitter=TrafficSplitter(self.rng.random()),
+            grace=self.grace,
             idle_limit=idle_limit,
             request_log=self.request_log,
             recent_ids=RecentIds(),
@@ -417,9 +420,23 @@
         for frontend in self._frontends:
             frontend.announce_stop()
         grace_s = self.settings.bounds.grace_s - GRACE_MARGIN_S
+        self.grace.begin(grace_s)
         log_event("leaving", in_flight=self._in_flight(), grace_s=grace_s)
         self.reactor.call_later(min(DRAIN_DELAY_S, grace_s / 2), self._drain)
-        self.reactor.call_later(grace_s, self._exit, "grace-over")
+        self.reactor.call_later(grace_s, self._on_grace_over)
+        self._watch_unsent()
+
+    def _watch_unsent(self) -> None:
+        """Reject what is not sent yet as soon as it can't be finished any more."""
+        self.reactor.call_later(DRAIN_POLL_S, self._watch_unsent)
+        for frontend in self._frontends:
+            frontend.on_stop_progress()
+
+    def _on_grace_over(self) -> None:
+        cut = self._in_flight()
+        for frontend in self._frontends:
+            frontend.on_grace_over()
+        self._exit("grace-over", cut)
 
     def _drain(self) -> None:
         for frontend in self._frontends:
@@ -436,6 +453,6 @@
             return
         self.reactor.call_later(DRAIN_POLL_S, self._poll_drained)
 
-    def _exit(self, reason: str) -> None:
-        log_event("stopped", reason=reason, cut=self._in_flight())
+    def _exit(self, reason: str, cut: int = 0) -> None:
+        log_event("stopped", reason=reason, cut=cut)
         self.stop()
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -14,6 +14,7 @@
 from dogwoodtack.entry.buffers import RequestBuffers, ResponseBuffers
 from dogwoodtack.entry.evidence import Evidence
 from dogwoodtack.entry.exchange import Exchange, ExchangeDependencies
+from dogwoodtack.entry.grace import GracePeriod
 from dogwoodtack.entry.idle_limit import IdleLimit
 from dogwoodtack.entry.notices import NoticeReader
 from dogwoodtack.entry.recent_ids import RecentIds
@@ -273,6 +274,7 @@
             apply_each(registry, make_change(revision, one, name=one.id))
         self.placer = Placer(registry, "a", rng, RetryRules(2.0, 10.0, 500.0))
         idle_limit = IdleLimit()
+        self.grace = GracePeriod(clock)
         fleet = mock.Mock()
         fleet.handover_hosts = self.handover_hosts
         self._deps = ExchangeDependencies(
@@ -291,6 +293,7 @@
             evidence=Evidence(clock, self.placer, self.paths, idle_limit),
             find_route=self.find_route,
             splitter=TrafficSplitter(rng.random()),
+            grace=self.grace,
             idle_limit=idle_limit,
             request_log=mock.Mock(),
             recent_ids=RecentIds(),
