Reject on arrival what a stop of dogwoodtackd would cut at its limit

What callers saw: nothing is recorded; with a short [stop] limit_s a request that came after SIGTERM was sent to a back end and cut at the limit.

Cause: until the listeners close, requests were taken whatever time was left.

Evidence: with 0.3 s left and a time limit of 0.4 s a GET and a POST were sent (200) before; now they get 503 and nothing is sent. What ends in time is served.

Why it works: the frontend knows when the stop ends and compares it with each new request's deadline. What remains: a response without end that began before still ends at the limit, as documented.

--- a/dogwoodtack/frontend/exchange.py
+++ b/dogwoodtack/frontend/exchange.py
@@ -131,6 +131,11 @@
         self._may_have_run = False
         self._has_reached_backend = False
 
+    @property
+    def deadline(self) -> float:
+        """Return the request's deadline, on the monotonic clock."""
+        return self._deadline
+
     # Receiving the request.
 
     def start(self) -> None:
--- a/dogwoodtack/frontend/frontend.py
+++ b/dogwoodtack/frontend/frontend.py
@@ -1,6 +1,7 @@
 """The callers' port: requests and discovery."""
 
 import json
+import math
 import socket
 from collections.abc import Callable
 from functools import partial
@@ -34,6 +35,8 @@
 
     Attributes:
         rejection_kind: the error sent to each new request, None to accept requests.
+        ends_at: monotonic time at which a planned stop cuts what is left; infinite
+            unless the host stops.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         self._discover = discover
         self._head_timeout_s = head_timeout_s
         self.rejection_kind: ErrorKind | None = None
+        self.ends_at = math.inf
         super().__init__(deps.reactor, address, max_connections)
 
     def _make_conn(self, sock: socket.socket, peer: Address) -> ServerConn:
@@ -67,6 +71,8 @@
             exchange.reject(self.rejection_kind)
             return
         exchange.start()
+        if not exchange.is_done and exchange.deadline > self.ends_at:
+            exchange.reject(ErrorKind.DRAINING)
 
     def _handle_discovery(self, conn: ServerConn, head: RequestHead) -> None:
         self._conns[conn] = None
--- a/dogwoodtack/frontend/tests/test_responses.py
+++ b/dogwoodtack/frontend/tests/test_responses.py
@@ -151,6 +151,25 @@
         self.assertEqual(len(harness.requests), before + 1)
         self.assertEqual(self.outcome(peer)[1], "unknown")
 
+    @params(
+        # seconds to the end of a planned stop, limit of the request, status
+        (0.3, b"", 503),
+        (0.3, b"X-Deadline-Ms: 200\r\n", 200),
+        (0.5, b"", 200),
+    )
+    def test_request_that_a_stop_would_cut_is_rejected(self, left_s, field, status):
+        """It was sent to a back end and cut at the limit of the stop."""
+        harness = self.start()
+        harness.script(Reply(OK))
+        harness.frontend.ends_at = harness.reactor.clock.monotonic() + left_s
+        for request in (GET, POST):
+            sent = len(harness.requests)
+            peer = harness.send(
+                request.replace(b"\r\n\r\n", b"\r\n" + field + b"\r\n", 1)
+            )
+            self.assertEqual(self.outcome(peer)[0], status)
+            self.assertEqual(len(harness.requests) - sent, status == 200)
+
     def test_large_response_that_is_cut_is_aborted(self):
         harness = self.start()
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BIG
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -315,7 +315,9 @@
         ttl_s = self.settings.callers_discovery_ttl_s
         log_event("leaving", in_flight=self.frontend.in_flight, wait_s=ttl_s)
         self.reactor.call_later(ttl_s, self._drain)
-        self.reactor.call_later(self.settings.stop_limit_s, self._exit, "stop-limit")
+        limit_s = self.settings.stop_limit_s
+        self.frontend.ends_at = self.reactor.clock.monotonic() + limit_s
+        self.reactor.call_later(limit_s, self._exit, "stop-limit")
 
     def _drain(self) -> None:
         log_event("draining", in_flight=self.frontend.in_flight)
