Let a reload signal during the start not end the process

What callers saw: a host that was gone until it was started again. A SIGHUP within about 0.4 s of a start, while the process imports its modules, ended it by the default action (a process that ends by itself).

Cause: the handler was installed when the host begins, after all imports. Class: a signal that comes before its handler.

Why it works: the program ignores the signal before it imports anything else. The settings are read after the imports, so that a change is not missed. Ruled out: a lighter import, which only shortens the time. What remains: the time in which Python itself starts; dogwoodtackd has no reload and leaves SIGHUP as it is; SIGTERM still ends a process that has not begun.

--- a/tests/cut_host.py
+++ b/tests/cut_host.py
@@ -4,13 +4,14 @@
 so the process redirects its own connections.
 """
 
+import entryhost  # isort: skip  # First, as it sets how signals are handled.
+
 import json
 import os
 import socket
 from pathlib import Path
 
 from dogwoodtack.misc import Address
-from dogwoodtack.platform.daemon import run
 from dogwoodtack.platform.settings import SETTINGS_VARIABLE
 from dogwoodtack.reactor import ConnectAttempt
 from dogwoodtack.stream import Stream
@@ -84,4 +85,4 @@
 
 if __name__ == "__main__":
     install(PathCut(Path(os.environ[SETTINGS_VARIABLE]).with_suffix(".cut")))
-    run()
+    entryhost.run()
