Add a soak that counts runs of bookings at instances with odd responses

Checked: no booking runs twice, none that ran is rejected, no response is another's, no request is cut by a planned stop, no exception, no process that ends by itself.

--- /dev/null
+++ b/soak/once.py
@@ -0,0 +1,474 @@
+"""Check through real processes that no non-idempotent request runs twice.
+
+`python -m soak.once --seeds=10` runs ten seeds, and `--checkout=FOLDER` runs the entry
+hosts of another checkout.
+"""
+
+import json
+import random
+import signal
+import socket
+import sys
+import threading
+import time
+import uuid
+from collections import Counter
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+from absl import app, flags
+
+from dogwoodtack.misc import Address
+
+from .instances import BEHAVIOURS, FaultyInstance, Run
+from .site import HOST, ROOT, HostProcess, Site
+
+__all__ = ["OnceResult", "OnceSoak"]
+
+HOSTS = 4
+INSTANCES = 6
+CALLERS = 24
+ZONES = ("zone-a", "zone-b")
+WORK_S = 0.06
+FAULTY_SHARE = 0.35
+CUT_MODES = ("hang", "reset", "refuse-new")
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+UNEXPECTED_EVENTS = ("callback-failed", "request-failed")
+# Ample retries, so that repeats happen as often as they may.
+BOUNDS = ("drainS=2", "graceS=6", "retryBudgetRatio=2", "budgetSlack=500")
+PROGRAM = "tests/cut_host.py"
+
+
+class OnceCall(NamedTuple):
+    """One request and how it ended, as its caller saw it.
+
+    Attributes:
+        status: HTTP status; 0 without a complete response, -1 if the caller left.
+    """
+
+    id: str
+    is_non_idempotent: bool
+    host: str
+    sent_at: float
+    ended_at: float
+    status: int
+    is_correct: bool
+
+
+class OnceResult(NamedTuple):
+    """Result of one seed."""
+
+    seed: int
+    faults: list[str]
+    statuses: Counter[int]
+    violations: list[str]
+
+
+class _Caller(threading.Thread):
+    """Sends requests in pieces on kept connections, with bodies of many sizes."""
+
+    def __init__(self, soak: "OnceSoak", seed: int, number: int) -> None:
+        super().__init__(daemon=True)
+        self._soak = soak
+        self._rng = random.Random(f"{seed}/{number}")
+        self._sock: socket.socket | None = None
+        self._host: HostProcess | None = None
+        self._data = b""
+        self.calls: list[OnceCall] = []
+
+    def run(self) -> None:
+        """Send requests until the soak ends."""
+        while not self._soak.is_ending:
+            self._call()
+            time.sleep(self._rng.uniform(0.0, 0.04))
+
+    def _call(self) -> None:
+        rng = self._rng
+        is_non_idempotent = rng.random() < 0.7
+        request_id = uuid.UUID(int=rng.getrandbits(128)).hex[:16]
+        request_id = f"{self._soak.prefix}{request_id[4:]}"
+        head, body = self._request(is_non_idempotent, request_id)
+        leaves_after_s = rng.choice((0.05, 0.3)) if rng.random() < 0.1 else None
+        sent_at = time.monotonic()
+        status, is_correct = 0, False
+        try:
+            if self._sock is None:
+                self._connect()
+            self._send(head, body)
+            if leaves_after_s is not None:
+                time.sleep(leaves_after_s)
+                status = -1
+                self._close()
+            else:
+                status, is_correct = self._receive(request_id)
+        except (OSError, ValueError):
+            self._close()
+        name = self._host.name if self._host else ""
+        self.calls.append(
+            OnceCall(
+                request_id,
+                is_non_idempotent,
+                name,
+                sent_at,
+                time.monotonic(),
+                status,
+                is_correct,
+            )
+        )
+
+    def _request(self, is_non_idempotent: bool, request_id: str) -> tuple[bytes, bytes]:
+        rng = self._rng
+        prefix = "book" if is_non_idempotent else rng.choice(("look", "docs"))
+        size = rng.choice((0, 0, 1, 300, 70_000, 200_000)) if is_non_idempotent else 0
+        body = b"b" * size
+        lines = [
+            f"{'POST' if is_non_idempotent else 'GET'} /{prefix}/{request_id} HTTP/1.1",
+            f"Host: {HOST}",
+            f"X-Dogwoodtack-Request-Id: {request_id}",
+            f"X-Dogwoodtack-Deadline-Ms: {rng.choice((300, 900, 3000))}",
+        ]
+        if is_non_idempotent and rng.random() < 0.3:
+            lines.append("Transfer-Encoding: chunked")
+            half = size // 2
+            pieces = [piece for piece in (body[:half], body[half:]) if piece]
+            body = b"".join(b"%x\r\n%b\r\n" % (len(one), one) for one in pieces)
+            body += b"0\r\n\r\n"
+        elif is_non_idempotent:
+            lines.append(f"Content-Length: {size}")
+        return "\r\n".join([*lines, "", ""]).encode(), body
+
+    def _connect(self) -> None:
+        self._host = self._rng.choice(self._soak.site.hosts)
+        self._data = b""
+        self._sock = socket.create_connection(("127.0.0.1", self._host.port), 4.0)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def _send(self, head: bytes, body: bytes) -> None:
+        if self._rng.random() < 0.7:
+            self._sock.sendall(head + body)
+            return
+        data = head + body
+        while data:
+            size = self._rng.choice((1, 40, len(head), 50_000))
+            self._sock.sendall(data[:size])
+            data = data[size:]
+            if len(data) < 100_000:
+                time.sleep(self._rng.choice((0.0, 0.002, 0.03)))
+
+    def _receive(self, request_id: str) -> tuple[int, bool]:
+        while b"\r\n\r\n" not in self._data:
+            self._fill()
+        head, _, self._data = self._data.partition(b"\r\n\r\n")
+        lines = head.split(b"\r\n")
+        fields = dict(line.lower().split(b": ", 1) for line in lines[1:])
+        status = int(lines[0].split(b" ")[1])
+        length = int(fields[b"content-length"])
+        while len(self._data) < length:
+            self._fill()
+        body, self._data = self._data[:length], self._data[length:]
+        signature = fields.get(b"x-dogwoodtack-response-signature", b"").decode()
+        is_correct = (
+            signature == f"signed-{request_id}"
+            and body == f"body of {request_id}".encode()
+        )
+        if fields.get(b"connection") == b"close":
+            self._close()
+        return status, is_correct
+
+    def _fill(self) -> None:
+        piece = self._sock.recv(65536)
+        if not piece:
+            raise ConnectionResetError("the host closed the connection")
+        self._data += piece
+
+    def _close(self) -> None:
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
+
+
+class OnceSoak:
+    """One run: hosts in two zones, instances with random faults, and disturbances.
+
+    Args:
+        seed: chooses all that is random.
+        checkout: checkout whose code the entry hosts run.
+        behaviours: what instances do.
+        program: program that the entry hosts run.
+
+    Attributes:
+        site: store and hosts.
+        prefix: of the ids of this run's requests.
+        is_ending: whether callers should stop.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        checkout: Path = ROOT,
+        behaviours: tuple[str, ...] = BEHAVIOURS,
+        program: str = PROGRAM,
+    ) -> None:
+        self._seed = seed
+        self._rng = random.Random(seed)
+        self._behaviours = behaviours
+        self._can_cut = program == PROGRAM
+        self._threads: list[threading.Thread] = []
+        self._faults: list[str] = []
+        self._names = 0
+        self._ended: list[FaultyInstance] = []
+        self._lock = threading.Lock()
+        self.prefix = f"{self._rng.getrandbits(16):04x}"
+        self.is_ending = False
+        self.site = Site(HOSTS, 0, (checkout,), ZONES, program=program, bounds=BOUNDS)
+        self.instances = [self._start_instance("jobs") for _ in range(INSTANCES)]
+        self.instances += [self._start_instance("docs") for _ in range(2)]
+        self._put_configuration(1)
+
+    def close(self) -> None:
+        """End all processes and servers."""
+        self.site.close()
+        for one in self.instances:
+            one.end()
+
+    def _start_instance(
+        self, service: str, address: Address = Address("127.0.0.1", 0)
+    ) -> FaultyInstance:
+        self._names += 1
+        one = FaultyInstance(
+            f"i-{self.prefix}-{self._names}",
+            self._rng.choice(ZONES),
+            service,
+            self._behaviours,
+            random.Random(self._rng.random()),
+            WORK_S,
+            FAULTY_SHARE,
+            address,
+        )
+        self.site.store.put("servers", one.name, **one.directory_entry())
+        return one
+
+    def _put_configuration(self, version: int) -> None:
+        def route(prefix: str, kind: str, service: str) -> dict[str, object]:
+            return {
+                "host": HOST,
+                "pathPrefix": prefix,
+                "kind": kind,
+                "timeoutS": self._rng.choice((1.0, 2.0, 2.5)),
+                "targetLatencyS": self._rng.choice((0.2, 0.8)),
+                "priority": 1,
+                "service": service,
+                "maxAttempts": 3,
+            }
+
+        spec = {
+            "version": f"{version:08x}",
+            "routes": {
+                "look": route("/look/", "safe", "jobs"),
+                "book": route("/book/", "unsafe", "jobs"),
+                "docs": route("/docs/", "download", "docs"),
+            },
+            "services": {
+                name: {"healthCheckPath": "/health", "maxConnections": 100}
+                for name in ("jobs", "docs")
+            },
+            "limits": {"idleTimeoutS": 15, "headerTimeoutS": 3},
+        }
+        self.site.version = version
+        self.site.store.put("config", "main", spec=spec)
+
+    # Disturbances.
+
+    def _start(self, description: str, fn: Callable[[], None]) -> None:
+        self._faults.append(f"{time.monotonic() - self._began_at:.2f} {description}")
+        thread = threading.Thread(target=fn, daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    def _on_host(self, description: str, fn: Callable[[HostProcess], object]) -> None:
+        host = self._rng.choice(self.site.hosts)
+
+        def run() -> None:
+            with host.lock:
+                fn(host)
+
+        self._start(f"{host.name} {description}", run)
+
+    def _disturb(self) -> None:
+        kinds = [
+            self._pause,
+            lambda: self._on_host("killed", HostProcess.kill),
+            lambda: self._on_host("replaced", HostProcess.replace),
+            lambda: self._on_host("SIGHUP", _hang_up),
+            self._end_instance,
+            self._reset_instances,
+            lambda: self._put_configuration(self.site.version + 1),
+            self._stop_store,
+        ]
+        if self._can_cut:
+            kinds += [self._cut] * 2
+        self._rng.choice(kinds)()
+
+    def _pause(self) -> None:
+        seconds = self._rng.choice((0.1, 0.4, 1.5))
+        self._on_host(f"paused {seconds} s", lambda host: host.pause(seconds))
+
+    def _cut(self) -> None:
+        """Cut hosts of a zone, or all but one, from all instances."""
+        mode = self._rng.choice(CUT_MODES)
+        seconds = self._rng.choice((0.3, 1.0, 2.5))
+        hosts = self._rng.sample(self.site.hosts, self._rng.randint(1, HOSTS - 1))
+        ports = [one.address.port for one in self.instances]
+
+        def run() -> None:
+            for host in hosts:
+                path = host.settings_path.with_suffix(".cut")
+                path.with_suffix(".new").write_text(
+                    json.dumps({"mode": mode, "ports": ports})
+                )
+                path.with_suffix(".new").rename(path)
+            time.sleep(seconds)
+            for host in hosts:
+                host.settings_path.with_suffix(".cut").unlink(missing_ok=True)
+
+        names = " ".join(host.name for host in hosts)
+        self._start(f"{names} cut ({mode}) {seconds} s", run)
+
+    def _end_instance(self) -> None:
+        """Crash an instance, whose port another one has at once."""
+        with self._lock:
+            index = self._rng.randrange(len(self.instances))
+            ended = self.instances[index]
+            ended.end()
+            self._ended.append(ended)
+            self.site.store.delete("servers", ended.name)
+            service = self._rng.choice(("jobs", ended.service))
+            try:
+                self.instances[index] = self._start_instance(service, ended.address)
+            except OSError:
+                # The port is still held by a connection that ends.
+                self.instances[index] = self._start_instance(service)
+        started = self.instances[index]
+        self._faults.append(
+            f"{time.monotonic() - self._began_at:.2f} {ended.name} ends,"
+            f" {started.name} ({service}) starts at {started.address}"
+        )
+
+    def _reset_instances(self) -> None:
+        one = self._rng.choice(self.instances)
+        self._start(f"{one.name} resets its connections", one.reset_connections)
+
+    def _stop_store(self) -> None:
+        seconds = self._rng.uniform(0.3, 2.5)
+
+        def run() -> None:
+            self.site.store.is_down = True
+            time.sleep(seconds)
+            self.site.store.is_down = False
+
+        self._start(f"store down {seconds:.1f} s", run)
+
+    # The run and its checks.
+
+    def run(self, length_s: float) -> OnceResult:
+        """Disturb the site for some seconds and return what was violated."""
+        self._began_at = time.monotonic()
+        self.site.wait_ready()
+        callers = [_Caller(self, self._seed, number) for number in range(CALLERS)]
+        for caller in callers:
+            caller.start()
+        end = time.monotonic() + length_s
+        while time.monotonic() < end:
+            time.sleep(self._rng.uniform(0.05, 0.6))
+            self._disturb()
+        for thread in self._threads:
+            thread.join()
+        time.sleep(1.0)
+        self.is_ending = True
+        for caller in callers:
+            caller.join(10.0)
+        calls = [call for caller in callers for call in caller.calls]
+        statuses = Counter(call.status for call in calls)
+        return OnceResult(self._seed, self._faults, statuses, self._check(calls))
+
+    def _check(self, calls: Sequence[OnceCall]) -> list[str]:
+        runs: dict[str, list[Run]] = {}
+        for one in (*self.instances, *self._ended):
+            for run in one.runs:
+                runs.setdefault(run.request_id, []).append(run)
+        violations = []
+        for call in calls:
+            found = runs.get(call.id, [])
+            if call.is_non_idempotent and len(found) > 1:
+                violations.append(f"TWICE {self._describe(call, found)}")
+            if call.is_non_idempotent and found and call.status in NOT_RUN_STATUSES:
+                violations.append(f"REFUSED {self._describe(call, found)}")
+            if call.status == 200 and not call.is_correct:
+                violations.append(f"MIXED {self._describe(call, found)}")
+        for host in self.site.hosts:
+            violations += self._check_host(host)
+        return violations
+
+    @staticmethod
+    def _check_host(host: HostProcess) -> list[str]:
+        """Return what the log of a host, or its end, shows of violations."""
+        lines = host.log_text().splitlines()
+        violations = [
+            f"{host.name} logged {line}"
+            for line in lines
+            if any(f"event={event} " in line for event in UNEXPECTED_EVENTS)
+            or ("reason=grace-over" in line and "cut=0" not in line)
+        ]
+        if host.process.poll() is not None:
+            end = "\n    ".join(lines[-5:])
+            violations.append(f"{host.name} has ended by itself\n    {end}")
+        return violations
+
+    def _describe(self, call: OnceCall, runs: list[Run]) -> str:
+        """Return a request's runs, and what the hosts logged of it."""
+        lines = [
+            f"{host.name}: {line}"
+            for host in self.site.hosts
+            for line in host.log_text().splitlines()
+            if call.id in line
+        ]
+        events = [f"{run.at - self._began_at:.3f} {run.instance}" for run in runs]
+        sent = f"{call.sent_at - self._began_at:.3f}"
+        return "\n    ".join([f"{call} sent {sent}", *events, *lines])
+
+
+def _hang_up(host: HostProcess) -> None:
+    host.process.send_signal(signal.SIGHUP)
+
+
+def main(argv: list[str]) -> int:
+    """Run each seed and return 1 if one was violated."""
+    failed = 0
+    behaviours = (*BEHAVIOURS, *FLAGS.more)
+    for seed in range(FLAGS.first_seed, FLAGS.first_seed + FLAGS.seeds):
+        soak = OnceSoak(seed, Path(FLAGS.checkout), behaviours, FLAGS.program)
+        try:
+            result = soak.run(FLAGS.length_s)
+        finally:
+            soak.close()
+        counts = " ".join(f"{key}:{n}" for key, n in sorted(result.statuses.items()))
+        found = len(result.violations)
+        print(f"seed {seed}: {counts}; violations {found}", flush=True)
+        if result.violations:
+            failed += 1
+            print("\n".join([*result.faults, *result.violations]), flush=True)
+    print(f"{FLAGS.seeds - failed} seeds passed, {failed} failed")
+    return 1 if failed else 0
+
+
+FLAGS = flags.FLAGS
+
+if __name__ == "__main__":
+    flags.DEFINE_integer("first_seed", 1, "First seed.", 0)
+    flags.DEFINE_integer("seeds", 1, "Number of seeds to run.", 1)
+    flags.DEFINE_float("length_s", 15.0, "Seconds of disturbances in each run.", 1.0)
+    flags.DEFINE_string("checkout", str(ROOT), "Checkout of the entry hosts.")
+    flags.DEFINE_string("program", PROGRAM, "Program that the entry hosts run.")
+    flags.DEFINE_list("more", [], "Further behaviours of instances.")
+    sys.exit(app.run(main))
--- a/soak/site.py
+++ b/soak/site.py
@@ -104,6 +104,7 @@
         checkout: Path = ROOT,
         zone: str = ZONES[0],
         program: str = PROGRAM,
+        bounds: Sequence[str] = (),
     ) -> None:
         caller_port, self.ready_port, self.directory_port, low, high = free_ports(5)
         self.name = name
@@ -119,7 +120,8 @@
         address = "127.0.0.1"
         lines = [
             f'node = "{name}"\nzone = "{zone}"',
-            f"internalPortRange = [{low},{high}]\nbounds = {json.dumps(BOUNDS)}",
+            f"internalPortRange = [{low},{high}]",
+            f"bounds = {json.dumps([*(bounds or BOUNDS)])}",
             f'[listen]\nfront = "{address}:{caller_port}"',
             f'ready = "{address}:{self.ready_port}"',
             f'directory = "{address}:{self.directory_port}"',
@@ -206,6 +208,7 @@
         zones: zones of the entry hosts, assigned in rotation.
         program: program that the entry hosts run.
         instance_zones: zones of the instances, assigned in rotation.
+        bounds: bounds in the hosts' settings; BOUNDS by default.
 
     Attributes:
         store_proxies: for each host, the proxy between it and the store.
@@ -220,6 +223,7 @@
         zones: Sequence[str] = ZONES,
         program: str = PROGRAM,
         instance_zones: Sequence[str] = ZONES,
+        bounds: Sequence[str] = (),
     ) -> None:
         self._instance_zones = instance_zones
         self._folder = tempfile.TemporaryDirectory()
@@ -242,6 +246,7 @@
                 checkouts[n % len(checkouts)],
                 zones[n % len(zones)],
                 program,
+                bounds,
             )
             for n in range(hosts)
         ]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,13 +1,22 @@
-"""Short soak runs with fixed seeds; `python -m soak.soak --seeds=50` runs more."""
+"""Short soak runs with fixed seeds.
+
+`python -m soak.soak --seeds=50` and `python -m soak.once --seeds=50` run more.
+"""
 
 import unittest
 
 from nose2.tools import params
 
+from soak.once import OnceSoak
 from soak.soak import run_soak
 
 # A seed that has failed is added here, with its cause in a comment.
 SEEDS = (1, 2)
+ONCE_SEEDS = (
+    40,
+    # A reload signal ended a host that was starting.
+    41,
+)
 LENGTH_S = 8.0
 
 
@@ -16,3 +25,10 @@
     def test_promises_hold_under_faults(self, seed):
         result = run_soak(seed, LENGTH_S)
         self.assertEqual(result.violations, [], result.faults)
+
+    @params(*ONCE_SEEDS)
+    def test_no_booking_runs_twice_after_odd_responses(self, seed):
+        soak = OnceSoak(seed)
+        self.addCleanup(soak.close)
+        result = soak.run(LENGTH_S)
+        self.assertEqual(result.violations, [], result.faults)
