--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 
 from nose2.tools import params
 
+from soak.instances import BEHAVIOURS
 from soak.once import OnceSoak
 from soak.soak import run_soak
 
@@ -18,6 +19,8 @@
     41,
 )
 LENGTH_S = 8.0
+# Parts of refusals are drawn more often, so that a short run has enough of them.
+ONCE_BEHAVIOURS = BEHAVIOURS + 4 * ("answer_and_part",)
 
 
 class SoakTest(unittest.TestCase):
@@ -28,7 +31,7 @@
 
     @params(*ONCE_SEEDS)
     def test_no_booking_runs_twice_after_odd_responses(self, seed):
-        soak = OnceSoak(seed)
+        soak = OnceSoak(seed, behaviours=ONCE_BEHAVIOURS)
         self.addCleanup(soak.close)
         result = soak.run(LENGTH_S)
         self.assertEqual(result.violations, [], result.faults)
