Show that joined heads run no keyed request twice at dogwoodtackd either

Two rows for the table of leftover responses: part of a refusal directly before the response of the next request.

--- a/dogwoodtack/frontend/tests/test_responses.py
+++ b/dogwoodtack/frontend/tests/test_responses.py
@@ -138,6 +138,9 @@
         SHED + b"0\r\n\r\n",
         SHED.replace(b"503", b"429") + b"4\r\n\r\nshed",
         b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nrack 9",
+        # Part of a refusal, and the request's own response.
+        b"HTTP/1.1 503 No\r\nX-Not-Executed:" + NAMED_OK,
+        b"HTTP/1.1 503 No\r\nX-Not-Executed: shed\r\nX-Why: a" + NAMED_OK,
     )
     def test_unnamed_response_left_on_a_connection_is_not_used(self, left):
         """A late refusal was taken for the next request's, which ran twice."""
