Hand nothing over in a stop that this host can't wait for

A request that waited in the queue while its host stopped and lost its paths was handed over, though its response could not be relayed in time.

Cause: the rejection of the queue leads to a hand-over past the place that asks whether the request can be finished. Evidence: the new test failed before, the request ran and got 200 from a host with 0.5 s left and a deadline of 1 s.

Why it works: the hand-over asks as well, whatever leads to it; with enough time left the request is handed over as before.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -418,10 +418,10 @@
             return
         if self._route is not None:
             self._reject_unfinishable()
-        elif not self._can_finish_unread():
+        elif not self._can_finish_incomplete():
             self._send_error(ErrorKind.DRAINING, LEAVING_RETRY_AFTER_S)
 
-    def _can_finish_unread(self) -> bool:
+    def _can_finish_incomplete(self) -> bool:
         """Return whether the request could be finished if it were complete now."""
         host = self._head.header(b"host") or ""
         route, _ = self._deps.find_route(host, self._head.target)
@@ -523,6 +523,7 @@
             or self._is_handed_over
             or len(self._tried_hosts) >= MAX_HANDOVERS
             or self._now() >= self._deadline - MIN_ATTEMPT_S
+            or not deps.grace.can_finish(self._route.name, self._deadline)
         ):
             return False
         hosts = deps.fleet.handover_hosts(self._tried_hosts)
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -21,7 +21,7 @@
 from dogwoodtack.errors import ErrorKind, WireError
 from dogwoodtack.frontend.conn import RequestHead
 from dogwoodtack.misc import Address
-from dogwoodtack.placement import InstanceRegistry, Placer, RetryRules
+from dogwoodtack.placement import InstanceRegistry, Placer, Rejection, RetryRules
 from dogwoodtack.placement.tests.test_parts import (
     apply_each,
     make_change,
@@ -382,6 +382,34 @@
             self.assertEqual((evidence.outcome, evidence.status), ("not-executed", 503))
 
 
+class StopTest(unittest.TestCase):
+    @params((0.5, 503, 0), (5.0, 200, 1))
+    def test_queued_request_at_a_stop_without_paths(self, left_s, status, runs):
+        """It was handed over by a host that could not wait for its response."""
+        world = World(0)
+        world.behaviours = ["ok"]
+        host = world.hosts[0]
+        responses = []
+        headers = [
+            (b"host", b"shop.example"),
+            (HEADERS.request_id, b"id"),
+            (HEADERS.deadline_ms, b"1000"),
+        ]
+        host.handover_hosts = lambda exclude: [world.hosts[1].record]
+        host._deps.fleet.handover_hosts = host.handover_hosts
+        rejection = Rejection(0.1, "no instance is reached")
+        with mock.patch.object(host.placer, "place") as place:
+            head = RequestHead("POST", "/book/", headers)
+            host.start(head, lambda status, headers, body: responses.append(status))
+        host.grace.begin(left_s)
+        host.paths.is_cut_off = True
+        world.rng = mock.Mock(wraps=random.Random(1))
+        world.rng.random.side_effect = itertools.repeat(0.4)
+        place.call_args.args[0].on_decision(rejection)
+        world.reactor.run_for(2.0)
+        self.assertEqual((responses, world.runs[b"id"]), ([status], runs))
+
+
 class LostCallbackTest(unittest.TestCase):
     """A component fails, and what a request waits for never comes."""
 
