--- a/soak/once.py
+++ b/soak/once.py
@@ -23,8 +23,9 @@
 
 from .instances import BEHAVIOURS, FaultyInstance, Run
 from .site import HOST, ROOT, HostProcess, Site
+from .soak import NOT_RUN_STATUSES, UNEXPECTED_EVENTS, SoakResult, run_seeds
 
-__all__ = ["OnceResult", "OnceSoak"]
+__all__ = ["OnceSoak"]
 
 HOSTS = 4
 INSTANCES = 6
@@ -33,8 +34,6 @@
 WORK_S = 0.06
 FAULTY_SHARE = 0.35
 CUT_MODES = ("hang", "reset", "refuse-new")
-NOT_RUN_STATUSES = (408, 421, 429, 503)
-UNEXPECTED_EVENTS = ("callback-failed", "request-failed")
 # Ample retries, so that repeats happen as often as they may.
 BOUNDS = ("drainS=2", "graceS=6", "retryBudgetRatio=2", "budgetSlack=500")
 PROGRAM = "tests/cut_host.py"
@@ -56,15 +55,6 @@
     is_correct: bool
 
 
-class OnceResult(NamedTuple):
-    """Result of one seed."""
-
-    seed: int
-    faults: list[str]
-    statuses: Counter[int]
-    violations: list[str]
-
-
 class _Caller(threading.Thread):
     """Sends requests in pieces on kept connections, with bodies of many sizes."""
 
@@ -103,6 +93,7 @@
             else:
                 status, is_correct = self._receive(request_id)
         except (OSError, ValueError):
+            # The host is down, or the connection ended; the status says so.
             self._close()
         name = self._host.name if self._host else ""
         self.calls.append(
@@ -315,7 +306,7 @@
         self._on_host(f"paused {seconds} s", lambda host: host.pause(seconds))
 
     def _cut(self) -> None:
-        """Cut hosts of a zone, or all but one, from all instances."""
+        """Cut some of the hosts from all instances."""
         mode = self._rng.choice(CUT_MODES)
         seconds = self._rng.choice((0.3, 1.0, 2.5))
         hosts = self._rng.sample(self.site.hosts, self._rng.randint(1, HOSTS - 1))
@@ -371,7 +362,7 @@
 
     # The run and its checks.
 
-    def run(self, length_s: float) -> OnceResult:
+    def run(self, length_s: float) -> SoakResult:
         """Disturb the site for some seconds and return what was violated."""
         self._began_at = time.monotonic()
         self.site.wait_ready()
@@ -390,7 +381,7 @@
             caller.join(10.0)
         calls = [call for caller in callers for call in caller.calls]
         statuses = Counter(call.status for call in calls)
-        return OnceResult(self._seed, self._faults, statuses, self._check(calls))
+        return SoakResult(self._seed, self._faults, statuses, self._check(calls))
 
     def _check(self, calls: Sequence[OnceCall]) -> list[str]:
         runs: dict[str, list[Run]] = {}
@@ -455,22 +446,17 @@
 
 def main(argv: list[str]) -> int:
     """Run each seed and return 1 if one was violated."""
-    failed = 0
     behaviours = (*BEHAVIOURS, *FLAGS.more)
-    for seed in range(FLAGS.first_seed, FLAGS.first_seed + FLAGS.seeds):
+
+    def run(seed: int) -> SoakResult:
         soak = OnceSoak(seed, Path(FLAGS.checkout), behaviours, FLAGS.program)
         try:
-            result = soak.run(FLAGS.length_s)
+            return soak.run(FLAGS.length_s)
         finally:
             soak.close()
-        counts = " ".join(f"{key}:{n}" for key, n in sorted(result.statuses.items()))
-        found = len(result.violations)
-        print(f"seed {seed}: {counts}; violations {found}", flush=True)
-        if result.violations:
-            failed += 1
-            print("\n".join([*result.faults, *result.violations]), flush=True)
-    print(f"{FLAGS.seeds - failed} seeds passed, {failed} failed")
-    return 1 if failed else 0
+
+    seeds = range(FLAGS.first_seed, FLAGS.first_seed + FLAGS.seeds)
+    return 1 if run_seeds(seeds, run) else 0
 
 
 FLAGS = flags.FLAGS
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -16,7 +16,13 @@
 from .proxy import Fault
 from .site import HostProcess, Site, SiteInstance
 
-__all__ = ["SoakResult", "run_soak"]
+__all__ = [
+    "NOT_RUN_STATUSES",
+    "UNEXPECTED_EVENTS",
+    "SoakResult",
+    "run_seeds",
+    "run_soak",
+]
 
 HOSTS = 3
 INSTANCES = 5
@@ -40,7 +46,7 @@
 # undisturbed since.
 CRASHES = 3
 LATE_SENDS = 3
-NOT_RUN_STATUSES = (408, 429, 503)
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Log events of exceptions that nobody expected.
 UNEXPECTED_EVENTS = ("callback-failed", "request-failed")
 BEHAVIOURS = ("error", "shed", "cut", "stray", "late", "no-signature", "unframed")
@@ -526,18 +532,25 @@
     return violations
 
 
-def main(argv: list[str]) -> int:
-    """Run a soak for each seed and return 1 if a guarantee was violated."""
+def run_seeds(seeds: range, run: Callable[[int], SoakResult]) -> int:
+    """Run a soak for each seed, print results and return how many were violated."""
     failed = 0
-    for seed in range(FLAGS.first_seed, FLAGS.first_seed + FLAGS.seeds):
-        result = run_soak(seed, FLAGS.length_s)
+    for seed in seeds:
+        result = run(seed)
         counts = " ".join(f"{key}:{n}" for key, n in sorted(result.statuses.items()))
-        print(f"seed {seed}: {counts}; violations {len(result.violations)}", flush=True)
+        found = len(result.violations)
+        print(f"seed {seed}: {counts}; violations {found}", flush=True)
         if result.violations:
             failed += 1
             print("\n".join([*result.faults, *result.violations]), flush=True)
-    print(f"{FLAGS.seeds - failed} soaks passed, {failed} failed")
-    return 1 if failed else 0
+    print(f"{len(seeds) - failed} soaks passed, {failed} failed")
+    return failed
+
+
+def main(argv: list[str]) -> int:
+    """Run a soak for each seed and return 1 if a guarantee was violated."""
+    seeds = range(FLAGS.first_seed, FLAGS.first_seed + FLAGS.seeds)
+    return 1 if run_seeds(seeds, lambda seed: run_soak(seed, FLAGS.length_s)) else 0
 
 
 FLAGS = flags.FLAGS
