--- a/dogwoodtack/backends/connection.py
+++ b/dogwoodtack/backends/connection.py
@@ -4,6 +4,7 @@
 is closed and never reused, so a response can only reach the request it is for.
 """
 
+import re
 import socket
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
@@ -11,6 +12,7 @@
 import h11
 
 from ..errors import ErrorKind, WireError
+from ..logs import log_event
 from ..misc import Address
 from ..reactor import Reactor
 from ..stream import Stream
@@ -31,6 +33,9 @@
 MAX_INFORMATIONAL_HEADS = 32
 MAX_SKIPPED_BYTES = 32 * 1024 * 1024
 BODILESS_STATUSES = frozenset({204, 304})
+# Where an earlier response breaks off in its head and another one follows, that one's
+# status line stands in a value or in the reason of the first.
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?!\d)")
 
 
 class OutgoingHead(NamedTuple):
@@ -102,23 +107,35 @@
 
 
 class BackendConnection:
-    """A connection to a back end, a peer or the platform."""
+    """A connection to a back end, a peer or the platform.
+
+    Attributes:
+        address: the other end.
+        idle_since: monotonic time at which its last response ended, in seconds.
+        was_used: whether a request was sent on it.
+        names_requests: whether its last response named the request it belongs to; its
+            owner sets it.
+    """
 
     def __init__(self, reactor: Reactor, sock: socket.socket, address: Address) -> None:
         self.address = address
         self._clock = reactor.clock
         self._owner: ConnectionOwner | None = None
         self._h11 = self._new_h11_connection()
+        # Frames the request; another one after a response that was skipped.
+        self._sender = self._h11
         self._head: ResponseHead | None = None
         self._method = b""
         self._response_rules = STRICT_RULES
         self._is_unexpected = False
+        self._has_carried_response = False
         self._informational_heads = 0
         self._skipped_bytes = 0
         self._eof_received = False
         self._written_before_bytes = 0
         self.idle_since = reactor.clock.monotonic()
         self.was_used = False
+        self.names_requests = True
         self._stream = Stream(reactor, sock, self)
 
     @staticmethod
@@ -183,9 +200,9 @@
             request = h11.Request(
                 method=head.method, target=head.target, headers=head.headers
             )
-            data = self._h11.send(request)
+            data = self._sender.send(request)
             if body:
-                data += self._h11.send(h11.Data(data=body))
+                data += self._sender.send(h11.Data(data=body))
         except h11.LocalProtocolError as exc:
             self.close()
             raise WireError(ErrorKind.BAD_REQUEST, str(exc), bytes_sent=False) from exc
@@ -194,12 +211,12 @@
     def send_body(self, data: bytes) -> None:
         """Send a piece of the request's body."""
         if self.is_open:
-            self._stream.write(self._h11.send(h11.Data(data=data)))
+            self._stream.write(self._sender.send(h11.Data(data=data)))
 
     def end_body(self) -> None:
         """Mark the end of the request."""
         if self.is_open:
-            self._stream.write(self._h11.send(h11.EndOfMessage()))
+            self._stream.write(self._sender.send(h11.EndOfMessage()))
 
     def pause(self) -> None:
         """Stop reading the response until `resume`."""
@@ -289,9 +306,17 @@
     def _handle_head(self, event: h11.Response) -> None:
         headers = [(bytes(name), bytes(value)) for name, value in event.headers]
         head = ResponseHead(event.status_code, headers)
-        framing_error = self._framing_error(head)
-        if framing_error:
-            self._fail(ErrorKind.BACKEND_MALFORMED, framing_error)
+        error = self._framing_error(head)
+        if self._has_carried_response and _holds_status_line(event):
+            log_event(
+                "response-heads-joined",
+                level="WARNING",
+                address=self.address,
+                status=event.status_code,
+            )
+            error = "part of an earlier answer before it"
+        if error:
+            self._fail(ErrorKind.BACKEND_MALFORMED, error)
             return
         self._is_unexpected = (
             self._response_rules.belongs_to_request is not None
@@ -311,8 +336,9 @@
             )
             return
         self._is_unexpected = False
+        self._has_carried_response = True
         self._h11 = self._new_h11_connection()
-        # The request was already sent; this only makes h11 expect a response again.
+        # The request is sent by the other one; this one only expects a response.
         placeholder = h11.Request(
             method=self._method, target=b"/", headers=[(b"host", b"-")]
         )
@@ -347,11 +373,16 @@
         owner.on_end()
 
     def _make_reusable(self) -> None:
+        if self._sender.our_state is not h11.DONE:
+            self._stream.close()
+            return
         try:
             self._h11.start_next_cycle()
         except h11.LocalProtocolError:
             self._stream.close()
             return
+        self._sender = self._h11
+        self._has_carried_response = True
         self.idle_since = self._clock.monotonic()
         self._stream.resume()
 
@@ -361,3 +392,9 @@
         self._stream.close()
         if owner is not None:
             owner.on_fail(WireError(kind, detail, bytes_sent=sent))
+
+
+def _holds_status_line(event: h11.Response) -> bool:
+    """Return whether a head seems to be joined of two."""
+    texts = [event.reason, *(value for _, value in event.headers)]
+    return any(STATUS_LINE.search(text) for text in texts)
--- a/dogwoodtack/backends/tests/test_response_rules.py
+++ b/dogwoodtack/backends/tests/test_response_rules.py
@@ -123,6 +123,91 @@
 BARE_NEWLINES = OWN.replace(b"\r\n", b"\n")
 
 
+class UnsentBodyTest(unittest.TestCase):
+    """A response to an earlier request comes while a body is being sent."""
+
+    @params(
+        # whether the body's end is sent before the own response, connection still open
+        (True, True),
+        (False, False),
+    )
+    def test_body_is_sent_on_after_a_skipped_response(self, is_complete, is_open):
+        """Sending the rest raised, and the request waited until its deadline."""
+        near, far = socket.socketpair(socket.AF_UNIX)
+        near.setblocking(False)
+        self.addCleanup(far.close)
+        conn = BackendConnection(FakeReactor(), _SocketWithoutOptions(near), ADDRESS)
+        self.addCleanup(conn.close)
+        owner = Owner()
+        head = OutgoingHead(
+            b"POST", b"/a", [(b"host", b"x"), (b"content-length", b"6")]
+        )
+        conn.send_request(head, owner, b"abc", ENTRY_RULES)
+        conn.on_bytes(OTHER)
+        conn.send_body(b"de")
+        if is_complete:
+            conn.send_body(b"f")
+            conn.end_body()
+        conn.on_bytes(OWN)
+        self.assertEqual((owner.outcome, owner.body), ("complete", b"yes"))
+        self.assertEqual(conn.is_open, is_open)
+        sent = far.recv(10_000)
+        self.assertTrue(sent.endswith(b"abcdef" if is_complete else b"abcde"), sent)
+        if is_open:
+            conn.send_request(OUT, owner, b"", ENTRY_RULES)
+            conn.end_body()
+            conn.on_bytes(OWN)
+            self.assertEqual(owner.outcome, "complete")
+
+
+def refusal(status, id_field):
+    return (
+        b"HTTP/1.1 %d Odd\r\nX-Not-Executed: 1\r\nX-Reason: full\r\n" % status
+        + id_field
+        + b"Content-Length: 0\r\n\r\n"
+    )
+
+
+class PartialRefusalTest(unittest.TestCase):
+    """Part of an earlier response comes before the response on a kept connection."""
+
+    @params(
+        *itertools.product(
+            (200, 408, 421, 429, 500, 503), (b"", b"X-Id: other\r\n"), (False, True)
+        )
+    )
+    def test_no_part_lends_its_head_to_a_response(self, status, id_field, is_split):
+        whole = refusal(status, id_field)
+        taken = []
+        for size in range(1, len(whole)):
+            pieces = [whole[:size], OWN] if is_split else [whole[:size] + OWN]
+            taken += [size for head in self.heads_after(pieces) if head.status != 200]
+            taken += [
+                size
+                for head in self.heads_after(pieces)
+                if head.header(b"x-not-executed") is not None
+            ]
+        self.assertEqual(taken, [])
+
+    def heads_after(self, pieces):
+        """Return the heads that the owner of a used connection gets."""
+        near, far = socket.socketpair(socket.AF_UNIX)
+        near.setblocking(False)
+        conn = BackendConnection(FakeReactor(), _SocketWithoutOptions(near), ADDRESS)
+        heads = []
+        owner = Owner()
+        owner.on_head = heads.append
+        for received in ([OWN], pieces):
+            heads.clear()
+            conn.send_request(OUT, owner, b"", ENTRY_RULES)
+            conn.end_body()
+            for piece in received:
+                conn.on_bytes(piece)
+        conn.close()
+        far.close()
+        return heads
+
+
 class CutResponseTest(unittest.TestCase):
     """An instance stops in the middle of a response, and closes."""
 
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -38,18 +38,26 @@
 from .buffers import RequestBuffers, ResponseBuffers
 from .crashes import CrashMonitor, FailedRequest
 from .evidence import Evidence
+from .grace import GracePeriod
 from .idle_limit import IdleLimit
 from .notices import NoticeReader
 from .paths import PathMonitor
+from .recent_ids import RecentIds
 from .replies import send_error
 from .request import (
     ATTEMPTS_LEFT_HEADER,
     MIN_ATTEMPT_S,
     attempts_left,
     forwarded_headers,
+    max_runs,
     time_limit_s,
 )
-from .request_log import AttemptRecord, RequestLog, RequestLogEntry
+from .request_log import (
+    AttemptRecord,
+    RequestLog,
+    RequestLogEntry,
+    RetryEvidence,
+)
 from .wire import HeaderNames, find_header, parse_retry_after
 
 __all__ = ["Exchange", "ExchangeDependencies", "RouteFinder"]
@@ -86,6 +94,8 @@
     AttemptOutcome.FAILED: ErrorKind.BACKEND_CUT,
 }
 
+# Other hosts serve at once what this one rejects as it leaves.
+LEAVING_RETRY_AFTER_S = 0.0
 # A long body is received and sent on within this time.
 BODY_RETRY_AFTER_S = 1.0
 # Attempts that time out at a request's deadline get to report this first.
@@ -114,8 +124,10 @@
         find_route: returns the route for a host and target, and the version of
             the configuration; version 0 means that none is known yet.
         splitter: chooses a service by the route's traffic split.
+        grace: which requests end before this host does.
         idle_limit: how long an idle connection is reused for non-idempotent requests.
         request_log: log and metrics of finished requests.
+        recent_ids: ids of the last requests.
         response_kb: expected response size in kilobytes by route name, a moving
             average over past responses.
     """
@@ -135,8 +147,10 @@
     evidence: Evidence
     find_route: RouteFinder
     splitter: TrafficSplitter
+    grace: GracePeriod
     idle_limit: IdleLimit
     request_log: RequestLog
+    recent_ids: RecentIds
     response_kb: dict[str, float]
 
 
@@ -214,6 +228,9 @@
         self.is_done = False
         request_id = find_header(head.headers, deps.header_names.request_id) or b""
         self._request_id = request_id
+        self._is_id_unique = not request_id or not deps.recent_ids.add(request_id)
+        if not self._is_id_unique:
+            deps.request_log.add_repeated_id(request_id.decode("latin-1"))
 
     # Receiving the request.
 
@@ -253,11 +270,10 @@
             self._send_error(ErrorKind.NO_ROUTE)
             return
         self._route = route
-        self._max_attempts = (
-            attempts_left(self._head, route)
-            if self._is_handed_over
-            else route.max_attempts
-        )
+        self._max_attempts = max_runs(route)
+        if self._is_handed_over:
+            # The host that handed it over may know a newer configuration.
+            self._max_attempts = attempts_left(self._head, route)
         self._service = self._deps.splitter.next_service(route)
         header_names = self._deps.header_names
         self._deadline = self._arrived_at + time_limit_s(
@@ -272,6 +288,7 @@
             self._head.target.encode(),
             forwarded_headers(self._head, header_names, len(self._body)),
             self._body,
+            self._is_id_unique,
         )
         self._digest = request_digest(
             self._req.method, self._req.target, self._req.headers, self._req.body
@@ -347,7 +364,9 @@
 
     @_isolated
     def _place_or_hand_over(self) -> None:
-        if self.is_done or self._reject_quarantined() or self._hand_over():
+        if self.is_done or self._reject_quarantined():
+            return
+        if self._reject_unfinishable() or self._hand_over():
             return
         is_cut_off = self._deps.paths.is_cut_off
         if is_cut_off and (self._is_handed_over or self._tried_hosts):
@@ -377,13 +396,59 @@
             )
         return True
 
+    def _reject_unfinishable(self) -> bool:
+        """End a request that takes longer than this host, and return whether it does.
+
+        An attempt that is under way may still end in time.
+        """
+        if self._deps.grace.can_finish(self._route.name, self._deadline):
+            return False
+        if self._in_flight:
+            return True
+        if self._best_result is not None:
+            self._respond_to_failure(self._best_result)
+        else:
+            self._send_error(ErrorKind.DRAINING, LEAVING_RETRY_AFTER_S)
+        return True
+
+    @_isolated
+    def on_stop_progress(self) -> None:
+        """Reject the request if it is not sent yet and can't be finished any more."""
+        if self.is_done or self._in_flight or self._pending_checks:
+            return
+        if self._route is not None:
+            self._reject_unfinishable()
+        elif not self._can_finish_unread():
+            self._send_error(ErrorKind.DRAINING, LEAVING_RETRY_AFTER_S)
+
+    def _can_finish_unread(self) -> bool:
+        """Return whether the request could be finished if it were complete now."""
+        host = self._head.header(b"host") or ""
+        route, _ = self._deps.find_route(host, self._head.target)
+        if route is None:
+            return True
+        limit_s = time_limit_s(self._head, self._deps.header_names, route)
+        return self._deps.grace.can_finish(route.name, self._arrived_at + limit_s)
+
+    @_isolated
+    def on_grace_over(self) -> None:
+        """Respond before the host ends, as far as is known by now."""
+        if self.is_done:
+            return
+        if self._may_have_run:
+            self._send_error(ErrorKind.BACKEND_TIMEOUT)
+        else:
+            self._send_error(ErrorKind.DRAINING, LEAVING_RETRY_AFTER_S)
+
     @_isolated
     def _on_placement(self, placed: Instance | Rejection) -> None:
         self._queued_request = None
         if isinstance(placed, Rejection):
             self._on_placement_rejected(placed)
             return
-        if not self.is_done and self._reject_quarantined():
+        if not self.is_done and (
+            self._reject_quarantined() or self._reject_unfinishable()
+        ):
             self._deps.placer.release(placed.id)
             return
         if self.is_done or self._now() >= self._deadline - MIN_ATTEMPT_S:
@@ -552,15 +617,16 @@
 
     @_isolated
     def _on_attempt_end(self, attempt: Attempt, result: AttemptResult) -> None:
+        # First, as later steps may raise, and then the response depends on it.
+        if result.bytes_sent:
+            self._sent_attempts += attempt.target.max_runs
+        if result.outcome not in NOT_RUN_OUTCOMES:
+            self._runs += attempt.target.max_runs
         self._deps.evidence.record(
             attempt, result, self._service, self._request_id.decode("latin-1")
         )
         self._close_attempt(attempt, result.outcome)
         self._record_attempt(attempt, result)
-        if result.bytes_sent:
-            self._sent_attempts += attempt.target.max_runs
-        if result.outcome not in NOT_RUN_OUTCOMES:
-            self._runs += attempt.target.max_runs
         self._best_result = self._more_informative(result)
         instance = attempt.target.instance
         is_silent = result.outcome is AttemptOutcome.TIMED_OUT
@@ -602,12 +668,25 @@
             return
         action = next_action(self._attempt_context(result, is_idempotent))
         if action is NextAction.RETRY:
+            if result.head is not None and not is_idempotent:
+                self._log_retry(result)
             self._request_placement()
             return
         self._finish(
             action, result if action is NextAction.FORWARD else self._best_result
         )
 
+    def _log_retry(self, result: AttemptResult) -> None:
+        evidence = RetryEvidence(
+            request=self._request_id.decode("latin-1"),
+            target=self._attempt_records[-1].target,
+            outcome=result.outcome,
+            status=result.head.status,
+            reused=result.reused,
+            idle_ms=result.idle_s * 1000,
+        )
+        self._deps.request_log.add_retry(evidence)
+
     def _more_informative(self, result: AttemptResult) -> AttemptResult:
         """Return the result to report: the latest with a response, else the latest."""
         if self._best_result is None or result.head is not None:
@@ -634,7 +713,10 @@
         service_time_s = placer.service_time_s(self._service)
         has_attempts_left = self._has_attempts_left()
         may_retry = is_idempotent or not self._may_have_run
-        has_time = now + service_time_s / 2 < self._deadline
+        has_time = (
+            now + service_time_s / 2 < self._deadline
+            and self._deps.grace.can_finish(self._route.name, self._deadline)
+        )
         has_retry_budget = True
         if result.bytes_sent and result.outcome is not AttemptOutcome.ANSWERED:
             is_retry_possible = may_retry and has_attempts_left and has_time
@@ -688,6 +770,8 @@
                 spent_s * 1000,
             )
         )
+        if result.bytes_sent and result.outcome not in NOT_RUN_OUTCOMES:
+            self._deps.grace.record(self._route.name, spent_s)
         if instance is None:
             return
         if result.outcome is AttemptOutcome.ANSWERED:
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -1,5 +1,6 @@
 """Random tests of requests at hosts that fail, hand over and lose their paths."""
 
+import functools
 import itertools
 import random
 import unittest
@@ -13,8 +14,10 @@
 from dogwoodtack.entry.buffers import RequestBuffers, ResponseBuffers
 from dogwoodtack.entry.evidence import Evidence
 from dogwoodtack.entry.exchange import Exchange, ExchangeDependencies
+from dogwoodtack.entry.grace import GracePeriod
 from dogwoodtack.entry.idle_limit import IdleLimit
 from dogwoodtack.entry.notices import NoticeReader
+from dogwoodtack.entry.recent_ids import RecentIds
 from dogwoodtack.errors import ErrorKind, WireError
 from dogwoodtack.frontend.conn import RequestHead
 from dogwoodtack.misc import Address
@@ -223,7 +226,7 @@
         if self.rng.random() < 0.1:
             self.reactor.call_later(self.rng.random(), conn.fail)
 
-    def send(self, number):
+    def send(self, number, hosts=None):
         request_id = f"{number:016x}".encode()
         method, prefix = self.rng.choice((("GET", "/look/"), ("POST", "/book/")))
         deadline_ms = self.rng.choice((500, 630, 1000, 4000))
@@ -237,7 +240,7 @@
             self.responses.setdefault((request_id, method), []).append(status)
 
         head = RequestHead(method, prefix, headers)
-        exchange = self.rng.choice(self.hosts).start(head, on_response)
+        exchange = self.rng.choice(hosts or self.hosts).start(head, on_response)
         if self.rng.random() < 0.1:
             delay_s = self.rng.random()
             self.reactor.call_later(delay_s, exchange.on_caller_gone)
@@ -262,6 +265,7 @@
 
     def __init__(self, world, number):
         self.record = FakeHost(f"h-{number}", Address("127.0.0.1", 8000 + number))
+        self.is_configuration_old = False
         self.paths = FakePaths(world)
         self._world = world
         clock, rng = world.reactor.clock, world.rng
@@ -270,6 +274,7 @@
             apply_each(registry, make_change(revision, one, name=one.id))
         self.placer = Placer(registry, "a", rng, RetryRules(2.0, 10.0, 500.0))
         idle_limit = IdleLimit()
+        self.grace = GracePeriod(clock)
         fleet = mock.Mock()
         fleet.handover_hosts = self.handover_hosts
         self._deps = ExchangeDependencies(
@@ -288,8 +293,10 @@
             evidence=Evidence(clock, self.placer, self.paths, idle_limit),
             find_route=self.find_route,
             splitter=TrafficSplitter(rng.random()),
+            grace=self.grace,
             idle_limit=idle_limit,
             request_log=mock.Mock(),
+            recent_ids=RecentIds(),
             response_kb={},
         )
 
@@ -303,7 +310,8 @@
         return self._world.rng.sample(others, self._world.rng.randrange(len(others)))
 
     def find_route(self, host, target):
-        kind = RouteKind.SAFE if target.startswith("/look/") else RouteKind.UNSAFE
+        is_safe = target.startswith("/look/") or self.is_configuration_old
+        kind = RouteKind.SAFE if is_safe else RouteKind.UNSAFE
         services = (WeightedService("jobs", 1.0),)
         route = Route("r", host, "/", kind, services, 2.0, 0.8, MAX_ATTEMPTS, 0)
         return route, 1
@@ -334,6 +342,23 @@
                     if statuses[0] in REJECTION_STATUSES:
                         self.assertEqual(runs, 0, statuses)
 
+    def test_request_is_handed_over_to_hosts_that_take_it_for_idempotent(self):
+        """Hosts that knew only an older configuration sent a booking twice."""
+        for seed in range(SEEDS):
+            world = World(seed)
+            for host in world.hosts[1:]:
+                host.is_configuration_old = True
+            world.hosts[0].paths.is_cut_off = True
+            for number in range(REQUESTS):
+                delay_s = world.rng.random() * SPAN_S
+                send = functools.partial(world.send, number, world.hosts[:1])
+                world.reactor.call_later(delay_s, send)
+            world.reactor.run_for(SPAN_S + 6.0)
+            with self.subTest(seed=seed):
+                for (request_id, method), statuses in world.responses.items():
+                    if method == "POST":
+                        self.assertLessEqual(world.runs[request_id], 1)
+
 
 class LostCallbackTest(unittest.TestCase):
     """A component fails, and what a request waits for never comes."""
@@ -382,6 +407,48 @@
         self.assertEqual(set(observations), {None})
         self.assertFalse(any(host.placer.occupancy.own.values()))
 
+    @params(
+        ("evidence", "record"),
+        ("evidence", "observe"),
+        ("fleet", "report_instance"),
+        ("placer", "release"),
+        ("placer", "record_service_time"),
+        ("quarantine", "on_success"),
+        ("crashes", "check"),
+    )
+    def test_fault_after_a_run_does_not_deny_it(self, component, method):
+        """The host that had handed the request over sent it to a second host."""
+        for behaviour in ("ok", "error", "cut"):
+            world, host = self.make_world()
+            world.behaviours = [behaviour]
+            responses = []
+            headers = [
+                (b"host", b"shop.example"),
+                (HEADERS.request_id, b"id"),
+                (HEADERS.deadline_ms, b"1000"),
+            ]
+            head = RequestHead("POST", "/book/", headers)
+            owner = getattr(host._deps, component)
+            original = getattr(owner, method)
+
+            def fail_after_the_run(*args, **kwargs):
+                if world.runs[b"id"]:
+                    raise RuntimeError("odd")
+                return original(*args, **kwargs)
+
+            with mock.patch.object(owner, method, fail_after_the_run):
+                host.start(
+                    head,
+                    lambda status, headers, body: responses.append((status, headers)),
+                    is_handed_over=True,
+                )
+                world.reactor.run_for(1.2)
+            with self.subTest(behaviour=behaviour):
+                self.assertEqual(world.runs[b"id"], 1)
+                [(status, headers)] = responses
+                self.assertNotIn(status, REJECTION_STATUSES)
+                self.assertNotIn(HEADERS.not_executed, dict(headers))
+
     @params(
         # component, method, whether it raises or does nothing, status
         ("paths", "when_settled", False, 502),
