--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -330,6 +330,16 @@
         return exchange
 
 
+def request_head(method, target):
+    """Return the head of a request with the id `id` and a deadline of 1 s."""
+    headers = [
+        (b"host", b"shop.example"),
+        (HEADERS.request_id, b"id"),
+        (HEADERS.deadline_ms, b"1000"),
+    ]
+    return RequestHead(method, target, headers)
+
+
 class ExchangeTest(unittest.TestCase):
     def test_runs_and_responses(self):
         for seed in range(SEEDS):
@@ -366,12 +376,7 @@
         world = World(1)
         world.behaviours = ["shed"]
         host = world.hosts[0]
-        headers = [
-            (b"host", b"shop.example"),
-            (HEADERS.request_id, b"id"),
-            (HEADERS.deadline_ms, b"1000"),
-        ]
-        head = RequestHead(method, target, headers)
+        head = request_head(method, target)
         exchange = host.start(head, lambda status, headers, body: None)
         world.reactor.run_for(2.0)
         self.assertTrue(exchange.is_done)
@@ -428,12 +433,7 @@
     def send_lookup(self, world, host):
         """Send a lookup with a deadline of 1 s and return the list of its statuses."""
         responses = []
-        headers = [
-            (b"host", b"shop.example"),
-            (HEADERS.request_id, b"id"),
-            (HEADERS.deadline_ms, b"1000"),
-        ]
-        head = RequestHead("GET", "/look/", headers)
+        head = request_head("GET", "/look/")
         host.start(head, lambda status, headers, body: responses.append(status))
         return responses
 
@@ -472,12 +472,7 @@
             world, host = self.make_world()
             world.behaviours = [behaviour]
             responses = []
-            headers = [
-                (b"host", b"shop.example"),
-                (HEADERS.request_id, b"id"),
-                (HEADERS.deadline_ms, b"1000"),
-            ]
-            head = RequestHead("POST", "/book/", headers)
+            head = request_head("POST", "/book/")
             owner = getattr(host._deps, component)
             original = getattr(owner, method)
 
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -148,7 +148,6 @@
         self._owner = owner
         self._sock = sock
         self._data = b""
-        self._refusal = b""
 
     def serve_next(self) -> bool:
         """Serve one request, and return whether the connection is kept."""
@@ -261,11 +260,10 @@
         """Reject the request without its id, and once more during the next one."""
         self._read_body(req)
         self._write(self._not_executed(503, b""))
-        self._refusal = self._not_executed(503, b"")
         following = self._receive_head()
         if following is None:
             raise _ConnectionEnds
-        self._write(self._refusal)
+        self._write(self._not_executed(503, b""))
         self.answer(following)
 
     def reset_before(self, req: _Request) -> None:
