--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -56,6 +56,7 @@
     AttemptRecord,
     RequestLog,
     RequestLogEntry,
+    Resend,
     RetryEvidence,
 )
 from .wire import HeaderNames, find_header, parse_retry_after
@@ -83,6 +84,8 @@
 # instance are no such proof without its not-executed header and are not forwarded.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 
+# After these no byte of the request has left this host.
+UNSENT_OUTCOMES = frozenset({AttemptOutcome.NOT_SENT, AttemptOutcome.HOST_EXHAUSTED})
 KIND_BY_OUTCOME = {
     AttemptOutcome.CUT: ErrorKind.BACKEND_CUT,
     AttemptOutcome.MALFORMED: ErrorKind.BACKEND_MALFORMED,
@@ -487,6 +490,7 @@
             ),
             call_later(self._hedge_delay_s(service_time_s), self._on_hedge_timer),
         ]
+        self._log_resend(instance.id)
         self._in_flight[attempt] = timers
         deps.fleet.report_instance(instance.id, None)
         max_idle_s = MAX_REUSE_IDLE_S
@@ -542,6 +546,7 @@
             AttemptTarget(host.name, host.handover_address, [left_header], None, left),
             _ignore_connect,
         )
+        self._log_resend(host.name)
         service_time_s = deps.placer.service_time_s(self._service)
         hedge_delay_s = self._hedge_delay_s(service_time_s)
         self._in_flight[attempt] = [
@@ -677,6 +682,30 @@
             action, result if action is NextAction.FORWARD else self._best_result
         )
 
+    def _log_resend(self, target: str) -> None:
+        """Log that the request is sent to a target, unless it is the first one."""
+        targets = [
+            (one.target, str(one.outcome))
+            for one in self._attempt_records
+            if one.outcome not in UNSENT_OUTCOMES
+        ]
+        targets += [(one.target.name, "in-flight") for one in self._in_flight]
+        if not targets:
+            return
+        after, outcome = targets[-1]
+        resend = Resend(
+            request=self._request_id.decode("latin-1"),
+            method=self._head.method,
+            target=target,
+            attempt=len(targets) + 1,
+            after=after,
+            outcome=outcome,
+            kind=str(self._route.kind),
+            prefix=self._route.prefix,
+            version=self._config_version,
+        )
+        self._deps.request_log.add_resend(resend)
+
     def _log_retry(self, result: AttemptResult) -> None:
         evidence = RetryEvidence(
             request=self._request_id.decode("latin-1"),
--- a/dogwoodtack/entry/explain.py
+++ b/dogwoodtack/entry/explain.py
@@ -25,6 +25,7 @@
     "backend-timeout": "No complete response came in time; the request may have run.",
     "caller-gone": "The caller closed its connection.",
 }
+UNFINISHED = "No host has logged its end: the host was killed, or the line is lost."
 
 
 class Explanation(NamedTuple):
@@ -33,7 +34,7 @@
     Attributes:
         lines: every log line with the request's id, ordered by time.
         cause: a sentence on why the request ended as it did.
-        tries: a sentence for each attempt.
+        tries: a sentence for each attempt, and for each time it was sent once more.
     """
 
     lines: list[str]
@@ -55,18 +56,28 @@
     Returns:
         The explanation, or None if no line has the id.
     """
-    found = [line.rstrip() for line in lines if f"id={request_id}" in line.split()]
+    names = {f"id={request_id}", f"request={request_id}"}
+    found = [line.rstrip() for line in lines if names.intersection(line.split())]
     if not found:
         return None
     found.sort(key=_timestamp_of)
-    fields = {
-        name: value.strip('"') for name, value in FIELD_PATTERN.findall(found[-1])
-    }
-    attempts = [text for text in fields.get("tries", "").split("|") if text]
+    events = [
+        {name: value.strip('"') for name, value in FIELD_PATTERN.findall(line)}
+        for line in found
+    ]
+    ends = [fields for fields in events if fields.get("event") == "request"]
+    resends = [
+        _resend_text(fields)
+        for fields in events
+        if fields.get("event") == "request-resent"
+    ]
+    if not ends:
+        return Explanation(found, UNFINISHED, resends)
+    attempts = [text for text in ends[-1].get("tries", "").split("|") if text]
     return Explanation(
         found,
-        _cause(fields, attempts),
-        [_attempt_text(attempt) for attempt in attempts],
+        _cause(ends[-1], attempts),
+        [_attempt_text(attempt) for attempt in attempts] + resends,
     )
 
 
@@ -87,6 +98,15 @@
     return "The request was served."
 
 
+def _resend_text(fields: dict[str, str]) -> str:
+    return (
+        f"sent by {fields.get('node')} to {fields.get('target')} as attempt"
+        f" {fields.get('attempt')}, as {fields.get('after')} ended with"
+        f" {fields.get('outcome')}; requests below {fields.get('prefix')} are"
+        f" {fields.get('kind')} in version {fields.get('version')}"
+    )
+
+
 def _attempt_text(attempt: str) -> str:
     instance, probability, ending, ms = attempt.rsplit("/", 3)
     if probability == "-":
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -20,7 +20,14 @@
 from ..placement import InstanceChange, InstanceRegistry, Placer
 from ..quarantine import Quarantine
 from ..reactor import Reactor
-from ..routing import CallerLimits, Configuration, Route, RouteTable, TrafficSplitter
+from ..routing import (
+    CallerLimits,
+    Configuration,
+    Route,
+    RouteTable,
+    TrafficSplitter,
+    kind_changes,
+)
 from .buffers import RequestBuffers, ResponseBuffers, request_buffer_bytes
 from .crash_records import CrashRecords
 from .crashes import CrashMonitor
@@ -103,6 +110,7 @@
         self._is_stopping = False
         self._sighup_received = False
         self._settings_stat = self._stat_settings()
+        self._routes: tuple[Route, ...] = ()
         self._route_table = RouteTable(())
         self._build_loop()
         self._build_state()
@@ -252,6 +260,13 @@
     # Configuration and instances.
 
     def _on_configuration(self, configuration: Configuration) -> None:
+        for change in kind_changes(self._routes, configuration.routes):
+            log_event(
+                "route-kind-changed",
+                version=configuration.version,
+                **change._asdict(),
+            )
+        self._routes = configuration.routes
         self._route_table = RouteTable(configuration.routes)
         self.fleet.send_heartbeat()
 
--- a/dogwoodtack/entry/request_log.py
+++ b/dogwoodtack/entry/request_log.py
@@ -7,8 +7,15 @@
 
 from ..clock import Clock
 from ..logs import log_event
+from .request import is_safe_method
 
-__all__ = ["AttemptRecord", "RequestLog", "RequestLogEntry", "RetryEvidence"]
+__all__ = [
+    "AttemptRecord",
+    "RequestLog",
+    "RequestLogEntry",
+    "Resend",
+    "RetryEvidence",
+]
 
 # Requests that failed or were retried have a higher limit of their own, so that the
 # others cannot crowd them out of the log.
@@ -90,6 +97,32 @@
     idle_ms: float
 
 
+class Resend(NamedTuple):
+    """A request that is about to be sent once more.
+
+    Attributes:
+        request: id of the request.
+        method: its HTTP method.
+        target: id of the instance, or name of the entry host, that gets it.
+        attempt: number of this attempt, from 2 on.
+        after: the target of the attempt before.
+        outcome: how that attempt ended, or "in-flight".
+        kind: kind of the route's requests.
+        prefix: path prefix of the route.
+        version: version of the configuration that the route is taken from.
+    """
+
+    request: str
+    method: str
+    target: str
+    attempt: int
+    after: str
+    outcome: str
+    kind: str
+    prefix: str
+    version: int
+
+
 class RequestLog:
     """Log finished requests and count them."""
 
@@ -108,6 +141,11 @@
             "Non-idempotent requests sent once more, by outcome and reused connection.",
             registry=self.registry,
         )
+        self._resends = Counter(
+            "dogwoodtack_resends_total",
+            "Requests sent once more, by kind and outcome of the attempt before.",
+            registry=self.registry,
+        )
         self._repeated_ids = Counter(
             "dogwoodtack_repeated_request_ids_total",
             "Requests whose id this host has seen shortly before.",
@@ -147,16 +185,25 @@
         log_event("request", **{**entry._asdict(), "tries": tries})
 
     def add_retry(self, evidence: RetryEvidence) -> None:
-        """Count a retry of a non-idempotent request, and log it within the limits."""
+        """Count and log a retry of a non-idempotent request."""
         labels = {
             "outcome": evidence.outcome,
             "reused": str(evidence.reused).lower(),
         }
         self._retries.inc(labels)
-        if self._may_log(is_routine=False):
-            log_event("not-executed-retry", **evidence._asdict())
-        else:
+        log_event("not-executed-retry", **evidence._asdict())
+
+    def add_resend(self, resend: Resend) -> None:
+        """Count a request that is sent once more, and log it before that is done.
+
+        The request's own line comes at its end, which a host that is killed does not
+        reach.  Only requests of safe methods are logged within the limits.
+        """
+        self._resends.inc({"kind": resend.kind, "outcome": resend.outcome})
+        if is_safe_method(resend.method) and not self._may_log(is_routine=False):
             self._dropped.inc({})
+            return
+        log_event("request-resent", **resend._asdict())
 
     def add_repeated_id(self, request_id: str) -> None:
         """Count a request whose id came before, and log it within the limits."""
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -386,6 +386,40 @@
             self.assertEqual(evidence.request, "id")
             self.assertEqual((evidence.outcome, evidence.status), ("not-executed", 503))
 
+    @params(
+        ("POST", "/look/", ["error"], ["failed"]),
+        ("GET", "/look/", ["silent"], ["in-flight"]),
+        ("POST", "/book/", ["shed"], ["not-executed"]),
+        ("POST", "/book/", ["error"], []),
+    )
+    def test_each_further_send_is_logged_before_it(
+        self, method, target, behaviours, outcomes
+    ):
+        """Nothing was logged of a booking that had run twice at a killed host."""
+        world = World(1)
+        world.behaviours = behaviours
+        host = world.hosts[0]
+        events = []
+        host.request_log.add_resend.side_effect = events.append
+
+        def serve(conn, out):
+            events.append("sent")
+            world.serve_at_instance(conn, out)
+
+        def acquire(address, on_connection, max_idle_s):
+            on_connection(FakeConn(world, address, serve), None)
+
+        host._deps.pool.acquire = acquire
+        host.start(request_head(method, target), lambda status, headers, body: None)
+        world.reactor.run_for(2.0)
+        logged = [one for one in events if one != "sent"]
+        self.assertGreaterEqual(len(logged), len(outcomes))
+        self.assertEqual([one.outcome for one in logged][: len(outcomes)], outcomes)
+        for number, one in enumerate(logged, 2):
+            self.assertEqual((one.request, one.attempt), ("id", number))
+            self.assertIn("sent", events[: events.index(one)])
+            self.assertNotEqual(one.target, one.after)
+
 
 class StopTest(unittest.TestCase):
     @params((0.5, 503, 0), (5.0, 200, 1))
--- a/dogwoodtack/entry/tests/test_explain_and_idle_limit.py
+++ b/dogwoodtack/entry/tests/test_explain_and_idle_limit.py
@@ -53,6 +53,21 @@
         attempts = explain_request([make_line(tries="h-2/-/answered/9")], "00ad").tries
         self.assertIn("handed over to entry host h-2: answered", attempts[0])
 
+    def test_request_of_a_killed_host_is_explained(self):
+        """Nothing was known of a request that ran twice at a host that was killed."""
+        line = (
+            "2026-12-04T01:00:01.000+00:00 level=INFO node=h-1 event=request-resent "
+            "request=00ad method=POST target=i-2 attempt=2 after=i-1 outcome=cut "
+            "kind=safe prefix=/sign/ version=7"
+        )
+        explanation = explain_request([line], "00ad")
+        self.assertIn("the host was killed", explanation.cause)
+        self.assertIn("sent by h-1 to i-2 as attempt 2", explanation.tries[0])
+        self.assertIn("below /sign/ are safe in version 7", explanation.tries[0])
+        explanation = explain_request([line, make_line()], "00ad")
+        self.assertEqual(explanation.cause, "The request was served.")
+        self.assertIn("i-2", explanation.tries[0])
+
     def test_unknown_request_has_no_explanation(self):
         self.assertIsNone(explain_request([make_line()], "00af"))
 
--- a/dogwoodtack/routing/__init__.py
+++ b/dogwoodtack/routing/__init__.py
@@ -3,21 +3,25 @@
 from .routes import (
     CallerLimits,
     Configuration,
+    KindChange,
     Route,
     RouteKind,
     RouteTable,
     ServiceRules,
     WeightedService,
+    kind_changes,
 )
 from .splits import TrafficSplitter
 
 __all__ = [
     "CallerLimits",
     "Configuration",
+    "KindChange",
     "Route",
     "RouteKind",
     "RouteTable",
     "ServiceRules",
     "TrafficSplitter",
     "WeightedService",
+    "kind_changes",
 ]
--- a/dogwoodtack/routing/routes.py
+++ b/dogwoodtack/routing/routes.py
@@ -6,11 +6,13 @@
 __all__ = [
     "CallerLimits",
     "Configuration",
+    "KindChange",
     "Route",
     "RouteKind",
     "RouteTable",
     "ServiceRules",
     "WeightedService",
+    "kind_changes",
 ]
 
 
@@ -121,3 +123,31 @@
             if path.startswith(route.prefix):
                 return route
         return None
+
+
+class KindChange(NamedTuple):
+    """A change of whether the requests of a host and prefix may run more than once."""
+
+    host: str
+    prefix: str
+    before: RouteKind
+    after: RouteKind
+
+
+def kind_changes(
+    before: tuple[Route, ...], after: tuple[Route, ...]
+) -> list[KindChange]:
+    """Return the prefixes whose requests became idempotent, or no longer are.
+
+    Another route may match a prefix than the one that has it.
+    """
+    tables = RouteTable(before), RouteTable(after)
+    found = []
+    for host, prefix in sorted({(one.host, one.prefix) for one in (*before, *after)}):
+        matched = [table.match(host, prefix) for table in tables]
+        if None in matched:
+            continue
+        old, new = (route.kind for route in matched)
+        if old.is_idempotent != new.is_idempotent:
+            found.append(KindChange(host, prefix, old, new))
+    return found
--- a/dogwoodtack/routing/tests/test_routes.py
+++ b/dogwoodtack/routing/tests/test_routes.py
@@ -6,13 +6,18 @@
 from nose2.tools import params
 
 from dogwoodtack.routing import (
+    KindChange,
     Route,
     RouteKind,
     RouteTable,
     TrafficSplitter,
     WeightedService,
+    kind_changes,
 )
 
+HOST = "shop.example"
+SAFE, UNSAFE, DOWNLOAD = RouteKind.SAFE, RouteKind.UNSAFE, RouteKind.DOWNLOAD
+
 
 def make_route(name, prefix="/", host="shop.example", services=(("a", 1.0),)):
     return Route(
@@ -56,6 +61,29 @@
         self.assertEqual(found and found.name, expected)
 
 
+def routes_of_kinds(kinds):
+    return tuple(
+        make_route(prefix, prefix)._replace(kind=kind) for prefix, kind in kinds.items()
+    )
+
+
+class KindChangesTest(unittest.TestCase):
+    @params(
+        ({"/a/": SAFE}, {"/a/": SAFE}, []),
+        ({"/a/": SAFE}, {"/a/": DOWNLOAD}, []),
+        ({"/a/": SAFE}, {}, []),
+        ({}, {"/a/": UNSAFE}, []),
+        ({"/a/": SAFE}, {"/a/": UNSAFE}, [("/a/", SAFE, UNSAFE)]),
+        ({"/a/": UNSAFE}, {"/a/": DOWNLOAD}, [("/a/", UNSAFE, DOWNLOAD)]),
+        ({"/a/": SAFE}, {"/a/": SAFE, "/a/b/": UNSAFE}, [("/a/b/", SAFE, UNSAFE)]),
+        ({"/a/": SAFE, "/a/b/": UNSAFE}, {"/a/": SAFE}, [("/a/b/", UNSAFE, SAFE)]),
+        ({"/a/": SAFE}, {"/a/": SAFE, "/ab/": UNSAFE}, []),
+    )
+    def test_changes_of_what_a_prefix_matches(self, before, after, expected):
+        found = kind_changes(routes_of_kinds(before), routes_of_kinds(after))
+        self.assertEqual(found, [KindChange(HOST, *change) for change in expected])
+
+
 class TrafficSplitterTest(unittest.TestCase):
     @params(
         ((("a", 90.0), ("b", 10.0)), 0.0),
