Show that a host repeats by a kind that a newer configuration has changed

Callers had requests run twice that may run once by a configuration acknowledged before they were sent: their host did not know it yet, as its path to the store was cut or it had been paused, and repeated them by the kind that it knew.

--- a/soak/once.py
+++ b/soak/once.py
@@ -22,6 +22,7 @@
 from dogwoodtack.misc import Address
 
 from .instances import BEHAVIOURS, FaultyInstance, Run
+from .proxy import Fault
 from .site import HOST, ROOT, HostProcess, Site
 from .soak import NOT_RUN_STATUSES, UNEXPECTED_EVENTS, SoakResult, run_seeds
 
@@ -75,11 +76,15 @@
 
     def _call(self) -> None:
         rng = self._rng
-        is_non_idempotent = rng.random() < 0.7
+        is_post = rng.random() < 0.7
         request_id = uuid.UUID(int=rng.getrandbits(128)).hex[:16]
         request_id = f"{self._soak.prefix}{request_id[4:]}"
-        head, body = self._request(is_non_idempotent, request_id)
+        prefix = "/book/" if is_post else rng.choice(("/look/", "/docs/"))
+        if is_post and self._soak.changes_kinds and rng.random() < 0.4:
+            prefix = rng.choice(self._soak.changing_prefixes())
+        head, body = self._request(is_post, prefix, request_id)
         leaves_after_s = rng.choice((0.05, 0.3)) if rng.random() < 0.1 else None
+        is_non_idempotent = self._soak.is_non_idempotent(prefix)
         sent_at = time.monotonic()
         status, is_correct = 0, False
         try:
@@ -108,24 +113,25 @@
             )
         )
 
-    def _request(self, is_non_idempotent: bool, request_id: str) -> tuple[bytes, bytes]:
+    def _request(
+        self, is_post: bool, prefix: str, request_id: str
+    ) -> tuple[bytes, bytes]:
         rng = self._rng
-        prefix = "book" if is_non_idempotent else rng.choice(("look", "docs"))
-        size = rng.choice((0, 0, 1, 300, 70_000, 200_000)) if is_non_idempotent else 0
+        size = rng.choice((0, 0, 1, 300, 70_000, 200_000)) if is_post else 0
         body = b"b" * size
         lines = [
-            f"{'POST' if is_non_idempotent else 'GET'} /{prefix}/{request_id} HTTP/1.1",
+            f"{'POST' if is_post else 'GET'} {prefix}{request_id} HTTP/1.1",
             f"Host: {HOST}",
             f"X-Dogwoodtack-Request-Id: {request_id}",
             f"X-Dogwoodtack-Deadline-Ms: {rng.choice((300, 900, 3000))}",
         ]
-        if is_non_idempotent and rng.random() < 0.3:
+        if is_post and rng.random() < 0.3:
             lines.append("Transfer-Encoding: chunked")
             half = size // 2
             pieces = [piece for piece in (body[:half], body[half:]) if piece]
             body = b"".join(b"%x\r\n%b\r\n" % (len(one), one) for one in pieces)
             body += b"0\r\n\r\n"
-        elif is_non_idempotent:
+        elif is_post:
             lines.append(f"Content-Length: {size}")
         return "\r\n".join([*lines, "", ""]).encode(), body
 
@@ -187,10 +193,13 @@
         checkout: checkout whose code the entry hosts run.
         behaviours: what instances do.
         program: program that the entry hosts run.
+        changes_kinds: whether routes turn non-idempotent, at times beside a host that
+            is paused or cut from the store.
 
     Attributes:
         site: store and hosts.
         prefix: of the ids of this run's requests.
+        changes_kinds: as the argument.
         is_ending: whether callers should stop.
     """
 
@@ -200,6 +209,7 @@
         checkout: Path = ROOT,
         behaviours: tuple[str, ...] = BEHAVIOURS,
         program: str = PROGRAM,
+        changes_kinds: bool = False,
     ) -> None:
         self._seed = seed
         self._rng = random.Random(seed)
@@ -208,14 +218,17 @@
         self._threads: list[threading.Thread] = []
         self._faults: list[str] = []
         self._names = 0
+        # The newest route that has turned non-idempotent; the next one has not yet.
+        self._turned_route = 0
+        self.changes_kinds = changes_kinds
         self._ended: list[FaultyInstance] = []
-        self._lock = threading.Lock()
+        self._lock = threading.RLock()
         self.prefix = f"{self._rng.getrandbits(16):04x}"
         self.is_ending = False
         self.site = Site(HOSTS, 0, (checkout,), ZONES, program=program, bounds=BOUNDS)
         self.instances = [self._start_instance("jobs") for _ in range(INSTANCES)]
         self.instances += [self._start_instance("docs") for _ in range(2)]
-        self._put_configuration(1)
+        self._put_configuration(self._turned_route)
 
     def close(self) -> None:
         """End all processes and servers."""
@@ -240,7 +253,9 @@
         self.site.store.put("servers", one.name, **one.directory_entry())
         return one
 
-    def _put_configuration(self, version: int) -> None:
+    def _put_configuration(self, turned_route: int) -> None:
+        """Write the next version, in which a route and those before it have turned."""
+
         def route(prefix: str, kind: str, service: str) -> dict[str, object]:
             return {
                 "host": HOST,
@@ -253,22 +268,88 @@
                 "maxAttempts": 3,
             }
 
+        routes = {
+            "look": route("/look/", "safe", "jobs"),
+            "book": route("/book/", "unsafe", "jobs"),
+            "docs": route("/docs/", "download", "docs"),
+        }
+        if self.changes_kinds:
+            routes |= self._changing_routes(route, turned_route)
+        self.site.version += 1
         spec = {
-            "version": f"{version:08x}",
-            "routes": {
-                "look": route("/look/", "safe", "jobs"),
-                "book": route("/book/", "unsafe", "jobs"),
-                "docs": route("/docs/", "download", "docs"),
-            },
+            "version": f"{self.site.version:08x}",
+            "routes": routes,
             "services": {
                 name: {"healthCheckPath": "/health", "maxConnections": 100}
                 for name in ("jobs", "docs")
             },
             "limits": {"idleTimeoutS": 15, "headerTimeoutS": 3},
         }
-        self.site.version = version
         self.site.store.put("config", "main", spec=spec)
 
+    # Routes that turn non-idempotent: by their kind, or by another one below them.
+
+    @staticmethod
+    def _changing_routes(
+        route: Callable[[str, str, str], dict[str, object]], turned: int
+    ) -> dict[str, dict[str, object]]:
+        unchanged = turned + 1
+        routes = {
+            f"turn-{turned}": route(f"/turn{turned}/", "unsafe", "jobs"),
+            f"turn-{unchanged}": route(f"/turn{unchanged}/", "safe", "jobs"),
+        }
+        if turned % 2:
+            routes[f"turn-{turned}"]["kind"] = "safe"
+            routes[f"below-{turned}"] = route(f"/turn{turned}/b/", "unsafe", "jobs")
+        return routes
+
+    def changing_prefixes(self) -> tuple[str, str]:
+        """Return the prefix that has turned last, and the one that turns next."""
+        turned = self._turned_route
+        return f"/turn{turned}/b/", f"/turn{turned + 1}/b/"
+
+    def is_non_idempotent(self, prefix: str) -> bool:
+        """Return whether requests that are sent from now on may run once at most."""
+        if prefix.startswith("/turn"):
+            return int(prefix.split("/")[1].removeprefix("turn")) <= self._turned_route
+        return prefix == "/book/"
+
+    def _change_kind(self) -> None:
+        """Turn a route, at times while a host is paused or cut from the store."""
+        host = self._rng.choice(self.site.hosts)
+        how = self._rng.choice(("no fault", "paused", "cut from the store"))
+        seconds = self._rng.choice((0.5, 1.5, 4.0))
+
+        def run() -> None:
+            with host.lock:
+                if how == "paused":
+                    threading.Timer(0.2, self._turn_route).start()
+                    host.pause(seconds)
+                else:
+                    self._turn_beside_cut(host, seconds if how != "no fault" else 0.0)
+
+        self._start(f"route turns, {host.name} {how} {seconds} s", run)
+
+    def _turn_beside_cut(self, host: HostProcess, seconds: float) -> None:
+        proxy = self.site.store_proxies[self.site.hosts.index(host)]
+        if seconds:
+            proxy.fault = Fault.SILENCED
+            time.sleep(0.2)
+        self._turn_route()
+        time.sleep(seconds)
+        proxy.fault = Fault.NONE
+
+    def _write_configuration(self) -> None:
+        with self._lock:
+            self._put_configuration(self._turned_route)
+
+    def _turn_route(self) -> None:
+        with self._lock:
+            # Callers judge by this number, so that it counts once that is in the store.
+            turned = self._turned_route + 1
+            self._put_configuration(turned)
+            self._turned_route = turned
+
     # Disturbances.
 
     def _start(self, description: str, fn: Callable[[], None]) -> None:
@@ -294,11 +375,13 @@
             lambda: self._on_host("SIGHUP", _hang_up),
             self._end_instance,
             self._reset_instances,
-            lambda: self._put_configuration(self.site.version + 1),
+            self._write_configuration,
             self._stop_store,
         ]
         if self._can_cut:
             kinds += [self._cut] * 2
+        if self.changes_kinds:
+            kinds += [self._change_kind] * 4
         self._rng.choice(kinds)()
 
     def _pause(self) -> None:
@@ -449,7 +532,13 @@
     behaviours = (*BEHAVIOURS, *FLAGS.more)
 
     def run(seed: int) -> SoakResult:
-        soak = OnceSoak(seed, Path(FLAGS.checkout), behaviours, FLAGS.program)
+        soak = OnceSoak(
+            seed,
+            Path(FLAGS.checkout),
+            behaviours,
+            FLAGS.program,
+            FLAGS.changes_kinds,
+        )
         try:
             return soak.run(FLAGS.length_s)
         finally:
@@ -467,5 +556,6 @@
     flags.DEFINE_float("length_s", 15.0, "Seconds of disturbances in each run.", 1.0)
     flags.DEFINE_string("checkout", str(ROOT), "Checkout of the entry hosts.")
     flags.DEFINE_string("program", PROGRAM, "Program that the entry hosts run.")
+    flags.DEFINE_bool("changes_kinds", False, "Whether routes turn non-idempotent.")
     flags.DEFINE_list("more", [], "Further behaviours of instances.")
     sys.exit(app.run(main))
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -77,6 +77,9 @@
         self.log = Path(self.folder.name) / "log"
         self.start_host()
 
+    def store_address(self):
+        return self.store.address
+
     def register_all(self):
         for one in self.backends:
             self.store.put("servers", one.name, **one.directory_entry("jobs"))
@@ -99,7 +102,7 @@
             lines.append(f"maxFds = {self.max_descriptors}")
         if self.memory_mb:
             lines.append(f"memoryMb = {self.memory_mb}")
-        lines.append(f'[platform]\naddress = "{self.store.address}"')
+        lines.append(f'[platform]\naddress = "{self.store_address()}"')
         boot.write_text("\n".join(lines))
         env = {**os.environ, "DOGWOODTACK_SETTINGS": str(boot)}
         with open(self.log, "a") as out:
--- /dev/null
+++ b/tests/test_outdated_kind.py
@@ -0,0 +1,142 @@
+"""Routes whose requests may run once at most, by a configuration new to the host."""
+
+import signal
+import threading
+import time
+from collections import Counter
+
+from nose2.tools import params
+
+from dogwoodtack.entry.explain import explain_request
+from soak.proxy import Fault, FaultProxy
+from tests.test_entry_host import EntryHostTest, configuration
+
+REQUESTS = 6
+PAUSE_S = 0.5
+# A request gets its response soon after the store has not answered in time.
+PROMPT_S = 1.5
+
+
+def turned(version, how):
+    """Return a configuration in which `/look/b/` is no longer idempotent."""
+    spec = configuration(version)
+    routes = spec["routes"]
+    if how == "kind":
+        routes["r-safe"]["kind"] = "unsafe"
+    else:
+        routes["r-below"] = {**routes["r-once"], "pathPrefix": "/look/b/"}
+    return spec
+
+
+class OutdatedKindTest(EntryHostTest):
+    def setUp(self):
+        self.proxy = None
+        super().setUp()
+        self.addCleanup(self.proxy.close)
+
+    def store_address(self):
+        if self.proxy is None:
+            self.proxy = FaultProxy(self.store.address)
+        return self.proxy.address
+
+    def set_behaviours(self, *behaviours):
+        for one, behaviour in zip(self.backends, behaviours, strict=True):
+            one.behaviour = behaviour
+
+    def send(self, number, statuses):
+        request_id = f"{number:016x}"
+        began_at = time.monotonic()
+        answer, _ = self.call("POST", f"/look/b/{number}", request_id, b"x")
+        statuses[request_id] = answer.status, time.monotonic() - began_at
+
+    def runs(self):
+        return Counter(one.request_id for one in self.executed_requests())
+
+    @params(
+        (Fault.SILENCED, "kind"),
+        (Fault.SILENCED, "prefix"),
+        (Fault.ANSWERS_SILENCED, "kind"),
+        (Fault.RESET, "kind"),
+        (Fault.RESET, "prefix"),
+    )
+    def test_request_is_not_repeated_by_a_kind_that_has_changed(self, fault, how):
+        """A host that was cut from the store ran requests twice that may run once."""
+        self.serve()
+        self.set_behaviours("cut", "error")
+        self.proxy.fault = fault
+        self.store.put("config", "main", spec=turned(8, how))
+        statuses = {}
+        for number in range(REQUESTS):
+            self.send(number, statuses)
+        self.assertEqual(max(self.runs().values()), 1, self.log.read_text()[-3000:])
+        for status, seconds in statuses.values():
+            self.assertIn(status, (500, 502))
+            self.assertLess(seconds, PROMPT_S)
+
+    @params("kind", "prefix")
+    def test_request_to_a_paused_host_is_not_repeated(self, how):
+        """A host that went on after a pause read its callers before the change."""
+        self.serve()
+        self.set_behaviours("cut", "error")
+        statuses = {}
+        threads = [
+            threading.Thread(target=self.send, args=(number, statuses))
+            for number in range(REQUESTS)
+        ]
+        self.process.send_signal(signal.SIGSTOP)
+        self.store.put("config", "main", spec=turned(8, how))
+        for thread in threads:
+            thread.start()
+        time.sleep(PAUSE_S)
+        self.process.send_signal(signal.SIGCONT)
+        for thread in threads:
+            thread.join()
+        self.assertEqual(len(statuses), REQUESTS)
+        self.assertEqual(max(self.runs().values()), 1, self.log.read_text()[-3000:])
+
+    @params(
+        # method, fault of the path to the store
+        ("POST", Fault.NONE),
+        ("GET", Fault.NONE),
+        ("GET", Fault.SILENCED),
+    )
+    def test_idempotent_request_is_still_repeated(self, method, fault):
+        self.serve()
+        self.set_behaviours("cut", "ok")
+        self.proxy.fault = fault
+        for number in range(REQUESTS):
+            body = b"x" if method == "POST" else None
+            answer, _ = self.call(method, f"/look/{number}", f"{number:016x}", body)
+            self.assertEqual(answer.status, 200, self.log.read_text()[-3000:])
+        self.assertEqual(max(self.runs().values()), 2)
+
+    def test_log_explains_a_request_whose_host_is_killed(self):
+        """The log of a killed host had no line of a request that it sent twice."""
+        self.serve()
+        request_id = "00000000000000ab"
+        self.set_behaviours("error", "error")
+        for one in self.backends:
+            one.delay_s = 0.5
+        call = threading.Thread(target=self.call_killed, args=(request_id,))
+        call.start()
+        self.wait_until(lambda: self.runs()[request_id] == 2, "it runs twice")
+        self.process.kill()
+        call.join()
+        explanation = explain_request(self.log.read_text().splitlines(), request_id)
+        self.assertIn("the host was killed", explanation.cause)
+        first, second = (one.name for one in self.order_of_runs(request_id))
+        self.assertIn(f"to {second} as attempt 2, as {first} ended", explanation.text())
+
+    def call_killed(self, request_id):
+        with self.assertRaises(OSError):
+            self.call("GET", "/look/1", request_id)
+
+    def order_of_runs(self, request_id):
+        return sorted(
+            self.backends,
+            key=lambda one: next(
+                arrival.at
+                for arrival in one.arrivals
+                if arrival.request_id == request_id
+            ),
+        )
