Repeat what may have run only by a kind that the store has confirmed

Cause: a host decided on a repeat by the kind that it knew when the request arrived, and took that for the one in force; a host that is cut from the store, or goes on after a pause, can't know that it is not.

Now a request whose method HTTP doesn't call safe is repeated after a possible run only once a read of the store that began after its arrival has shown the newest configuration; the store's reads are linearizable, so that any version acknowledged before the request was sent is in it, whatever the host has missed and for how long. Without an answer in 0.4 s it is not repeated. Each repeat and hedge goes by the newest kind known, not by the one on arrival.

It costs no call for GET and HEAD.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -49,6 +49,7 @@
     MIN_ATTEMPT_S,
     attempts_left,
     forwarded_headers,
+    is_safe_method,
     max_runs,
     time_limit_s,
 )
@@ -126,6 +127,8 @@
         evidence: records what attempts show of their instances.
         find_route: returns the route for a host and target, and the version of
             the configuration; version 0 means that none is known yet.
+        confirm_configuration: calls its argument with whether the newest configuration
+            is in force here.
         splitter: chooses a service by the route's traffic split.
         grace: which requests end before this host does.
         idle_limit: how long an idle connection is reused for non-idempotent requests.
@@ -149,6 +152,7 @@
     notices: NoticeReader
     evidence: Evidence
     find_route: RouteFinder
+    confirm_configuration: Callable[[Callable[[bool], None]], None]
     splitter: TrafficSplitter
     grace: GracePeriod
     idle_limit: IdleLimit
@@ -207,6 +211,10 @@
         self._body = bytearray()
         self._route: Route | None = None
         self._config_version = 0
+        self._is_idempotent = False
+        # The version by which it counts as idempotent, and whether that is certain.
+        self._kind_version = 0
+        self._is_kind_confirmed = False
         self._service = ""
         self._req: OutgoingRequest | None = None
         self._digest = ""
@@ -214,7 +222,7 @@
         self._deadline_timer: Timer | None = None
         self._queued_request: QueuedRequest | None = None
         self._in_flight: dict[Attempt, list[Timer]] = {}
-        # Attempts that were cut, while it is found out whether the instance crashed.
+        # What has to be known before the request may be sent once more.
         self._pending_checks = 0
         self._attempt_records: list[AttemptRecord] = []
         self._tried_instances: set[str] = set()
@@ -273,6 +281,9 @@
             self._send_error(ErrorKind.NO_ROUTE)
             return
         self._route = route
+        self._is_idempotent = route.kind.is_idempotent
+        self._kind_version = self._config_version
+        self._is_kind_confirmed = is_safe_method(self._head.method)
         self._max_attempts = max_runs(route)
         if self._is_handed_over:
             # The host that handed it over may know a newer configuration.
@@ -331,9 +342,7 @@
         now = self._now()
         service_time_s = self._deps.placer.service_time_s(self._service)
         is_exploratory = (
-            route.kind.is_idempotent
-            and not self._sent_attempts
-            and self._max_attempts > 1
+            self._is_idempotent and not self._sent_attempts and self._max_attempts > 1
         )
         if is_exploratory:
             budget = self._deps.placer.budget(self._service)
@@ -494,7 +503,7 @@
         self._in_flight[attempt] = timers
         deps.fleet.report_instance(instance.id, None)
         max_idle_s = MAX_REUSE_IDLE_S
-        if not self._route.kind.is_idempotent:
+        if not self._is_idempotent:
             max_idle_s = deps.idle_limit.limit_s(self._service)
         attempt.start(self._req, self._deadline, max_idle_s)
 
@@ -537,7 +546,9 @@
         host = hosts[0]
         self._tried_hosts.add(host.name)
         is_last = len(hosts) == 1 or len(self._tried_hosts) == MAX_HANDOVERS
-        if self._route.kind.is_idempotent and not is_last:
+        if not self._is_kind_confirmed:
+            left = 1
+        elif self._is_idempotent and not is_last:
             # One attempt is kept for another host, as this one may fail too.
             left = max(1, left - 1)
         left_header = (ATTEMPTS_LEFT_HEADER, str(left).encode())
@@ -580,7 +591,8 @@
     def _on_hedge_timer(self) -> None:
         """Hedge an idempotent request: send it to a second instance as well.
 
-        Spends from the retry budget only if an instance has a free slot at once.
+        Spends from the retry budget only if an instance has a free slot at once.  A
+        request whose kind would have to be confirmed first is not worth that.
         """
         if (
             self.is_done
@@ -589,10 +601,10 @@
             or self._queued_request is not None
         ):
             return
-        route = self._route
+        self._update_kind()
         now = self._now()
         if (
-            not route.kind.is_idempotent
+            not (self._is_idempotent and self._is_kind_confirmed)
             or self._deps.quarantine.is_suspect(self._digest, now)
             or self._sent_or_in_flight() >= self._max_attempts
             or now >= self._deadline - MIN_ATTEMPT_S
@@ -643,11 +655,7 @@
         failed = FailedRequest(
             request_id, self._digest, instance, attempt.started_at, is_silent
         )
-        if (
-            not is_silent
-            and self._route.kind.is_idempotent
-            and self._has_attempts_left()
-        ):
+        if not is_silent and self._is_idempotent and self._has_attempts_left():
             # Whether it is retried depends on whether the instance has crashed.
             self._pending_checks += 1
             on_done = functools.partial(self._on_checked, result)
@@ -665,16 +673,21 @@
         """Retry or respond after an attempt, unless others are still under way."""
         if self.is_done:
             return
-        is_idempotent = self._route.kind.is_idempotent
         is_other_pending = self._in_flight or self._pending_checks
         if is_other_pending and result.outcome is not AttemptOutcome.ANSWERED:
             return
         if self._is_caller_gone and result.outcome in NOT_RUN_OUTCOMES:
             self._close("caller-gone", CALLER_GONE_STATUS)
             return
-        action = next_action(self._attempt_context(result, is_idempotent))
+        self._update_kind()
+        if self._needs_confirmation(result):
+            self._pending_checks += 1
+            on_done = functools.partial(self._on_configuration_confirmed, result)
+            self._deps.confirm_configuration(on_done)
+            return
+        action = next_action(self._attempt_context(result))
         if action is NextAction.RETRY:
-            if result.head is not None and not is_idempotent:
+            if result.head is not None and not self._is_idempotent:
                 self._log_retry(result)
             self._request_placement()
             return
@@ -682,6 +695,50 @@
             action, result if action is NextAction.FORWARD else self._best_result
         )
 
+    # Whether it may run once more.
+
+    def _needs_confirmation(self, result: AttemptResult) -> bool:
+        """Return whether a retry depends on what the newest configuration says.
+
+        A host may not know it yet, and HTTP itself lets requests of safe methods alone
+        be repeated.
+        """
+        return (
+            self._is_idempotent
+            and not self._is_kind_confirmed
+            and self._may_have_run
+            and result.outcome is not AttemptOutcome.ANSWERED
+            and self._has_attempts_left()
+        )
+
+    @_isolated
+    def _on_configuration_confirmed(
+        self, result: AttemptResult, is_confirmed: bool
+    ) -> None:
+        self._pending_checks -= 1
+        if self.is_done:
+            return
+        if is_confirmed:
+            self._is_kind_confirmed = True
+            self._update_kind()
+        else:
+            self._forbid_repeats()
+        self._continue(result)
+
+    def _update_kind(self) -> None:
+        """Take notice of a configuration that came after the request."""
+        host = self._head.header(b"host") or ""
+        route, version = self._deps.find_route(host, self._head.target)
+        if version == self._kind_version:
+            return
+        self._kind_version = version
+        if route is None or not route.kind.is_idempotent:
+            self._forbid_repeats()
+
+    def _forbid_repeats(self) -> None:
+        self._is_idempotent = False
+        self._max_attempts = 1
+
     def _log_resend(self, target: str) -> None:
         """Log that the request is sent to a target, unless it is the first one."""
         targets = [
@@ -702,7 +759,7 @@
             outcome=outcome,
             kind=str(self._route.kind),
             prefix=self._route.prefix,
-            version=self._config_version,
+            version=self._kind_version,
         )
         self._deps.request_log.add_resend(resend)
 
@@ -735,14 +792,12 @@
             and not (is_suspect and self._may_have_run)
         )
 
-    def _attempt_context(
-        self, result: AttemptResult, is_idempotent: bool
-    ) -> AttemptContext:
+    def _attempt_context(self, result: AttemptResult) -> AttemptContext:
         placer = self._deps.placer
         now = self._now()
         service_time_s = placer.service_time_s(self._service)
         has_attempts_left = self._has_attempts_left()
-        may_retry = is_idempotent or not self._may_have_run
+        may_retry = self._is_idempotent or not self._may_have_run
         has_time = (
             now + service_time_s / 2 < self._deadline
             and self._deps.grace.can_finish(self._route.name, self._deadline)
@@ -752,10 +807,10 @@
             is_retry_possible = may_retry and has_attempts_left and has_time
             has_retry_budget = is_retry_possible and placer.budget(
                 self._service
-            ).try_spend(now, placer.retry_budget_hosts, is_idempotent)
+            ).try_spend(now, placer.retry_budget_hosts, self._is_idempotent)
         return AttemptContext(
             outcome=result.outcome,
-            is_idempotent=is_idempotent,
+            is_idempotent=self._is_idempotent,
             may_have_run=self._may_have_run,
             attempts=self._runs if has_attempts_left else self._max_attempts,
             max_attempts=self._max_attempts,
@@ -903,7 +958,7 @@
         if self.is_done:
             return
         self._is_caller_gone = True
-        if self._in_flight and not self._route.kind.is_idempotent:
+        if self._in_flight and not self._is_idempotent:
             return
         self._close("caller-gone", CALLER_GONE_STATUS)
 
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -209,6 +209,7 @@
             ),
             evidence=Evidence(self.reactor.clock, self.placer, self.paths, idle_limit),
             find_route=self._find_route,
+            confirm_configuration=self.feed.confirm_configuration,
             splitter=TrafficSplitter(self.rng.random()),
             grace=self.grace,
             idle_limit=idle_limit,
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -188,6 +188,7 @@
         self.instances = [make_instance(f"i-{n}") for n in range(INSTANCES)]
         self.instance_addresses = {one.address for one in self.instances}
         self.crash_rate = self.rng.choice((0.0, 0.0, 0.3, 1.0))
+        self.store_rate = 0.6
         self.quarantine = Quarantine()
         self.hosts = [Host(self, number) for number in range(HOSTS)]
         self.runs = Counter()
@@ -266,6 +267,7 @@
     def __init__(self, world, number):
         self.record = FakeHost(f"h-{number}", Address("127.0.0.1", 8000 + number))
         self.is_configuration_old = False
+        self.confirmations = 0
         self.paths = FakePaths(world)
         self._world = world
         clock, rng = world.reactor.clock, world.rng
@@ -293,6 +295,7 @@
             notices=NoticeReader(HEADERS, lambda: 300.0, clock.monotonic),
             evidence=Evidence(clock, self.placer, self.paths, idle_limit),
             find_route=self.find_route,
+            confirm_configuration=self.confirm_configuration,
             splitter=TrafficSplitter(rng.random()),
             grace=self.grace,
             idle_limit=idle_limit,
@@ -315,7 +318,15 @@
         kind = RouteKind.SAFE if is_safe else RouteKind.UNSAFE
         services = (WeightedService("jobs", 1.0),)
         route = Route("r", host, "/", kind, services, 2.0, 0.8, MAX_ATTEMPTS, 0)
-        return route, 1
+        return route, 1 if self.is_configuration_old else 2
+
+    def confirm_configuration(self, on_done):
+        """Read the newest configuration, if the store is reached."""
+        self.confirmations += 1
+        is_reached = self._world.rng.random() < self._world.store_rate
+        if is_reached:
+            self.is_configuration_old = False
+        self._world.call_sometimes_later(0.4, on_done, is_reached)
 
     def receive(self, out, on_response, is_handed_over):
         head = RequestHead(out.method.decode(), out.target.decode(), out.headers)
@@ -370,6 +381,52 @@
                     if method == "POST":
                         self.assertLessEqual(world.runs[request_id], 1)
 
+    def test_request_is_not_repeated_by_a_kind_that_has_changed(self):
+        """Hosts that did not know the newest configuration sent bookings twice."""
+        for seed in range(SEEDS):
+            world = World(seed)
+            for host in world.hosts:
+                host.is_configuration_old = world.rng.random() < 0.7
+            world.run()
+            with self.subTest(seed=seed):
+                for (request_id, method), statuses in world.responses.items():
+                    self.assertEqual(len(statuses), 1)
+                    if method == "POST":
+                        self.assertLessEqual(world.runs[request_id], 1)
+
+    @params(
+        # method, whether the store is reached, runs, confirmations
+        ("GET", True, 2, 0),
+        ("GET", False, 2, 0),
+        ("POST", True, 2, 1),
+        ("POST", False, 1, 1),
+    )
+    def test_repeat_of_an_idempotent_request(self, method, is_reached, runs, asked):
+        world = World(1)
+        world.behaviours = ["error"]
+        world.store_rate = 1.0 if is_reached else 0.0
+        host = world.hosts[0]
+        statuses = []
+        host.start(
+            request_head(method, "/look/"),
+            lambda status, headers, body: statuses.append(status),
+        )
+        world.reactor.run_for(2.0)
+        self.assertEqual(statuses, [500])
+        self.assertEqual((world.runs[b"id"], host.confirmations), (runs, asked))
+
+    @params("GET", "POST")
+    def test_kind_that_changes_while_a_request_is_under_way(self, method):
+        """A request was repeated by its kind on arrival, not by the newest known."""
+        world = World(1)
+        world.behaviours = ["error"]
+        host = world.hosts[0]
+        host.is_configuration_old = True
+        host.start(request_head(method, "/book/"), lambda status, headers, body: None)
+        host.is_configuration_old = False
+        world.reactor.run_for(2.0)
+        self.assertEqual((world.runs[b"id"], host.confirmations), (1, 0))
+
     @params(("POST", "/book/", True), ("GET", "/look/", False))
     def test_evidence_of_a_retry_is_logged(self, method, target, is_logged):
         """Nothing told why a booking had been sent to a second instance."""
--- /dev/null
+++ b/dogwoodtack/feed/confirmation.py
@@ -0,0 +1,64 @@
+"""Confirmation by the store that no newer configuration is in force."""
+
+import functools
+import math
+from collections.abc import Callable
+
+from ..logs import LimitedLog
+from ..reactor import Reactor, Timer
+
+__all__ = ["ConfigurationConfirmer", "OnConfirmed"]
+
+# A store that answers later is no help to a request that waits.
+TIMEOUT_S = 0.4
+# Bounds the calls to the store while many requests fail.
+MIN_INTERVAL_S = 0.1
+
+OnConfirmed = Callable[[bool], None]
+
+
+class ConfigurationConfirmer:
+    """Make sure that the newest configuration is known.
+
+    A read of the store that begins after a request has arrived shows each configuration
+    that was acknowledged before the request was sent, whatever the host has missed and
+    however long it was paused.  One read serves all that waited for it to begin.
+
+    Args:
+        reactor: event loop and clock.
+        read: reads the newest configuration, puts it in force, and calls its argument
+            with whether it has.
+    """
+
+    def __init__(self, reactor: Reactor, read: Callable[[OnConfirmed], None]) -> None:
+        self._reactor = reactor
+        self._read = read
+        self._waiting: list[OnConfirmed] = []
+        self._began_at = -math.inf
+        self._limited_log = LimitedLog(reactor.clock.monotonic)
+
+    def confirm(self, on_done: OnConfirmed) -> None:
+        """Call a function with whether the newest configuration is now in force."""
+        self._waiting.append(on_done)
+        if len(self._waiting) == 1:
+            now = self._reactor.clock.monotonic()
+            self._reactor.call_later(self._began_at + MIN_INTERVAL_S - now, self._begin)
+
+    def _begin(self) -> None:
+        self._began_at = self._reactor.clock.monotonic()
+        waiting, self._waiting = self._waiting, []
+        timer = self._reactor.call_later(TIMEOUT_S, self._finish, waiting, None, False)
+        self._read(functools.partial(self._finish, waiting, timer))
+
+    def _finish(
+        self, waiting: list[OnConfirmed], timer: Timer | None, is_confirmed: bool
+    ) -> None:
+        if timer is not None:
+            timer.cancel()
+        if waiting and not is_confirmed:
+            self._limited_log.warn("configuration-unconfirmed", requests=len(waiting))
+        # The list is empty if the read ends after its time.
+        callbacks = waiting[:]
+        waiting.clear()
+        for on_done in callbacks:
+            on_done(is_confirmed)
--- a/dogwoodtack/feed/feed.py
+++ b/dogwoodtack/feed/feed.py
@@ -15,6 +15,7 @@
 from ..reactor import Reactor
 from ..routing import Configuration
 from .call_loop import CallLoop
+from .confirmation import ConfigurationConfirmer, OnConfirmed
 from .relay import RelayClient, RelayedState
 from .updates import ConfigurationUpdate, InstanceUpdates, Source
 
@@ -115,6 +116,7 @@
         self._has_begun = False
         self._instances_loop = CallLoop(reactor, self._sync_instances)
         self._configuration_loop = CallLoop(reactor, self._sync_configuration)
+        self._confirmer = ConfigurationConfirmer(reactor, self._read_newest)
         # A read from a peer is under way at most until then.
         self._pull_ends_by = -math.inf
         self._store_seen_at = -math.inf
@@ -370,6 +372,28 @@
         self._apply_configuration(update.configuration)
         self._report_sync()
 
+    def confirm_configuration(self, on_done: OnConfirmed) -> None:
+        """Make sure that the newest configuration is known here.
+
+        Args:
+            on_done: called with whether the store has shown, from now on, that none is
+                newer than the one then in force here.
+        """
+        self._confirmer.confirm(on_done)
+
+    def _read_newest(self, on_done: OnConfirmed) -> None:
+        def on_update(
+            update: ConfigurationUpdate | None, exc: StoreError | None
+        ) -> None:
+            if update is None or update.configuration is None:
+                on_done(False)
+                return
+            self._observe_era(update.position.era)
+            self._apply_configuration(update.configuration)
+            on_done(True)
+
+        self._source.read_configuration(on_update)
+
     def _apply_configuration(self, configuration: Configuration | None) -> None:
         """Put a configuration in force if it is newer than the current one."""
         if configuration is None or configuration.version <= self.version:
--- /dev/null
+++ b/dogwoodtack/feed/tests/test_confirmation.py
@@ -0,0 +1,67 @@
+"""Tests of the confirmation that the newest configuration is known."""
+
+import unittest
+
+from nose2.tools import params
+
+from dogwoodtack.feed.confirmation import (
+    MIN_INTERVAL_S,
+    TIMEOUT_S,
+    ConfigurationConfirmer,
+)
+from lab.virtual import VirtualLoop
+
+
+class ConfirmationTest(unittest.TestCase):
+    def setUp(self):
+        self.loop = VirtualLoop()
+        self.reads = []
+        self.results = []
+        self.confirmer = ConfigurationConfirmer(self.loop, self.reads.append)
+
+    def confirm(self, name):
+        self.confirmer.confirm(lambda is_confirmed: self.record(name, is_confirmed))
+
+    def record(self, name, is_confirmed):
+        self.results.append((name, is_confirmed))
+
+    @params(True, False)
+    def test_result_of_a_read_reaches_all_that_waited_for_it(self, is_confirmed):
+        for name in "ab":
+            self.confirm(name)
+        self.loop.run_for(0.01)
+        self.assertEqual(len(self.reads), 1)
+        self.reads[0](is_confirmed)
+        self.loop.run_for(2 * TIMEOUT_S)
+        self.assertEqual(self.results, [("a", is_confirmed), ("b", is_confirmed)])
+
+    def test_read_that_began_before_confirms_nothing(self):
+        """It may show the store as it was before the request was sent."""
+        self.confirm("a")
+        self.loop.run_for(0.01)
+        self.confirm("b")
+        self.reads[0](True)
+        self.assertEqual(self.results, [("a", True)])
+        self.loop.run_for(MIN_INTERVAL_S)
+        self.reads[1](True)
+        self.assertEqual(self.results, [("a", True), ("b", True)])
+
+    def test_reads_are_spread_while_many_ask(self):
+        for number in range(100):
+            self.confirm(number)
+            self.loop.run_for(0.01)
+        self.assertLessEqual(len(self.reads), 1.0 / MIN_INTERVAL_S + 1)
+        self.loop.run_for(1.0)
+        self.assertEqual([name for name, _ in self.results], list(range(100)))
+
+    @params(True, False)
+    def test_read_without_a_reply_in_time(self, is_confirmed):
+        self.confirm("a")
+        self.loop.run_for(TIMEOUT_S + 0.01)
+        self.assertEqual(self.results, [("a", False)])
+        self.reads[0](is_confirmed)
+        self.assertEqual(self.results, [("a", False)])
+        self.confirm("b")
+        self.loop.run_for(0.01)
+        self.reads[1](True)
+        self.assertEqual(self.results[1:], [("b", True)])
