Confirm the idempotent methods of a route before dogwoodtackd repeats a request

What callers would see is the same as at the entry host: a request of a method that a newer configuration no longer lists as idempotent ran twice at a host that did not know it yet. Besides, such a host ignored the key of the request, so that another one could run it by that key.

A request that may have run and whose method is not safe by HTTP is now repeated only after a watch of the store without wait has shown all changes up to then, and if its route still lists the method. With a key it is never taken for idempotent. request-resent is logged before each further send here, too. The confirmation is the one that the entry host uses.

--- a/dogwoodtack/feed/confirmation.py
+++ b/dogwoodtack/confirmation.py
@@ -4,8 +4,8 @@
 import math
 from collections.abc import Callable
 
-from ..logs import LimitedLog
-from ..reactor import Reactor, Timer
+from .logs import LimitedLog
+from .reactor import Reactor, Timer
 
 __all__ = ["ConfigurationConfirmer", "OnConfirmed"]
 
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -10,7 +10,7 @@
 from ..frontend.conn import RequestHead, ServerConn
 from ..frontend.headers import response_headers
 from ..logs import log_failure
-from ..misc import parse_count
+from ..misc import is_safe_method, parse_count
 from ..placement import (
     NOT_RUN_OUTCOMES,
     AttemptContext,
@@ -49,7 +49,6 @@
     MIN_ATTEMPT_S,
     attempts_left,
     forwarded_headers,
-    is_safe_method,
     max_runs,
     time_limit_s,
 )
--- a/dogwoodtack/entry/request.py
+++ b/dogwoodtack/entry/request.py
@@ -12,7 +12,6 @@
     "MIN_ATTEMPT_S",
     "attempts_left",
     "forwarded_headers",
-    "is_safe_method",
     "max_runs",
     "time_limit_s",
 ]
@@ -20,8 +19,6 @@
 # On a request that another entry host hands over: how many instances may still run it.
 ATTEMPTS_LEFT_HEADER = b"x-dogwoodtack-attempts-left"
 
-# A caller that uses one of these asks for no change (RFC 9110, section 9.2.1).
-SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
 DEFAULT_TIME_LIMIT_S = 10.0
 # The shortest time in which an instance could still respond.
 MIN_ATTEMPT_S = 0.02
@@ -44,11 +41,6 @@
     return max(MIN_ATTEMPT_S, limit_s - RESPONSE_MARGIN_S)
 
 
-def is_safe_method(method: str) -> bool:
-    """Return whether HTTP itself lets requests of a method be repeated."""
-    return method in SAFE_METHODS
-
-
 def max_runs(route: Route) -> int:
     """Return how many instances may run a request of a route."""
     return route.max_attempts if route.kind.is_idempotent else 1
--- a/dogwoodtack/entry/request_log.py
+++ b/dogwoodtack/entry/request_log.py
@@ -7,7 +7,7 @@
 
 from ..clock import Clock
 from ..logs import log_event
-from .request import is_safe_method
+from ..misc import is_safe_method
 
 __all__ = [
     "AttemptRecord",
--- a/dogwoodtack/feed/feed.py
+++ b/dogwoodtack/feed/feed.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from ..confirmation import ConfigurationConfirmer, OnConfirmed
 from ..errors import EndedEra, HistoryGone, StoreError
 from ..fleet import MAX_STORE_AGE_S, Heartbeat, PeerTable
 from ..logs import log_event
@@ -15,7 +16,6 @@
 from ..reactor import Reactor
 from ..routing import Configuration
 from .call_loop import CallLoop
-from .confirmation import ConfigurationConfirmer, OnConfirmed
 from .relay import RelayClient, RelayedState
 from .updates import ConfigurationUpdate, InstanceUpdates, Source
 
--- a/dogwoodtack/frontend/exchange.py
+++ b/dogwoodtack/frontend/exchange.py
@@ -1,5 +1,6 @@
 """One request of a caller, from its head to the end of its response."""
 
+import functools
 import hashlib
 from collections.abc import Callable
 from functools import singledispatchmethod
@@ -26,7 +27,7 @@
 )
 from ..limits import Limits, Slot, SlotRequest, Waiter
 from ..logs import log_event
-from ..misc import new_token
+from ..misc import is_safe_method, new_token
 from ..reactor import Reactor, Timer
 from .attempt import Attempt
 from .conn import RequestHead, ServerConn, is_bodiless
@@ -71,6 +72,8 @@
         pool: connections to instances.
         burn: error budgets, which count each request.
         request_history: receives a record of each request.
+        confirm_configuration: calls its argument with whether the newest configuration
+            is in force here.
         max_body_bytes: longest request body that is accepted.
         stall_timeout_s: seconds without progress after which a transfer ends.
     """
@@ -84,6 +87,7 @@
     pool: ConnectionPool
     burn: BurnTracker
     request_history: RequestHistory
+    confirm_configuration: Callable[[Callable[[bool], None]], None]
     max_body_bytes: int
     stall_timeout_s: float
 
@@ -114,6 +118,7 @@
         self.is_done = False
         self._match: Match | None = None
         self._is_idempotent = False
+        self._is_kind_confirmed = False
         self._deadline = 0.0
         self._upload = Upload(
             conn, deps.reactor, deps.stall_timeout_s, self._on_upload_stalled
@@ -153,12 +158,12 @@
 
     def _check_head(self) -> None:
         head = self._head
-        host = (head.header(b"host") or "").rsplit(":", 1)[0]
-        self._match = self._deps.catalog.match(host, head.target)
+        self._match = self._find_match()
         if self._match is None:
-            raise RequestError(ErrorKind.NO_ROUTE, f"{host}{head.target}"[:200])
+            detail = f"{self._host()}{head.target}"[:200]
+            raise RequestError(ErrorKind.NO_ROUTE, detail)
         route = self._match.route
-        self._is_idempotent = head.method in route.idempotent_methods
+        self._is_idempotent = self._is_idempotent_by(self._match)
         try:
             allowed_s = time_limit_s(head, route.timeout_s)
         except ValueError as exc:
@@ -168,6 +173,23 @@
         if length > self._deps.max_body_bytes:
             raise RequestError(ErrorKind.BODY_TOO_LARGE, f"{length} bytes")
 
+    def _host(self) -> str:
+        return (self._head.header(b"host") or "").rsplit(":", 1)[0]
+
+    def _find_match(self) -> Match | None:
+        return self._deps.catalog.match(self._host(), self._head.target)
+
+    def _is_idempotent_by(self, match: Match) -> bool:
+        """Return whether the request may run more than once.
+
+        With a key, of a method that is not safe, it runs at most once: the host may not
+        know yet that its route no longer lists the method.
+        """
+        method = self._head.method
+        if method not in match.route.idempotent_methods:
+            return False
+        return is_safe_method(method) or self._head.header(IDEMPOTENCY_KEY) is None
+
     def on_body(self, data: bytes) -> None:
         """Buffer a piece of the request's body, or forward it."""
         if self.is_done:
@@ -332,6 +354,7 @@
             )
             return
         self._attempt_count += 1
+        self._log_resend(slot.instance.name)
         self._tried_instances.add(slot.instance.name)
         timeout_s = left_s
         if self._attempt_count == 1 and self._should_reserve_retry_time():
@@ -348,6 +371,23 @@
         )
         self._attempt.start(out, body, self._is_idempotent)
 
+    def _log_resend(self, target: str) -> None:
+        """Log before it is sent that a request goes to one more instance."""
+        if not self._has_reached_backend:
+            return
+        last, service = self._attempt_records[-1], self._match.service.name
+        log_event(
+            "request-resent",
+            request=self.request_id,
+            method=self._head.method,
+            target=target,
+            attempt=self._attempt_count,
+            after=last.instance,
+            outcome=last.kind,
+            service=service,
+            version=self._deps.catalog.version(service),
+        )
+
     def on_attempt_head_sent(self, attempt: Attempt) -> None:
         """Forward the buffered part of a streamed body."""
         if attempt is not self._attempt or not self._upload.is_streamed:
@@ -385,6 +425,29 @@
             self._abort_caller(str(exc.kind))
             return
         self._relay.discard()
+        if exc.bytes_sent and self._is_idempotent and self._can_retry():
+            self._check_kind(exc)
+        else:
+            self._retry_or_finish(exc)
+
+    def _check_kind(self, exc: WireError) -> None:
+        """Retry a request that may have run, if the newest configuration allows it."""
+        if is_safe_method(self._head.method) or self._is_kind_confirmed:
+            self._on_configuration_confirmed(exc, True)
+            return
+        on_done = functools.partial(self._on_configuration_confirmed, exc)
+        self._deps.confirm_configuration(on_done)
+
+    def _on_configuration_confirmed(self, exc: WireError, is_confirmed: bool) -> None:
+        if self.is_done:
+            return
+        match = self._find_match()
+        self._is_kind_confirmed = is_confirmed
+        if match is None or not is_confirmed or not self._is_idempotent_by(match):
+            self._is_idempotent = False
+        self._retry_or_finish(exc)
+
+    def _retry_or_finish(self, exc: WireError) -> None:
         may_retry = self._is_idempotent or not exc.bytes_sent
         if may_retry and self._can_retry():
             self._acquire_slot()
--- a/dogwoodtack/frontend/tests/harness.py
+++ b/dogwoodtack/frontend/tests/harness.py
@@ -35,6 +35,7 @@
 MAX_BODY_BYTES = 300_000
 MAX_CONNECTIONS = 20
 HOST = "jobtrack.example"
+INCARNATION = "0123456789abcdef"
 
 
 class Reply(NamedTuple):
@@ -151,10 +152,13 @@
         self.reactor = Reactor(self.clock, self.poller).register(self.root)
         self.backends = [ScriptedBackend(self.reactor) for _ in range(backends)]
         self.health = RecordingHealth(self.reactor.clock)
-        self.keys = KeyTable("here", self.reactor.clock)
+        self.keys = KeyTable(INCARNATION, self.reactor.clock)
         self.pool = ConnectionPool(self.reactor, 1.0)
-        catalog = Catalog()
+        self.catalog = catalog = Catalog()
         catalog.put("jobtrack", 1, self._service_value(service))
+        self.confirmations = 0
+        self.is_store_reached = True
+        self.change_in_store: dict[str, object] | None = None
         draining = DrainingInstances(self.reactor.clock, lambda notice: None)
         limits = Limits(
             self.reactor, catalog, self.health, Floor(), draining, random.Random(1)
@@ -169,6 +173,7 @@
             pool=self.pool,
             burn=Mock(),
             request_history=Mock(),
+            confirm_configuration=self.confirm_configuration,
             max_body_bytes=MAX_BODY_BYTES,
             stall_timeout_s=STALL_S,
         )
@@ -185,6 +190,13 @@
         value.update(fields)
         return value
 
+    def confirm_configuration(self, on_done: Callable[[bool], None]) -> None:
+        """Read a service that was changed in the store, if that is reached."""
+        self.confirmations += 1
+        if self.is_store_reached and self.change_in_store is not None:
+            self.catalog.put("jobtrack", 2, self._service_value(self.change_in_store))
+        self.reactor.call_later(ROUND_S, on_done, self.is_store_reached)
+
     def script(self, *replies: Reply) -> None:
         """Give every back end the same script."""
         for backend in self.backends:
--- a/dogwoodtack/frontend/tests/test_responses.py
+++ b/dogwoodtack/frontend/tests/test_responses.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from .harness import Harness, Reply
+from .harness import HOST, TIMEOUT_MS, Harness, Reply
 
 GET = b"GET /racks/7 HTTP/1.1\r\nHost: jobtrack.example\r\n\r\n"
 POST = (
@@ -61,6 +61,32 @@
                 self.assertEqual(len(harness.requests) - before, 1)
                 peer.stream.close()
 
+    @params(
+        # methods in the store, whether that is reached, whether the request has a key,
+        # runs, confirmations
+        (["GET", "POST"], True, False, 2, 1),
+        (["GET"], True, False, 1, 1),
+        (["GET", "POST"], False, False, 1, 1),
+        (["GET", "POST"], True, True, 1, 0),
+    )
+    def test_request_is_not_repeated_by_methods_that_have_changed(
+        self, methods, is_reached, has_key, runs, confirmations
+    ):
+        """A host that did not know the newest configuration sent a request twice."""
+        known = {"host": HOST, "prefix": "/", "timeout_ms": TIMEOUT_MS}
+        known["idempotent_methods"] = ["GET", "POST"]
+        harness = self.start(backends=2, routes=[known])
+        harness.change_in_store = {"routes": [{**known, "idempotent_methods": methods}]}
+        harness.is_store_reached = is_reached
+        harness.script(Reply(b"", "close"))
+        request = POST
+        if has_key:
+            key = f"Idempotency-Key: {harness.keys.prefix}abcdefgh\r\nContent"
+            request = POST.replace(b"Content", key.encode(), 1)
+        harness.send(request)
+        self.assertEqual(len(harness.requests), runs)
+        self.assertEqual(harness.confirmations, confirmations)
+
     @params(
         ("unexpected bytes", OK + b"more"),
         ("second response", OK + OK),
--- a/dogwoodtack/misc.py
+++ b/dogwoodtack/misc.py
@@ -9,6 +9,7 @@
 __all__ = [
     "Address",
     "check_address",
+    "is_safe_method",
     "new_token",
     "parse_address",
     "parse_count",
@@ -16,6 +17,8 @@
     "secrets_match",
 ]
 
+# A caller that uses one of these asks for no change (RFC 9110, section 9.2.1).
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
 TOKEN_BYTES = 16
 MAX_PORT = 65535
 MAX_SHOWN_CHARS = 80
@@ -23,6 +26,11 @@
 MAX_COUNT_DIGITS = 15
 
 
+def is_safe_method(method: str) -> bool:
+    """Return whether HTTP itself lets requests of a method be repeated."""
+    return method in SAFE_METHODS
+
+
 class Address(NamedTuple):
     """IP address and port."""
 
--- a/dogwoodtack/node.py
+++ b/dogwoodtack/node.py
@@ -194,6 +194,7 @@
             pool=ConnectionPool(self.reactor, cfg.backends_dial_timeout_s),
             burn=self.burn,
             request_history=self.request_history,
+            confirm_configuration=self.replicator.confirm_configuration,
             max_body_bytes=cfg.callers_max_body_bytes,
             stall_timeout_s=cfg.callers_stall_timeout_s,
         )
--- a/dogwoodtack/replication/replicator.py
+++ b/dogwoodtack/replication/replicator.py
@@ -6,8 +6,15 @@
 from typing import Any
 
 from ..calls import Reply
+from ..confirmation import ConfigurationConfirmer, OnConfirmed
 from ..control import ControlRequest, Route
-from ..errors import DECODE_ERRORS, ErrorKind, RequestError, WireError
+from ..errors import (
+    DECODE_ERRORS,
+    ErrorKind,
+    RequestError,
+    StoreError,
+    WireError,
+)
 from ..logs import LimitedLog, log_event
 from ..membership import Connectivity, Member, Membership, store_readers
 from ..peers import PeerClient
@@ -77,6 +84,8 @@
         self._has_seeds = has_seeds
         self._on_synced = on_synced
         self._on_unresponsive = on_unresponsive
+        self._store = store
+        self._confirmer = ConfigurationConfirmer(reactor, self._read_newest)
         self._watcher = Watcher(
             reactor,
             store,
@@ -223,6 +232,25 @@
             )
         self._mark_synced("store")
 
+    def confirm_configuration(self, on_done: OnConfirmed) -> None:
+        """Make sure that the newest configuration is known here.
+
+        Args:
+            on_done: called with whether the store has shown that it is.
+        """
+        self._confirmer.confirm(on_done)
+
+    def _read_newest(self, on_done: OnConfirmed) -> None:
+        def on_read(snapshot: Snapshot | None, exc: StoreError | None) -> None:
+            if snapshot is not None:
+                self._apply_snapshot(snapshot)
+            on_done(snapshot is not None)
+
+        if self.watermark < 0:
+            self._store.list(on_read)
+        else:
+            self._store.watch(self.watermark, 0.0, on_read)
+
     def _request_substitutes(self) -> None:
         """Stop substituting; an assigned watcher asks others to watch the store.
 
--- a/dogwoodtack/replication/tests/test_replicator.py
+++ b/dogwoodtack/replication/tests/test_replicator.py
@@ -216,6 +216,20 @@
         self.assertTrue(node.replicator.is_synced)
         self.assert_in_force([node])
 
+    @params(True, False)
+    def test_confirmation_shows_what_was_written_before_it(self, is_reached):
+        """A host repeated requests by a configuration that had just changed."""
+        node = next(one for one in self.nodes if one not in self.watchers())
+        self.network.silent.add(node.address)
+        self.write()
+        if not is_reached:
+            self.store.cut.add(node.address)
+        results = []
+        node.replicator.confirm_configuration(results.append)
+        self.network.reactor.run_for(0.01 if is_reached else 1.0)
+        self.assertEqual(results, [is_reached])
+        self.assertEqual(node.version("s") == self.version, is_reached)
+
     def test_lost_objects_are_repaired(self):
         node = self.nodes[8]
         self.network.silent.add(node.address)
--- a/dogwoodtack/feed/tests/test_confirmation.py
+++ b/dogwoodtack/tests/test_confirmation.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from dogwoodtack.feed.confirmation import (
+from dogwoodtack.confirmation import (
     MIN_INTERVAL_S,
     TIMEOUT_S,
     ConfigurationConfirmer,
