--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -10,7 +10,7 @@
 from ..frontend.conn import RequestHead, ServerConn
 from ..frontend.headers import response_headers
 from ..logs import log_failure
-from ..misc import is_safe_method, parse_count
+from ..misc import parse_count
 from ..placement import (
     NOT_RUN_OUTCOMES,
     AttemptContext,
@@ -43,6 +43,7 @@
 from .notices import NoticeReader
 from .paths import PathMonitor
 from .recent_ids import RecentIds
+from .repeats import RepeatPermission
 from .replies import send_error
 from .request import (
     ATTEMPTS_LEFT_HEADER,
@@ -210,10 +211,7 @@
         self._body = bytearray()
         self._route: Route | None = None
         self._config_version = 0
-        self._is_idempotent = False
-        # The version by which it counts as idempotent, and whether that is certain.
-        self._kind_version = 0
-        self._is_kind_confirmed = False
+        self._repeats: RepeatPermission | None = None
         self._service = ""
         self._req: OutgoingRequest | None = None
         self._digest = ""
@@ -226,7 +224,6 @@
         self._attempt_records: list[AttemptRecord] = []
         self._tried_instances: set[str] = set()
         self._tried_hosts: set[str] = set()
-        self._max_attempts = 1
         self._is_counted = False
         self._sent_attempts = 0
         # Instances that may have run it in the attempts that have ended.
@@ -271,8 +268,10 @@
         """Route the complete request and ask for its placement."""
         if self.is_done:
             return
-        host = self._head.header(b"host") or ""
-        route, self._config_version = self._deps.find_route(host, self._head.target)
+        find_route = functools.partial(
+            self._deps.find_route, self._head.header(b"host") or "", self._head.target
+        )
+        route, self._config_version = find_route()
         if not self._config_version:
             self._send_error(ErrorKind.CUT_OFF, retry_after_s=0.5)
             return
@@ -280,13 +279,19 @@
             self._send_error(ErrorKind.NO_ROUTE)
             return
         self._route = route
-        self._is_idempotent = route.kind.is_idempotent
-        self._kind_version = self._config_version
-        self._is_kind_confirmed = is_safe_method(self._head.method)
-        self._max_attempts = max_runs(route)
-        if self._is_handed_over:
+        self._repeats = RepeatPermission(
+            self._head.method,
+            route,
+            self._config_version,
             # The host that handed it over may know a newer configuration.
-            self._max_attempts = attempts_left(self._head, route)
+            (
+                attempts_left(self._head, route)
+                if self._is_handed_over
+                else max_runs(route)
+            ),
+            find_route,
+            self._deps.confirm_configuration,
+        )
         self._service = self._deps.splitter.next_service(route)
         header_names = self._deps.header_names
         self._deadline = self._arrived_at + time_limit_s(
@@ -341,7 +346,9 @@
         now = self._now()
         service_time_s = self._deps.placer.service_time_s(self._service)
         is_exploratory = (
-            self._is_idempotent and not self._sent_attempts and self._max_attempts > 1
+            self._repeats.is_idempotent
+            and not self._sent_attempts
+            and self._repeats.max_runs > 1
         )
         if is_exploratory:
             budget = self._deps.placer.budget(self._service)
@@ -502,7 +509,7 @@
         self._in_flight[attempt] = timers
         deps.fleet.report_instance(instance.id, None)
         max_idle_s = MAX_REUSE_IDLE_S
-        if not self._is_idempotent:
+        if not self._repeats.is_idempotent:
             max_idle_s = deps.idle_limit.limit_s(self._service)
         attempt.start(self._req, self._deadline, max_idle_s)
 
@@ -539,15 +546,15 @@
         ):
             return False
         hosts = deps.fleet.handover_hosts(self._tried_hosts)
-        left = self._max_attempts - self._runs - self._runs_in_flight()
+        left = self._repeats.max_runs - self._runs - self._runs_in_flight()
         if not hosts or left < 1:
             return False
         host = hosts[0]
         self._tried_hosts.add(host.name)
         is_last = len(hosts) == 1 or len(self._tried_hosts) == MAX_HANDOVERS
-        if not self._is_kind_confirmed:
+        if not self._repeats.is_certain:
             left = 1
-        elif self._is_idempotent and not is_last:
+        elif self._repeats.is_idempotent and not is_last:
             # One attempt is kept for another host, as this one may fail too.
             left = max(1, left - 1)
         left_header = (ATTEMPTS_LEFT_HEADER, str(left).encode())
@@ -600,12 +607,12 @@
             or self._queued_request is not None
         ):
             return
-        self._update_kind()
+        self._repeats.update()
         now = self._now()
         if (
-            not (self._is_idempotent and self._is_kind_confirmed)
+            not (self._repeats.is_idempotent and self._repeats.is_certain)
             or self._deps.quarantine.is_suspect(self._digest, now)
-            or self._sent_or_in_flight() >= self._max_attempts
+            or self._sent_or_in_flight() >= self._repeats.max_runs
             or now >= self._deadline - MIN_ATTEMPT_S
         ):
             return
@@ -654,7 +661,7 @@
         failed = FailedRequest(
             request_id, self._digest, instance, attempt.started_at, is_silent
         )
-        if not is_silent and self._is_idempotent and self._has_attempts_left():
+        if not is_silent and self._repeats.is_idempotent and self._has_attempts_left():
             # Whether it is retried depends on whether the instance has crashed.
             self._pending_checks += 1
             on_done = functools.partial(self._on_checked, result)
@@ -678,15 +685,14 @@
         if self._is_caller_gone and result.outcome in NOT_RUN_OUTCOMES:
             self._close("caller-gone", CALLER_GONE_STATUS)
             return
-        self._update_kind()
+        self._repeats.update()
         if self._needs_confirmation(result):
             self._pending_checks += 1
-            on_done = functools.partial(self._on_configuration_confirmed, result)
-            self._deps.confirm_configuration(on_done)
+            self._repeats.confirm(functools.partial(self._on_checked, result))
             return
         action = next_action(self._attempt_context(result))
         if action is NextAction.RETRY:
-            if result.head is not None and not self._is_idempotent:
+            if result.head is not None and not self._repeats.is_idempotent:
                 self._log_retry(result)
             self._request_placement()
             return
@@ -697,47 +703,15 @@
     # Whether it may run once more.
 
     def _needs_confirmation(self, result: AttemptResult) -> bool:
-        """Return whether a retry depends on what the newest configuration says.
-
-        A host may not know it yet, and HTTP itself lets requests of safe methods alone
-        be repeated.
-        """
+        """Return whether a retry depends on what the newest configuration says."""
         return (
-            self._is_idempotent
-            and not self._is_kind_confirmed
+            self._repeats.is_idempotent
+            and not self._repeats.is_certain
             and self._may_have_run
             and result.outcome is not AttemptOutcome.ANSWERED
             and self._has_attempts_left()
         )
 
-    @_isolated
-    def _on_configuration_confirmed(
-        self, result: AttemptResult, is_confirmed: bool
-    ) -> None:
-        self._pending_checks -= 1
-        if self.is_done:
-            return
-        if is_confirmed:
-            self._is_kind_confirmed = True
-            self._update_kind()
-        else:
-            self._forbid_repeats()
-        self._continue(result)
-
-    def _update_kind(self) -> None:
-        """Take notice of a configuration that came after the request."""
-        host = self._head.header(b"host") or ""
-        route, version = self._deps.find_route(host, self._head.target)
-        if version == self._kind_version:
-            return
-        self._kind_version = version
-        if route is None or not route.kind.is_idempotent:
-            self._forbid_repeats()
-
-    def _forbid_repeats(self) -> None:
-        self._is_idempotent = False
-        self._max_attempts = 1
-
     def _log_resend(self, target: str) -> None:
         """Log that the request is sent to a target, unless it is the first one."""
         targets = [
@@ -758,7 +732,7 @@
             outcome=outcome,
             kind=str(self._route.kind),
             prefix=self._route.prefix,
-            version=self._kind_version,
+            version=self._repeats.version,
         )
         self._deps.request_log.add_resend(resend)
 
@@ -786,7 +760,7 @@
         """
         is_suspect = self._deps.quarantine.is_suspect(self._digest, self._now())
         return (
-            self._runs < self._max_attempts
+            self._runs < self._repeats.max_runs
             and len(self._attempt_records) < MAX_ATTEMPTS
             and not (is_suspect and self._may_have_run)
         )
@@ -796,7 +770,7 @@
         now = self._now()
         service_time_s = placer.service_time_s(self._service)
         has_attempts_left = self._has_attempts_left()
-        may_retry = self._is_idempotent or not self._may_have_run
+        may_retry = self._repeats.is_idempotent or not self._may_have_run
         has_time = (
             now + service_time_s / 2 < self._deadline
             and self._deps.grace.can_finish(self._route.name, self._deadline)
@@ -806,13 +780,13 @@
             is_retry_possible = may_retry and has_attempts_left and has_time
             has_retry_budget = is_retry_possible and placer.budget(
                 self._service
-            ).try_spend(now, placer.retry_budget_hosts, self._is_idempotent)
+            ).try_spend(now, placer.retry_budget_hosts, self._repeats.is_idempotent)
         return AttemptContext(
             outcome=result.outcome,
-            is_idempotent=self._is_idempotent,
+            is_idempotent=self._repeats.is_idempotent,
             may_have_run=self._may_have_run,
-            attempts=self._runs if has_attempts_left else self._max_attempts,
-            max_attempts=self._max_attempts,
+            attempts=self._runs if has_attempts_left else self._repeats.max_runs,
+            max_attempts=self._repeats.max_runs,
             has_retry_budget=has_retry_budget,
             has_time=has_time,
         )
@@ -957,7 +931,7 @@
         if self.is_done:
             return
         self._is_caller_gone = True
-        if self._in_flight and not self._is_idempotent:
+        if self._in_flight and not self._repeats.is_idempotent:
             return
         self._close("caller-gone", CALLER_GONE_STATUS)
 
--- /dev/null
+++ b/dogwoodtack/entry/repeats.py
@@ -0,0 +1,73 @@
+"""Whether a request that may have run may be sent once more."""
+
+from collections.abc import Callable
+
+from ..misc import is_safe_method
+from ..routing import Route
+
+__all__ = ["RepeatPermission"]
+
+
+class RepeatPermission:
+    """Follow whether a request may run more than once, from its arrival on.
+
+    The kind of its route says so, but a host may not know the newest configuration, and
+    HTTP itself lets requests of safe methods alone be repeated.
+
+    Args:
+        method: the request's HTTP method.
+        route: the route that it matched on arrival.
+        version: version of the configuration then.
+        max_runs: how many instances may run it by that route.
+        find_route: returns the route that the request matches now, and the version.
+        confirm_configuration: calls its argument with whether the newest configuration
+            is in force here.
+
+    Attributes:
+        is_idempotent: whether it may run more than once, as far as is known.
+        is_certain: whether no confirmation by the store is needed for that.
+        max_runs: how many instances may run it.
+        version: version of the configuration that says so.
+    """
+
+    def __init__(
+        self,
+        method: str,
+        route: Route,
+        version: int,
+        max_runs: int,
+        find_route: Callable[[], tuple[Route | None, int]],
+        confirm_configuration: Callable[[Callable[[bool], None]], None],
+    ) -> None:
+        self._find_route = find_route
+        self._confirm_configuration = confirm_configuration
+        self.is_idempotent = route.kind.is_idempotent
+        self.is_certain = is_safe_method(method)
+        self.max_runs = max_runs
+        self.version = version
+
+    def update(self) -> None:
+        """Take notice of a configuration that came after the request."""
+        route, version = self._find_route()
+        if version == self.version:
+            return
+        self.version = version
+        if route is None or not route.kind.is_idempotent:
+            self._forbid()
+
+    def confirm(self, on_done: Callable[[], None]) -> None:
+        """Ask the store for the newest configuration, and call a function then."""
+
+        def on_confirmed(is_confirmed: bool) -> None:
+            if is_confirmed:
+                self.is_certain = True
+                self.update()
+            else:
+                self._forbid()
+            on_done()
+
+        self._confirm_configuration(on_confirmed)
+
+    def _forbid(self) -> None:
+        self.is_idempotent = False
+        self.max_runs = 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,6 +21,7 @@
     107,
     122,
 )
+KIND_SEEDS = (500, 501)
 LENGTH_S = 8.0
 # Parts of refusals are drawn more often, so that a short run has enough of them.
 ONCE_BEHAVIOURS = BEHAVIOURS + 4 * ("answer_and_part",)
@@ -32,6 +33,13 @@
         result = run_soak(seed, LENGTH_S)
         self.assertEqual(result.violations, [], result.faults)
 
+    @params(*KIND_SEEDS)
+    def test_no_request_runs_twice_beside_changed_kinds(self, seed):
+        soak = OnceSoak(seed, changes_kinds=True)
+        self.addCleanup(soak.close)
+        result = soak.run(LENGTH_S)
+        self.assertEqual(result.violations, [], result.faults)
+
     @params(*ONCE_SEEDS)
     def test_no_booking_runs_twice_after_odd_responses(self, seed):
         soak = OnceSoak(seed, behaviours=ONCE_BEHAVIOURS)
