Ask the store seldom for a confirmation while it does not answer

While the store was away each repeat of a request that is not of a safe method waited 0.4 s and cost a call, up to ten a second and host; at 6,300 hosts that is far beyond the 2,000 reads a second that the store answers, so that the readers of the zones would be turned away with the rest. After a read that failed none is made for 0.5 s, doubling up to 8 s, and the requests of that time are not repeated, which they learn at once.

Tests: test_few_reads_are_made_while_the_store_does_not_answer (8 reads in 30 s of 20 requests a second; its interval alone allowed 300), the others of test_confirmation, test_outdated_kind.

--- a/dogwoodtack/confirmation.py
+++ b/dogwoodtack/confirmation.py
@@ -13,6 +13,12 @@
 TIMEOUT_S = 0.4
 # Bounds the calls to the store while many requests fail.
 MIN_INTERVAL_S = 0.1
+# After a read that failed none is made for a time, which doubles up to the longest: at
+# the target size all hosts together may ask more than the store answers.
+FIRST_BACKOFF_S = 0.5
+MAX_BACKOFF_S = 8.0
+# Further ones do not lengthen the time.
+MAX_FAILURES = 5
 
 OnConfirmed = Callable[[bool], None]
 
@@ -35,14 +41,26 @@
         self._read = read
         self._waiting: list[OnConfirmed] = []
         self._began_at = -math.inf
+        self._failures = 0
         self._limited_log = LimitedLog(reactor.clock.monotonic)
 
     def confirm(self, on_done: OnConfirmed) -> None:
-        """Call a function with whether the newest configuration is now in force."""
+        """Call a function with whether the newest configuration is now in force.
+
+        While reads fail most callers are told at once that it is not known.
+        """
+        wait_s = self._began_at + self._interval_s() - self._reactor.clock.monotonic()
+        if wait_s > MIN_INTERVAL_S:
+            self._reactor.call_soon(on_done, False)
+            return
         self._waiting.append(on_done)
         if len(self._waiting) == 1:
-            now = self._reactor.clock.monotonic()
-            self._reactor.call_later(self._began_at + MIN_INTERVAL_S - now, self._begin)
+            self._reactor.call_later(wait_s, self._begin)
+
+    def _interval_s(self) -> float:
+        if not self._failures:
+            return MIN_INTERVAL_S
+        return min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2.0 ** (self._failures - 1))
 
     def _begin(self) -> None:
         self._began_at = self._reactor.clock.monotonic()
@@ -55,7 +73,10 @@
     ) -> None:
         if timer is not None:
             timer.cancel()
-        if waiting and not is_confirmed:
+        if is_confirmed:
+            self._failures = 0
+        elif waiting:
+            self._failures = min(self._failures + 1, MAX_FAILURES)
             self._limited_log.warn("configuration-unconfirmed", requests=len(waiting))
         # The list is empty if the read ends after its time.
         callbacks = waiting[:]
--- a/dogwoodtack/tests/test_confirmation.py
+++ b/dogwoodtack/tests/test_confirmation.py
@@ -5,6 +5,8 @@
 from nose2.tools import params
 
 from dogwoodtack.confirmation import (
+    FIRST_BACKOFF_S,
+    MAX_BACKOFF_S,
     MIN_INTERVAL_S,
     TIMEOUT_S,
     ConfigurationConfirmer,
@@ -50,9 +52,30 @@
         for number in range(100):
             self.confirm(number)
             self.loop.run_for(0.01)
+            for read in self.reads:
+                read(True)
         self.assertLessEqual(len(self.reads), 1.0 / MIN_INTERVAL_S + 1)
-        self.loop.run_for(1.0)
-        self.assertEqual([name for name, _ in self.results], list(range(100)))
+        self.loop.run_for(MIN_INTERVAL_S)
+        self.reads[-1](True)
+        self.assertEqual(self.results, [(number, True) for number in range(100)])
+
+    def test_few_reads_are_made_while_the_store_does_not_answer(self):
+        """All hosts together would ask more than the store answers."""
+        for number in range(600):
+            self.confirm(number)
+            self.loop.run_for(0.05)
+        self.assertLessEqual(len(self.reads), 8)
+        self.loop.run_for(TIMEOUT_S)
+        self.assertEqual({result for _, result in self.results}, {False})
+        self.assertEqual(len(self.results), 600)
+        self.loop.run_for(MAX_BACKOFF_S)
+        self.confirm("a")
+        self.loop.run_for(MIN_INTERVAL_S)
+        self.reads[-1](True)
+        self.confirm("b")
+        self.loop.run_for(MIN_INTERVAL_S)
+        self.reads[-1](True)
+        self.assertEqual(self.results[-2:], [("a", True), ("b", True)])
 
     @params(True, False)
     def test_read_without_a_reply_in_time(self, is_confirmed):
@@ -61,6 +84,7 @@
         self.assertEqual(self.results, [("a", False)])
         self.reads[0](is_confirmed)
         self.assertEqual(self.results, [("a", False)])
+        self.loop.run_for(FIRST_BACKOFF_S)
         self.confirm("b")
         self.loop.run_for(0.01)
         self.reads[1](True)
