--- a/soak/once.py
+++ b/soak/once.py
@@ -1,7 +1,7 @@
 """Check through real processes that no non-idempotent request runs twice.
 
 `python -m soak.once --seeds=10` runs ten seeds, and `--checkout=FOLDER` runs the entry
-hosts of another checkout.
+hosts of another checkout, or those of several in turn.
 """
 
 import json
@@ -190,7 +190,7 @@
 
     Args:
         seed: chooses all that is random.
-        checkout: checkout whose code the entry hosts run.
+        checkouts: checkouts whose code the entry hosts run, assigned in rotation.
         behaviours: what instances do.
         program: program that the entry hosts run.
         changes_kinds: whether routes turn non-idempotent, at times beside a host that
@@ -206,7 +206,7 @@
     def __init__(
         self,
         seed: int,
-        checkout: Path = ROOT,
+        checkouts: Sequence[Path] = (ROOT,),
         behaviours: tuple[str, ...] = BEHAVIOURS,
         program: str = PROGRAM,
         changes_kinds: bool = False,
@@ -225,7 +225,7 @@
         self._lock = threading.RLock()
         self.prefix = f"{self._rng.getrandbits(16):04x}"
         self.is_ending = False
-        self.site = Site(HOSTS, 0, (checkout,), ZONES, program=program, bounds=BOUNDS)
+        self.site = Site(HOSTS, 0, checkouts, ZONES, program=program, bounds=BOUNDS)
         self.instances = [self._start_instance("jobs") for _ in range(INSTANCES)]
         self.instances += [self._start_instance("docs") for _ in range(2)]
         self._put_configuration(self._turned_route)
@@ -534,7 +534,7 @@
     def run(seed: int) -> SoakResult:
         soak = OnceSoak(
             seed,
-            Path(FLAGS.checkout),
+            [Path(folder) for folder in FLAGS.checkout],
             behaviours,
             FLAGS.program,
             FLAGS.changes_kinds,
@@ -554,7 +554,7 @@
     flags.DEFINE_integer("first_seed", 1, "First seed.", 0)
     flags.DEFINE_integer("seeds", 1, "Number of seeds to run.", 1)
     flags.DEFINE_float("length_s", 15.0, "Seconds of disturbances in each run.", 1.0)
-    flags.DEFINE_string("checkout", str(ROOT), "Checkout of the entry hosts.")
+    flags.DEFINE_list("checkout", [str(ROOT)], "Checkouts of the entry hosts.")
     flags.DEFINE_string("program", PROGRAM, "Program that the entry hosts run.")
     flags.DEFINE_bool("changes_kinds", False, "Whether routes turn non-idempotent.")
     flags.DEFINE_list("more", [], "Further behaviours of instances.")
