Drop a retry whose kind has changed while it waited

A retry may wait for an instance for seconds. It was sent by the kind known when it was decided on, though the host had learned meanwhile that the request may run once; its caller could have had the failure at once. The kind is asked again before each send and hand-over. What is logged is the kind by which that was decided.

A caller of ConfigurationConfirmer that raises no longer keeps the others from their result: in dogwoodtackd such a request would have waited for ever.

--- a/dogwoodtack/confirmation.py
+++ b/dogwoodtack/confirmation.py
@@ -17,8 +17,6 @@
 # the target size all hosts together may ask more than the store answers.
 FIRST_BACKOFF_S = 0.5
 MAX_BACKOFF_S = 8.0
-# Further ones do not lengthen the time.
-MAX_FAILURES = 5
 
 OnConfirmed = Callable[[bool], None]
 
@@ -41,7 +39,7 @@
         self._read = read
         self._waiting: list[OnConfirmed] = []
         self._began_at = -math.inf
-        self._failures = 0
+        self._interval_s = MIN_INTERVAL_S
         self._limited_log = LimitedLog(reactor.clock.monotonic)
 
     def confirm(self, on_done: OnConfirmed) -> None:
@@ -49,7 +47,7 @@
 
         While reads fail most callers are told at once that it is not known.
         """
-        wait_s = self._began_at + self._interval_s() - self._reactor.clock.monotonic()
+        wait_s = self._began_at + self._interval_s - self._reactor.clock.monotonic()
         if wait_s > MIN_INTERVAL_S:
             self._reactor.call_soon(on_done, False)
             return
@@ -57,11 +55,6 @@
         if len(self._waiting) == 1:
             self._reactor.call_later(wait_s, self._begin)
 
-    def _interval_s(self) -> float:
-        if not self._failures:
-            return MIN_INTERVAL_S
-        return min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2.0 ** (self._failures - 1))
-
     def _begin(self) -> None:
         self._began_at = self._reactor.clock.monotonic()
         waiting, self._waiting = self._waiting, []
@@ -74,12 +67,13 @@
         if timer is not None:
             timer.cancel()
         if is_confirmed:
-            self._failures = 0
+            self._interval_s = MIN_INTERVAL_S
         elif waiting:
-            self._failures = min(self._failures + 1, MAX_FAILURES)
+            backoff_s = max(FIRST_BACKOFF_S, 2.0 * self._interval_s)
+            self._interval_s = min(MAX_BACKOFF_S, backoff_s)
             self._limited_log.warn("configuration-unconfirmed", requests=len(waiting))
-        # The list is empty if the read ends after its time.
-        callbacks = waiting[:]
+        # Each on its own, as one may raise.
+        for on_done in waiting:
+            self._reactor.call_soon(on_done, is_confirmed)
+        # A read may end after its time.
         waiting.clear()
-        for on_done in callbacks:
-            on_done(is_confirmed)
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -382,7 +382,7 @@
 
     @_isolated
     def _place_or_hand_over(self) -> None:
-        if self.is_done or self._reject_quarantined():
+        if self.is_done or self._reject_repeat() or self._reject_quarantined():
             return
         if self._reject_unfinishable() or self._hand_over():
             return
@@ -465,7 +465,9 @@
             self._on_placement_rejected(placed)
             return
         if not self.is_done and (
-            self._reject_quarantined() or self._reject_unfinishable()
+            self._reject_repeat()
+            or self._reject_quarantined()
+            or self._reject_unfinishable()
         ):
             self._deps.placer.release(placed.id)
             return
@@ -477,7 +479,9 @@
         self._dispatch(placed)
 
     def _on_placement_rejected(self, rejection: Rejection) -> None:
-        if self.is_done or self._in_flight or self._hand_over():
+        if self.is_done or self._in_flight or self._reject_repeat():
+            return
+        if self._hand_over():
             return
         self._detail = rejection.detail
         if self._best_result is not None:
@@ -702,6 +706,20 @@
 
     # Whether it may run once more.
 
+    def _reject_repeat(self) -> bool:
+        """End a request that may have run and may not run again, and return whether.
+
+        A newer configuration may have come while a retry waited for its instance.
+        """
+        if not self._may_have_run:
+            return False
+        self._repeats.update()
+        if self._repeats.is_idempotent:
+            return False
+        if not self._in_flight:
+            self._respond_to_failure(self._best_result)
+        return True
+
     def _needs_confirmation(self, result: AttemptResult) -> bool:
         """Return whether a retry depends on what the newest configuration says."""
         return (
@@ -730,7 +748,7 @@
             attempt=len(targets) + 1,
             after=after,
             outcome=outcome,
-            kind=str(self._route.kind),
+            kind=str(self._repeats.kind),
             prefix=self._route.prefix,
             version=self._repeats.version,
         )
--- a/dogwoodtack/entry/repeats.py
+++ b/dogwoodtack/entry/repeats.py
@@ -24,6 +24,7 @@
             is in force here.
 
     Attributes:
+        kind: kind of its route, as far as is known.
         is_idempotent: whether it may run more than once, as far as is known.
         is_certain: whether no confirmation by the store is needed for that.
         max_runs: how many instances may run it.
@@ -41,6 +42,7 @@
     ) -> None:
         self._find_route = find_route
         self._confirm_configuration = confirm_configuration
+        self.kind = route.kind
         self.is_idempotent = route.kind.is_idempotent
         self.is_certain = is_safe_method(method)
         self.max_runs = max_runs
@@ -52,6 +54,8 @@
         if version == self.version:
             return
         self.version = version
+        if route is not None:
+            self.kind = route.kind
         if route is None or not route.kind.is_idempotent:
             self._forbid()
 
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -427,6 +427,37 @@
         world.reactor.run_for(2.0)
         self.assertEqual((world.runs[b"id"], host.confirmations), (1, 0))
 
+    @params("GET", "POST")
+    def test_kind_that_changes_while_a_retry_waits(self, method):
+        """A retry was sent by a kind that had changed while it waited."""
+        world = World(1)
+        host = world.hosts[0]
+        host.is_configuration_old = True
+        host._deps = host._deps._replace(
+            confirm_configuration=lambda on_done: on_done(True)
+        )
+
+        def serve(conn, out):
+            world.runs[b"id"] += 1
+            headers = [(HEADERS.request_id, b"id")]
+            world.reactor.call_later(0.01, conn.respond, 500, headers, b".")
+
+        def acquire(address, on_connection, max_idle_s):
+            on_connection(FakeConn(world, address, serve), None)
+
+        host._deps.pool.acquire = acquire
+        statuses = []
+        host.start(
+            request_head(method, "/book/"),
+            lambda status, headers, body: statuses.append(status),
+        )
+        with mock.patch.object(host.placer, "place", return_value=None) as place:
+            world.reactor.run_for(0.5)
+        host.is_configuration_old = False
+        place.call_args.args[0].on_decision(world.instances[0])
+        world.reactor.run_for(2.0)
+        self.assertEqual((world.runs[b"id"], statuses), (1, [500]))
+
     @params(("POST", "/book/", True), ("GET", "/look/", False))
     def test_evidence_of_a_retry_is_logged(self, method, target, is_logged):
         """Nothing told why a booking had been sent to a second instance."""
--- a/dogwoodtack/tests/test_confirmation.py
+++ b/dogwoodtack/tests/test_confirmation.py
@@ -43,9 +43,11 @@
         self.loop.run_for(0.01)
         self.confirm("b")
         self.reads[0](True)
+        self.loop.run_for(0.0)
         self.assertEqual(self.results, [("a", True)])
         self.loop.run_for(MIN_INTERVAL_S)
         self.reads[1](True)
+        self.loop.run_for(0.0)
         self.assertEqual(self.results, [("a", True), ("b", True)])
 
     def test_reads_are_spread_while_many_ask(self):
@@ -57,6 +59,7 @@
         self.assertLessEqual(len(self.reads), 1.0 / MIN_INTERVAL_S + 1)
         self.loop.run_for(MIN_INTERVAL_S)
         self.reads[-1](True)
+        self.loop.run_for(0.0)
         self.assertEqual(self.results, [(number, True) for number in range(100)])
 
     def test_few_reads_are_made_while_the_store_does_not_answer(self):
@@ -75,17 +78,30 @@
         self.confirm("b")
         self.loop.run_for(MIN_INTERVAL_S)
         self.reads[-1](True)
+        self.loop.run_for(0.0)
         self.assertEqual(self.results[-2:], [("a", True), ("b", True)])
 
+    def test_failing_callback_keeps_no_other_from_its_result(self):
+        self.confirmer.confirm(lambda is_confirmed: 1 / 0)
+        self.confirm("b")
+        self.loop.run_for(0.01)
+        self.reads[0](True)
+        with self.assertRaises(ZeroDivisionError):
+            self.loop.run_for(0.0)
+        self.loop.run_for(0.0)
+        self.assertEqual(self.results, [("b", True)])
+
     @params(True, False)
     def test_read_without_a_reply_in_time(self, is_confirmed):
         self.confirm("a")
         self.loop.run_for(TIMEOUT_S + 0.01)
         self.assertEqual(self.results, [("a", False)])
         self.reads[0](is_confirmed)
+        self.loop.run_for(0.0)
         self.assertEqual(self.results, [("a", False)])
         self.loop.run_for(FIRST_BACKOFF_S)
         self.confirm("b")
         self.loop.run_for(0.01)
         self.reads[1](True)
+        self.loop.run_for(0.0)
         self.assertEqual(self.results[1:], [("b", True)])
