Drop a retry in dogwoodtackd whose methods have changed while it waited

The same as at the entry host: a retry that waited for a slot was sent though the host had learned meanwhile that its route no longer lists the method as idempotent.

--- a/dogwoodtack/frontend/exchange.py
+++ b/dogwoodtack/frontend/exchange.py
@@ -190,6 +190,10 @@
             return False
         return is_safe_method(method) or self._head.header(IDEMPOTENCY_KEY) is None
 
+    def _is_still_idempotent(self) -> bool:
+        match = self._find_match()
+        return match is not None and self._is_idempotent_by(match)
+
     def on_body(self, data: bytes) -> None:
         """Buffer a piece of the request's body, or forward it."""
         if self.is_done:
@@ -337,6 +341,11 @@
         if self.is_done:
             slot.release()
             return
+        if self._may_have_run and not self._is_still_idempotent():
+            # A newer configuration has come while the retry waited.
+            slot.release()
+            self._send_error(self._last_error_kind, "", Outcome.UNKNOWN)
+            return
         self._dispatch(slot)
 
     def _dispatch(self, slot: Slot) -> None:
@@ -441,9 +450,8 @@
     def _on_configuration_confirmed(self, exc: WireError, is_confirmed: bool) -> None:
         if self.is_done:
             return
-        match = self._find_match()
         self._is_kind_confirmed = is_confirmed
-        if match is None or not is_confirmed or not self._is_idempotent_by(match):
+        if not is_confirmed or not self._is_still_idempotent():
             self._is_idempotent = False
         self._retry_or_finish(exc)
 
--- a/dogwoodtack/frontend/tests/harness.py
+++ b/dogwoodtack/frontend/tests/harness.py
@@ -194,9 +194,13 @@
         """Read a service that was changed in the store, if that is reached."""
         self.confirmations += 1
         if self.is_store_reached and self.change_in_store is not None:
-            self.catalog.put("jobtrack", 2, self._service_value(self.change_in_store))
+            self.change(self.change_in_store)
         self.reactor.call_later(ROUND_S, on_done, self.is_store_reached)
 
+    def change(self, fields: dict[str, object]) -> None:
+        """Put a second version of the service in force."""
+        self.catalog.put("jobtrack", 2, self._service_value(fields))
+
     def script(self, *replies: Reply) -> None:
         """Give every back end the same script."""
         for backend in self.backends:
--- a/dogwoodtack/frontend/tests/test_responses.py
+++ b/dogwoodtack/frontend/tests/test_responses.py
@@ -1,10 +1,11 @@
 """A caller gets the complete response to its own request, or a correct error."""
 
 import unittest
+from unittest import mock
 
 from nose2.tools import params
 
-from .harness import HOST, TIMEOUT_MS, Harness, Reply
+from .harness import HOST, TIMEOUT_MS, Harness, Reply, is_response_complete
 
 GET = b"GET /racks/7 HTTP/1.1\r\nHost: jobtrack.example\r\n\r\n"
 POST = (
@@ -87,6 +88,28 @@
         self.assertEqual(len(harness.requests), runs)
         self.assertEqual(harness.confirmations, confirmations)
 
+    def test_methods_that_change_while_a_retry_waits(self):
+        """A retry was sent by methods that had changed while it waited."""
+        harness = self.start(backends=2)
+        harness.script(Reply(b"", "close"))
+        acquire, waiting = harness.limits.acquire, []
+
+        def acquire_later(req, on_slot):
+            if not req.is_retry:
+                return acquire(req, on_slot)
+            waiting.append((req, on_slot))
+            return mock.Mock()
+
+        harness.limits.acquire = acquire_later
+        peer = harness.caller(GET)
+        harness.run_until(lambda: waiting)
+        route = {"host": HOST, "prefix": "/", "idempotent_methods": ["HEAD"]}
+        harness.change({"routes": [route]})
+        acquire(*waiting[0])
+        harness.run_until(lambda: is_response_complete(peer.data))
+        self.assertEqual(self.outcome(peer), (502, "unknown"))
+        self.assertEqual(len(harness.requests), 1)
+
     @params(
         ("unexpected bytes", OK + b"more"),
         ("second response", OK + OK),
