--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -35,14 +35,13 @@
 
     @params(*KIND_SEEDS)
     def test_no_request_runs_twice_beside_changed_kinds(self, seed):
-        soak = OnceSoak(seed, changes_kinds=True)
-        self.addCleanup(soak.close)
-        result = soak.run(LENGTH_S)
-        self.assertEqual(result.violations, [], result.faults)
+        self.check(OnceSoak(seed, changes_kinds=True))
 
     @params(*ONCE_SEEDS)
     def test_no_booking_runs_twice_after_odd_responses(self, seed):
-        soak = OnceSoak(seed, behaviours=ONCE_BEHAVIOURS)
+        self.check(OnceSoak(seed, behaviours=ONCE_BEHAVIOURS))
+
+    def check(self, soak):
         self.addCleanup(soak.close)
         result = soak.run(LENGTH_S)
         self.assertEqual(result.violations, [], result.faults)
