--- a/soak/instances.py
+++ b/soak/instances.py
@@ -1,5 +1,6 @@
 """Instances of a soak that break off, refuse and repeat responses at random."""
 
+import enum
 import random
 import socket
 import threading
@@ -16,6 +17,15 @@
 BORN_MS = 1796346000000
 RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"
 LONGEST_HANG_S = 5.0
+REPEAT_DELAY_S = 0.02
+
+
+class Repeat(enum.Enum):
+    """When an instance writes a refusal once more on its connection."""
+
+    NEVER = enum.auto()
+    SOON = enum.auto()
+    WITH_NEXT_REQUEST = enum.auto()
 
 
 class Run(NamedTuple):
@@ -49,6 +59,7 @@
         work_s: how long it runs a request, in seconds.
         faulty_share: share of the requests that meet another behaviour than the first.
         address: where it listens; a free port by default.
+        repeat_share: share of the refusals that it writes once more.
 
     Attributes:
         runs: the requests that it has begun to run.
@@ -64,6 +75,7 @@
         work_s: float,
         faulty_share: float,
         address: Address = Address("127.0.0.1", 0),
+        repeat_share: float = 0.0,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -72,6 +84,7 @@
         self.rng = rng
         self.work_s = work_s
         self.faulty_share = faulty_share
+        self.repeat_share = repeat_share
         self.runs: list[Run] = []
         self._socks: set[socket.socket] = set()
         self._lock = threading.Lock()
@@ -98,6 +111,15 @@
         with self._lock:
             return self.rng.uniform(0.0, most_s)
 
+    def draw_repeat(self) -> Repeat:
+        """Return when the next refusal is written once more."""
+        if not self.repeat_share:
+            return Repeat.NEVER
+        with self._lock:
+            if self.rng.random() >= self.repeat_share:
+                return Repeat.NEVER
+            return self.rng.choice((Repeat.SOON, Repeat.WITH_NEXT_REQUEST))
+
     def record_run(self, request_id: bytes) -> None:
         """Note that a request has begun to run."""
         run = Run(time.monotonic(), self.name, request_id.decode("latin-1"))
@@ -148,15 +170,19 @@
         self._owner = owner
         self._sock = sock
         self._data = b""
+        # A refusal that is written once more as the next request comes.
+        self._left_over = b""
 
     def serve_next(self) -> bool:
         """Serve one request, and return whether the connection is kept."""
         req = self._receive_head()
         if req is None:
             return False
+        left_over, self._left_over = self._left_over, b""
+        self._write(left_over)
         if req.expected and req.expected.decode() != self._owner.name:
             self._read_body(req)
-            self._write(self._message(421, req.id))
+            self._write_refusal(self._message(421, req.id))
             return True
         behaviour: Callable[[_Request], None] = getattr(
             self, self._owner.draw_behaviour()
@@ -197,6 +223,16 @@
     def _write(self, data: bytes) -> None:
         self._sock.sendall(data)
 
+    def _write_refusal(self, data: bytes) -> None:
+        """Write a refusal, and at times the same bytes once more."""
+        self._write(data)
+        repeat = self._owner.draw_repeat()
+        if repeat is Repeat.SOON:
+            time.sleep(self._owner.draw_delay(REPEAT_DELAY_S))
+            self._write(data)
+        elif repeat is Repeat.WITH_NEXT_REQUEST:
+            self._left_over = data
+
     @staticmethod
     def _message(
         status: int, request_id: bytes, body: bytes = b"", fields: bytes = b""
@@ -230,7 +266,7 @@
     def refuse(self, req: _Request) -> None:
         """Reject the request once it has been read."""
         self._read_body(req)
-        self._write(self._not_executed(503, req.id))
+        self._write_refusal(self._not_executed(503, req.id))
 
     def refuse_early(self, req: _Request) -> None:
         """Reject the request before its body, and read that afterwards."""
@@ -242,7 +278,7 @@
         """Reject the request after it has waited here."""
         self._read_body(req)
         time.sleep(self._owner.draw_delay(0.5))
-        self._write(self._not_executed(429, req.id))
+        self._write_refusal(self._not_executed(429, req.id))
 
     def refuse_and_close(self, req: _Request) -> None:
         """Reject the request and close the connection without reading the body."""
--- a/soak/once.py
+++ b/soak/once.py
@@ -4,6 +4,7 @@
 hosts of another checkout, or those of several in turn.
 """
 
+import functools
 import json
 import random
 import signal
@@ -34,6 +35,10 @@
 ZONES = ("zone-a", "zone-b")
 WORK_S = 0.06
 FAULTY_SHARE = 0.35
+REPEAT_SHARE = 0.6
+# How long the entry of an ended instance stays, and how many appear at a time.
+STALE_ENTRY_S = 2.0
+STALE_ENTRIES = 5
 CUT_MODES = ("hang", "reset", "refuse-new")
 # Ample retries, so that repeats happen as often as they may.
 BOUNDS = ("drainS=2", "graceS=6", "retryBudgetRatio=2", "budgetSlack=500")
@@ -195,6 +200,8 @@
         program: program that the entry hosts run.
         changes_kinds: whether routes turn non-idempotent, at times beside a host that
             is paused or cut from the store.
+        keeps_entries: whether entries of ended instances stay, or appear, at the
+            addresses of running ones, and instances repeat refusals.
 
     Attributes:
         site: store and hosts.
@@ -210,6 +217,7 @@
         behaviours: tuple[str, ...] = BEHAVIOURS,
         program: str = PROGRAM,
         changes_kinds: bool = False,
+        keeps_entries: bool = False,
     ) -> None:
         self._seed = seed
         self._rng = random.Random(seed)
@@ -221,6 +229,7 @@
         # The newest route that has turned non-idempotent; the next one has not yet.
         self._turned_route = 0
         self.changes_kinds = changes_kinds
+        self._keeps_entries = keeps_entries
         self._ended: list[FaultyInstance] = []
         self._lock = threading.RLock()
         self.prefix = f"{self._rng.getrandbits(16):04x}"
@@ -249,6 +258,7 @@
             WORK_S,
             FAULTY_SHARE,
             address,
+            REPEAT_SHARE if self._keeps_entries else 0.0,
         )
         self.site.store.put("servers", one.name, **one.directory_entry())
         return one
@@ -382,6 +392,8 @@
             kinds += [self._cut] * 2
         if self.changes_kinds:
             kinds += [self._change_kind] * 4
+        if self._keeps_entries:
+            kinds += [self._restart_instance, self._add_stale_entries] * 4
         self._rng.choice(kinds)()
 
     def _pause(self) -> None:
@@ -409,14 +421,14 @@
         names = " ".join(host.name for host in hosts)
         self._start(f"{names} cut ({mode}) {seconds} s", run)
 
-    def _end_instance(self) -> None:
+    def _end_instance(self, keeps_entry: bool = False) -> None:
         """Crash an instance, whose port another one has at once."""
         with self._lock:
             index = self._rng.randrange(len(self.instances))
             ended = self.instances[index]
             ended.end()
             self._ended.append(ended)
-            self.site.store.delete("servers", ended.name)
+            self._remove_entry(ended.name, STALE_ENTRY_S if keeps_entry else 0.0)
             service = self._rng.choice(("jobs", ended.service))
             try:
                 self.instances[index] = self._start_instance(service, ended.address)
@@ -429,6 +441,28 @@
             f" {started.name} ({service}) starts at {started.address}"
         )
 
+    def _remove_entry(self, name: str, delay_s: float) -> None:
+        delete = functools.partial(self.site.store.delete, "servers", name)
+        if not delay_s:
+            delete()
+            return
+        timer = threading.Timer(delay_s, delete)
+        timer.start()
+        self._threads.append(timer)
+
+    def _restart_instance(self) -> None:
+        """Crash an instance, whose entry stays for a while."""
+        self._end_instance(keeps_entry=True)
+
+    def _add_stale_entries(self) -> None:
+        """Let entries of ended instances appear at addresses of running ones."""
+        with self._lock:
+            for one in self._rng.sample(self.instances, STALE_ENTRIES):
+                self._names += 1
+                name = f"i-{self.prefix}-{self._names}"
+                self.site.store.put("servers", name, **one.directory_entry())
+                self._remove_entry(name, STALE_ENTRY_S)
+
     def _reset_instances(self) -> None:
         one = self._rng.choice(self.instances)
         self._start(f"{one.name} resets its connections", one.reset_connections)
@@ -538,6 +572,7 @@
             behaviours,
             FLAGS.program,
             FLAGS.changes_kinds,
+            FLAGS.keeps_entries,
         )
         try:
             return soak.run(FLAGS.length_s)
@@ -557,5 +592,6 @@
     flags.DEFINE_list("checkout", [str(ROOT)], "Checkouts of the entry hosts.")
     flags.DEFINE_string("program", PROGRAM, "Program that the entry hosts run.")
     flags.DEFINE_bool("changes_kinds", False, "Whether routes turn non-idempotent.")
+    flags.DEFINE_bool("keeps_entries", False, "Whether entries of instances stay.")
     flags.DEFINE_list("more", [], "Further behaviours of instances.")
     sys.exit(app.run(main))
