Log each send of a request with its connection and what that had carried

First sends are left out for methods that are safe by HTTP, and beyond 200 a second; dogwoodtack_sends_total counts all. In dogwoodtackd, too.

--- a/dogwoodtack/backends/__init__.py
+++ b/dogwoodtack/backends/__init__.py
@@ -3,6 +3,7 @@
 from .connection import (
     BackendConnection,
     ConnectionOwner,
+    ConnectionUse,
     Header,
     OutgoingHead,
     ResponseHead,
@@ -14,6 +15,7 @@
     "BackendConnection",
     "ConnectionOwner",
     "ConnectionPool",
+    "ConnectionUse",
     "Header",
     "NO_REUSE",
     "OutgoingHead",
--- a/dogwoodtack/backends/connection.py
+++ b/dogwoodtack/backends/connection.py
@@ -4,6 +4,7 @@
 is closed and never reused, so a response can only reach the request it is for.
 """
 
+import itertools
 import re
 import socket
 from collections.abc import Callable
@@ -20,6 +21,7 @@
 __all__ = [
     "BackendConnection",
     "ConnectionOwner",
+    "ConnectionUse",
     "Header",
     "OutgoingHead",
     "ResponseHead",
@@ -66,6 +68,22 @@
         return None
 
 
+class ConnectionUse(NamedTuple):
+    """What a connection was used for until now; the field names are those in logs.
+
+    Attributes:
+        address: the other end.
+        connection: number of the connection, unique within its process.
+        carried: how many requests were sent on it.
+        last: id of the last one of these that had an id.
+    """
+
+    address: Address
+    connection: int
+    carried: int
+    last: str
+
+
 class ResponseRules(NamedTuple):
     """What a connection accepts as the response to its request.
 
@@ -117,8 +135,13 @@
             owner sets it.
     """
 
+    _numbers = itertools.count(1)
+
     def __init__(self, reactor: Reactor, sock: socket.socket, address: Address) -> None:
         self.address = address
+        self._number = next(self._numbers)
+        self._requests = 0
+        self._last_request_id = b""
         self._clock = reactor.clock
         self._owner: ConnectionOwner | None = None
         self._h11 = self._new_h11_connection()
@@ -144,6 +167,12 @@
             h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
         )
 
+    @property
+    def use(self) -> ConnectionUse:
+        """Return what the connection was used for until now."""
+        last = self._last_request_id.decode("latin-1")
+        return ConnectionUse(self.address, self._number, self._requests, last)
+
     @property
     def is_open(self) -> bool:
         """Return whether the connection is open."""
@@ -174,6 +203,7 @@
         owner: ConnectionOwner,
         body: bytes = b"",
         rules: ResponseRules = STRICT_RULES,
+        request_id: bytes = b"",
     ) -> None:
         """Send a request's head and the available start of its body.
 
@@ -182,6 +212,7 @@
             owner: receives the response.
             body: the body or its first piece.
             rules: what is accepted as the response.
+            request_id: the request's id, empty if it has none.
 
         Raises:
             WireError: the head is not valid HTTP; nothing was sent, and the
@@ -196,6 +227,8 @@
         self._skipped_bytes = 0
         self._written_before_bytes = self._stream.written_bytes
         self.was_used = True
+        self._requests += 1
+        self._last_request_id = request_id or self._last_request_id
         try:
             request = h11.Request(
                 method=head.method, target=head.target, headers=head.headers
--- a/dogwoodtack/entry/attempt.py
+++ b/dogwoodtack/entry/attempt.py
@@ -7,6 +7,7 @@
     NO_REUSE,
     BackendConnection,
     ConnectionPool,
+    ConnectionUse,
     Header,
     OutgoingHead,
     ResponseHead,
@@ -108,6 +109,8 @@
         target: where the request is sent.
         on_connect: called with whether the target accepted the connection, if a new
             one is needed.
+        on_send: called with the attempt, right before its request is sent, and what
+            its connection was used for.
         on_end: called once with the attempt and its result, unless it is cancelled.
     """
 
@@ -120,6 +123,7 @@
         notices: NoticeReader,
         target: AttemptTarget,
         on_connect: Callable[[bool], None],
+        on_send: Callable[["Attempt", ConnectionUse], None],
         on_end: Callable[["Attempt", AttemptResult], None],
     ) -> None:
         self.target = target
@@ -131,6 +135,7 @@
         self._header_names = header_names
         self._notices = notices
         self._on_connect = on_connect
+        self._on_send = on_send
         self._on_end: Callable[[Attempt, AttemptResult], None] | None = on_end
         self._conn: BackendConnection | None = None
         self._req: OutgoingRequest | None = None
@@ -207,6 +212,11 @@
                 else AttemptOutcome.NOT_SENT
             )
             return
+        self._on_send(self, conn.use)
+        if self._on_end is None:
+            # The request has ended meanwhile.
+            conn.close()
+            return
         now = self._reactor.clock.monotonic()
         self._conn = conn
         self._reused = conn.was_used
@@ -218,7 +228,9 @@
         )
         out = OutgoingHead(self._req.method, self._req.target, self._headers(now))
         try:
-            conn.send_request(out, self, self._next_piece(), rules)
+            conn.send_request(
+                out, self, self._next_piece(), rules, self._req.request_id
+            )
         except WireError:
             self._conn = None
             self._finish(AttemptOutcome.NOT_SENT)
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from ..backends import ConnectionPool
+from ..backends import ConnectionPool, ConnectionUse
 from ..errors import ErrorKind, Outcome, answer_for
 from ..fleet import Fleet
 from ..frontend.conn import RequestHead, ServerConn
@@ -57,8 +57,8 @@
     AttemptRecord,
     RequestLog,
     RequestLogEntry,
-    Resend,
     RetryEvidence,
+    Send,
 )
 from .wire import HeaderNames, find_header, parse_retry_after
 
@@ -509,7 +509,6 @@
             ),
             call_later(self._hedge_delay_s(service_time_s), self._on_hedge_timer),
         ]
-        self._log_resend(instance.id)
         self._in_flight[attempt] = timers
         deps.fleet.report_instance(instance.id, None)
         max_idle_s = MAX_REUSE_IDLE_S
@@ -532,6 +531,7 @@
             deps.notices,
             target,
             on_connect,
+            self._on_send,
             self._on_attempt_end,
         )
 
@@ -567,7 +567,6 @@
             AttemptTarget(host.name, host.handover_address, [left_header], None, left),
             _ignore_connect,
         )
-        self._log_resend(host.name)
         service_time_s = deps.placer.service_time_s(self._service)
         hedge_delay_s = self._hedge_delay_s(service_time_s)
         self._in_flight[attempt] = [
@@ -730,29 +729,31 @@
             and self._has_attempts_left()
         )
 
-    def _log_resend(self, target: str) -> None:
-        """Log that the request is sent to a target, unless it is the first one."""
-        targets = [
+    @_isolated
+    def _on_send(self, attempt: Attempt, use: ConnectionUse) -> None:
+        """Log that the request is sent, and which attempt was before."""
+        earlier = [
             (one.target, str(one.outcome))
             for one in self._attempt_records
             if one.outcome not in UNSENT_OUTCOMES
         ]
-        targets += [(one.target.name, "in-flight") for one in self._in_flight]
-        if not targets:
-            return
-        after, outcome = targets[-1]
-        resend = Resend(
+        earlier += [
+            (one.target.name, "in-flight") for one in self._in_flight if one.bytes_sent
+        ]
+        after, outcome = earlier[-1] if earlier else ("", "")
+        send = Send(
             request=self._request_id.decode("latin-1"),
             method=self._head.method,
-            target=target,
-            attempt=len(targets) + 1,
+            target=attempt.target.name,
+            attempt=len(earlier) + 1,
             after=after,
             outcome=outcome,
             kind=str(self._repeats.kind),
             prefix=self._route.prefix,
             version=self._repeats.version,
+            use=use,
         )
-        self._deps.request_log.add_resend(resend)
+        self._deps.request_log.add_send(send)
 
     def _log_retry(self, result: AttemptResult) -> None:
         evidence = RetryEvidence(
--- a/dogwoodtack/entry/explain.py
+++ b/dogwoodtack/entry/explain.py
@@ -34,7 +34,7 @@
     Attributes:
         lines: every log line with the request's id, ordered by time.
         cause: a sentence on why the request ended as it did.
-        tries: a sentence for each attempt, and for each time it was sent once more.
+        tries: a sentence for each attempt, and for each time it was sent.
     """
 
     lines: list[str]
@@ -66,18 +66,18 @@
         for line in found
     ]
     ends = [fields for fields in events if fields.get("event") == "request"]
-    resends = [
-        _resend_text(fields)
+    sends = [
+        _send_text(fields)
         for fields in events
-        if fields.get("event") == "request-resent"
+        if fields.get("event") in ("request-sent", "request-resent")
     ]
     if not ends:
-        return Explanation(found, UNFINISHED, resends)
+        return Explanation(found, UNFINISHED, sends)
     attempts = [text for text in ends[-1].get("tries", "").split("|") if text]
     return Explanation(
         found,
         _cause(ends[-1], attempts),
-        [_attempt_text(attempt) for attempt in attempts] + resends,
+        [_attempt_text(attempt) for attempt in attempts] + sends,
     )
 
 
@@ -98,13 +98,23 @@
     return "The request was served."
 
 
-def _resend_text(fields: dict[str, str]) -> str:
-    return (
+def _send_text(fields: dict[str, str]) -> str:
+    text = (
         f"sent by {fields.get('node')} to {fields.get('target')} as attempt"
-        f" {fields.get('attempt')}, as {fields.get('after')} ended with"
-        f" {fields.get('outcome')}; requests below {fields.get('prefix')} are"
-        f" {fields.get('kind')} in version {fields.get('version')}"
+        f" {fields.get('attempt')}"
+    )
+    if fields.get("after"):
+        text += f", as {fields['after']} ended with {fields.get('outcome')}"
+    text += (
+        f"; requests below {fields.get('prefix')} are {fields.get('kind')} in version"
+        f" {fields.get('version')}"
     )
+    if "connection" in fields:
+        text += (
+            f"; on connection {fields['connection']} to {fields.get('address')}, which"
+            f" had carried {fields.get('carried')} requests"
+        )
+    return f"{text}, the last one {fields['last']}" if fields.get("last") else text
 
 
 def _attempt_text(attempt: str) -> str:
--- a/dogwoodtack/entry/request_log.py
+++ b/dogwoodtack/entry/request_log.py
@@ -1,10 +1,12 @@
 """A rate-limited log line for each request, and the request metrics."""
 
+import enum
 from typing import NamedTuple
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from ..backends import ConnectionUse
 from ..clock import Clock
 from ..logs import log_event
 from ..misc import is_safe_method
@@ -13,18 +15,31 @@
     "AttemptRecord",
     "RequestLog",
     "RequestLogEntry",
-    "Resend",
     "RetryEvidence",
+    "Send",
 ]
 
-# Requests that failed or were retried have a higher limit of their own, so that the
-# others cannot crowd them out of the log.
-ROUTINE_LINES_PER_S = 20
-PROBLEM_LINES_PER_S = 200
 LATENCY_BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
 SUCCESS_STATUSES = range(200, 400)
 
 
+class LineLimit(enum.Enum):
+    """Lines of a sort that are written in one second at most.
+
+    Requests that failed or were retried have a limit of their own, so that the others
+    cannot crowd them out of the log.
+    """
+
+    ROUTINE = "routine", 20
+    PROBLEM = "problem", 200
+    SEND = "send", 200
+
+    @property
+    def lines_per_s(self) -> int:
+        """Return the limit."""
+        return self.value[1]
+
+
 class AttemptRecord(NamedTuple):
     """One attempt of a request.
 
@@ -97,19 +112,20 @@
     idle_ms: float
 
 
-class Resend(NamedTuple):
-    """A request that is about to be sent once more.
+class Send(NamedTuple):
+    """A request that is about to be sent.
 
     Attributes:
         request: id of the request.
         method: its HTTP method.
         target: id of the instance, or name of the entry host, that gets it.
-        attempt: number of this attempt, from 2 on.
-        after: the target of the attempt before.
-        outcome: how that attempt ended, or "in-flight".
+        attempt: number of this attempt, from 1 on.
+        after: the target of the attempt before, empty if there was none.
+        outcome: how that attempt ended, or "in-flight"; empty if there was none.
         kind: kind of the route's requests.
         prefix: path prefix of the route.
         version: version of the configuration that the route is taken from.
+        use: what the connection was used for until then.
     """
 
     request: str
@@ -121,6 +137,7 @@
     kind: str
     prefix: str
     version: int
+    use: ConnectionUse
 
 
 class RequestLog:
@@ -129,7 +146,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._current_second = 0
-        self._lines_this_second = {True: 0, False: 0}
+        self._lines_this_second = dict.fromkeys(LineLimit, 0)
         self.registry = Registry()
         self._requests = Counter(
             "dogwoodtack_requests_total",
@@ -141,6 +158,11 @@
             "Non-idempotent requests sent once more, by outcome and reused connection.",
             registry=self.registry,
         )
+        self._sends = Counter(
+            "dogwoodtack_sends_total",
+            "Requests sent, by kind and whether the connection had carried others.",
+            registry=self.registry,
+        )
         self._resends = Counter(
             "dogwoodtack_resends_total",
             "Requests sent once more, by kind and outcome of the attempt before.",
@@ -178,7 +200,8 @@
         self._requests.inc(labels)
         self._latency.observe({"kind": entry.kind}, entry.ms / 1000)
         is_routine = entry.status in SUCCESS_STATUSES and len(entry.tries) == 1
-        if not self._may_log(is_routine):
+        limit = LineLimit.ROUTINE if is_routine else LineLimit.PROBLEM
+        if not self._may_log(limit):
             self._dropped.inc({})
             return
         tries = "|".join(str(record) for record in entry.tries)
@@ -193,34 +216,49 @@
         self._retries.inc(labels)
         log_event("not-executed-retry", **evidence._asdict())
 
-    def add_resend(self, resend: Resend) -> None:
-        """Count a request that is sent once more, and log it before that is done.
+    def add_send(self, send: Send) -> None:
+        """Count a request that is about to be sent, and log it before that is done.
 
         The request's own line comes at its end, which a host that is killed does not
-        reach.  Only requests of safe methods are logged within the limits.
+        reach.  What is sent once more is logged without a limit, unless its method is
+        safe; the first send of a request with a safe method is not logged.
         """
-        self._resends.inc({"kind": resend.kind, "outcome": resend.outcome})
-        if is_safe_method(resend.method) and not self._may_log(is_routine=False):
-            self._dropped.inc({})
+        is_reused = str(send.use.carried > 0).lower()
+        self._sends.inc({"kind": send.kind, "reused": is_reused})
+        if send.attempt > 1:
+            self._resends.inc({"kind": send.kind, "outcome": send.outcome})
+        if not self._may_log_send(send):
             return
-        log_event("request-resent", **resend._asdict())
+        fields = {**send._asdict(), **send.use._asdict()}
+        del fields["use"]
+        log_event("request-sent" if send.attempt == 1 else "request-resent", **fields)
+
+    def _may_log_send(self, send: Send) -> bool:
+        is_safe = is_safe_method(send.method)
+        if is_safe and send.attempt == 1:
+            return False
+        if not is_safe and send.attempt > 1:
+            return True
+        may_log = self._may_log(LineLimit.PROBLEM if is_safe else LineLimit.SEND)
+        if not may_log:
+            self._dropped.inc({})
+        return may_log
 
     def add_repeated_id(self, request_id: str) -> None:
         """Count a request whose id came before, and log it within the limits."""
         self._repeated_ids.inc({})
-        if self._may_log(is_routine=False):
+        if self._may_log(LineLimit.PROBLEM):
             log_event("request-id-repeated", level="WARNING", request=request_id)
         else:
             self._dropped.inc({})
 
-    def _may_log(self, is_routine: bool) -> bool:
+    def _may_log(self, limit: LineLimit) -> bool:
         second = int(self._clock.monotonic())
         if second != self._current_second:
             self._current_second = second
-            self._lines_this_second = {True: 0, False: 0}
-        self._lines_this_second[is_routine] += 1
-        limit = ROUTINE_LINES_PER_S if is_routine else PROBLEM_LINES_PER_S
-        return self._lines_this_second[is_routine] <= limit
+            self._lines_this_second = dict.fromkeys(LineLimit, 0)
+        self._lines_this_second[limit] += 1
+        return self._lines_this_second[limit] <= limit.lines_per_s
 
     def render(self, state: dict[str, float]) -> bytes:
         """Return the metrics in the Prometheus text format.
--- a/dogwoodtack/entry/tests/test_attempt.py
+++ b/dogwoodtack/entry/tests/test_attempt.py
@@ -23,7 +23,15 @@
     target = AttemptTarget("i-1", None, [], None)
     names = mock.Mock(deadline_ms=b"deadline")
     attempt = Attempt(
-        reactor, pool, buffers, names, mock.Mock(), target, mock.Mock(), on_end
+        reactor,
+        pool,
+        buffers,
+        names,
+        mock.Mock(),
+        target,
+        mock.Mock(),
+        mock.Mock(),
+        on_end,
     )
     attempt.start(OutgoingRequest(b"1", b"GET", b"/", [], b""), 1.0, 1.0)
     pool.acquire.call_args.args[1](mock.Mock(idle_since=0.0), None)
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -10,7 +10,7 @@
 
 from nose2.tools import params
 
-from dogwoodtack.backends import ResponseHead
+from dogwoodtack.backends import ConnectionUse, ResponseHead
 from dogwoodtack.entry.buffers import RequestBuffers, ResponseBuffers
 from dogwoodtack.entry.evidence import Evidence
 from dogwoodtack.entry.exchange import Exchange, ExchangeDependencies
@@ -129,10 +129,14 @@
     is_full = False
     is_open = True
 
+    @property
+    def use(self):
+        return ConnectionUse(self.address, 1, int(self.was_used), "")
+
     def send_body(self, data):
         pass
 
-    def send_request(self, out, owner, body, rules):
+    def send_request(self, out, owner, body, rules, request_id):
         self.owner = owner
         self._serve(self, out)
 
@@ -480,15 +484,13 @@
         ("POST", "/book/", ["shed"], ["not-executed"]),
         ("POST", "/book/", ["error"], []),
     )
-    def test_each_further_send_is_logged_before_it(
-        self, method, target, behaviours, outcomes
-    ):
+    def test_each_send_is_logged_before_it(self, method, target, behaviours, outcomes):
         """Nothing was logged of a booking that had run twice at a killed host."""
         world = World(1)
         world.behaviours = behaviours
         host = world.hosts[0]
         events = []
-        host.request_log.add_resend.side_effect = events.append
+        host.request_log.add_send.side_effect = events.append
 
         def serve(conn, out):
             events.append("sent")
@@ -500,13 +502,15 @@
         host._deps.pool.acquire = acquire
         host.start(request_head(method, target), lambda status, headers, body: None)
         world.reactor.run_for(2.0)
-        logged = [one for one in events if one != "sent"]
-        self.assertGreaterEqual(len(logged), len(outcomes))
-        self.assertEqual([one.outcome for one in logged][: len(outcomes)], outcomes)
-        for number, one in enumerate(logged, 2):
+        self.assertEqual(events[1::2], ["sent"] * (len(events) // 2))
+        logged = events[::2]
+        self.assertGreaterEqual(len(logged), 1 + len(outcomes))
+        found = [one.outcome for one in logged]
+        self.assertEqual(found[: 1 + len(outcomes)], ["", *outcomes])
+        for number, one in enumerate(logged, 1):
             self.assertEqual((one.request, one.attempt), ("id", number))
-            self.assertIn("sent", events[: events.index(one)])
             self.assertNotEqual(one.target, one.after)
+            self.assertIn(one.use.address, world.instance_addresses)
 
 
 class StopTest(unittest.TestCase):
--- a/dogwoodtack/entry/tests/test_explain_and_idle_limit.py
+++ b/dogwoodtack/entry/tests/test_explain_and_idle_limit.py
@@ -68,6 +68,21 @@
         self.assertEqual(explanation.cause, "The request was served.")
         self.assertIn("i-2", explanation.tries[0])
 
+    @params(("request-sent", 1, "i-1", ""), ("request-resent", 2, "i-2", "i-1"))
+    def test_connection_of_each_send_is_told(self, event, attempt, target, after):
+        """Nothing told that two attempts of a booking had shared a connection."""
+        line = (
+            f"2026-12-04T01:00:01.000+00:00 level=INFO node=h-1 event={event} "
+            f"request=00ad method=POST target={target} attempt={attempt} "
+            f'after="{after}" outcome=misdirected kind=unsafe prefix=/sign/ version=7 '
+            "address=10.2.0.1:8365 connection=12 carried=3 last=00ad"
+        )
+        text = explain_request([line], "00ad").tries[0]
+        self.assertIn(f"to {target} as attempt {attempt}", text)
+        self.assertEqual("as i-1 ended with misdirected" in text, bool(after))
+        self.assertIn("on connection 12 to 10.2.0.1:8365", text)
+        self.assertIn("had carried 3 requests, the last one 00ad", text)
+
     def test_unknown_request_has_no_explanation(self):
         self.assertIsNone(explain_request([make_line()], "00af"))
 
--- a/dogwoodtack/frontend/attempt.py
+++ b/dogwoodtack/frontend/attempt.py
@@ -2,7 +2,13 @@
 
 from typing import Protocol
 
-from ..backends import BackendConnection, ConnectionPool, OutgoingHead, ResponseHead
+from ..backends import (
+    BackendConnection,
+    ConnectionPool,
+    ConnectionUse,
+    OutgoingHead,
+    ResponseHead,
+)
 from ..errors import ErrorKind, WireError
 from ..limits import Slot
 from ..reactor import Reactor, Timer
@@ -29,6 +35,9 @@
     def on_attempt_drained(self, attempt: "Attempt") -> None:
         """Continue: more of the request's body may be sent."""
 
+    def on_attempt_send(self, attempt: "Attempt", use: ConnectionUse) -> None:
+        """Handle that the request is about to be sent on a connection."""
+
     def on_attempt_head_sent(self, attempt: "Attempt") -> None:
         """Handle that the request's head was sent."""
 
@@ -129,10 +138,13 @@
         if error is not None:
             self._fail(error)
             return
+        self._owner.on_attempt_send(self, conn.use)
         self._conn = conn
         self._must_be_named = self._must_be_named and conn.was_used
         try:
-            conn.send_request(self._out, self, self._body or b"")
+            conn.send_request(
+                self._out, self, self._body or b"", request_id=self.request_id.encode()
+            )
         except WireError as exc:
             self._fail(exc)
             return
--- a/dogwoodtack/frontend/exchange.py
+++ b/dogwoodtack/frontend/exchange.py
@@ -6,7 +6,7 @@
 from functools import singledispatchmethod
 from typing import NamedTuple
 
-from ..backends import ConnectionPool, OutgoingHead, ResponseHead
+from ..backends import ConnectionPool, ConnectionUse, OutgoingHead, ResponseHead
 from ..burn import BurnTracker, RequestResult
 from ..catalog import Catalog, Match
 from ..draining import DrainingInstances
@@ -363,7 +363,6 @@
             )
             return
         self._attempt_count += 1
-        self._log_resend(slot.instance.name)
         self._tried_instances.add(slot.instance.name)
         timeout_s = left_s
         if self._attempt_count == 1 and self._should_reserve_retry_time():
@@ -380,21 +379,24 @@
         )
         self._attempt.start(out, body, self._is_idempotent)
 
-    def _log_resend(self, target: str) -> None:
-        """Log before it is sent that a request goes to one more instance."""
-        if not self._has_reached_backend:
+    def on_attempt_send(self, attempt: Attempt, use: ConnectionUse) -> None:
+        """Log a send that is not the first one, or of a method that is not safe."""
+        is_resent = self._has_reached_backend
+        if not is_resent and is_safe_method(self._head.method):
             return
-        last, service = self._attempt_records[-1], self._match.service.name
+        service = self._match.service.name
+        last = self._attempt_records[-1] if is_resent else None
         log_event(
-            "request-resent",
+            "request-resent" if is_resent else "request-sent",
             request=self.request_id,
             method=self._head.method,
-            target=target,
+            target=attempt.slot.instance.name,
             attempt=self._attempt_count,
-            after=last.instance,
-            outcome=last.kind,
+            after=last.instance if last else "",
+            outcome=last.kind if last else "",
             service=service,
             version=self._deps.catalog.version(service),
+            **use._asdict(),
         )
 
     def on_attempt_head_sent(self, attempt: Attempt) -> None:
