--- a/tests/scripted_instance.py
+++ b/tests/scripted_instance.py
@@ -21,6 +21,7 @@
         target: its path and query.
         body: its body.
         is_first: whether it is the first one on its connection.
+        expected: id of the instance that it is for.
     """
 
     id: bytes
@@ -28,6 +29,7 @@
     target: bytes
     body: bytes
     is_first: bool
+    expected: bytes
 
 
 class ScriptedInstance:
@@ -57,9 +59,9 @@
         """Accept no more connections."""
         self._listener.close()
 
-    def directory_entry(self, service: str) -> dict[str, Any]:
+    def directory_entry(self, service: str, zone: str = "zone-a") -> dict[str, Any]:
         """Return the `spec` and `status` of its entry in the service directory."""
-        info = {"service": service, "version": "v1", "zone": "zone-a", "slots": 2}
+        info = {"service": service, "version": "v1", "zone": zone, "slots": 2}
         status = {"state": "ready", "sequence": 1, "warmupLeftS": 0}
         spec = {"address": str(self.address), "info": info, "born": BORN_MS}
         return {"spec": spec, "status": status}
@@ -105,7 +107,8 @@
             received += piece
         method, target, _ = lines[0].split(b" ")
         request_id = fields.get(b"x-dogwoodtack-request-id", b"")
-        return Request(request_id, method, target, bytes(received), is_first)
+        expected = fields.get(b"x-dogwoodtack-expected-instance", b"")
+        return Request(request_id, method, target, bytes(received), is_first, expected)
 
 
 def message(
