Send no request twice on one connection

Cause: tried instances are excluded by id, connections are pooled by address. Where an instance has started again under a new id and its old entry is still there, a request goes to both entries on one connection. Its id names both attempts, so that a refusal of the first one that the instance writes once more is taken for the response to the second, which runs; then a third instance runs it, too.

Now a connection knows the ids that it has carried, and a request that it has carried gets another one; it is closed after 128 requests, so that it knows all of them. So a response that names a request on a connection can only be about the one time that it was sent there. The same rule takes the place of the new connection for each id seen among the last 4,096: it also covers older ids, and the connections between hosts. dogwoodtackd, whose ids name the attempt, asks its pool in the same way.

--- a/dogwoodtack/backends/connection.py
+++ b/dogwoodtack/backends/connection.py
@@ -2,6 +2,9 @@
 
 A connection whose response was cut, late, malformed or followed by unexpected bytes
 is closed and never reused, so a response can only reach the request it is for.
+
+It carries no two requests with one id: an id tells requests apart but not attempts, and
+a response that is written once more would be taken for the one to a later attempt.
 """
 
 import itertools
@@ -34,6 +37,8 @@
 # Bounds what is read while the response to the request has not begun.
 MAX_INFORMATIONAL_HEADS = 32
 MAX_SKIPPED_BYTES = 32 * 1024 * 1024
+# Bounds the memory of the ids of a connection's requests.
+MAX_REQUESTS = 128
 BODILESS_STATUSES = frozenset({204, 304})
 # Where an earlier response breaks off in its head and another one follows, that one's
 # status line stands in a value or in the reason of the first.
@@ -141,6 +146,8 @@
         self.address = address
         self._number = next(self._numbers)
         self._requests = 0
+        # Hashes, as callers choose how long an id is; equal ones cost a connection.
+        self._request_ids: set[int] = set()
         self._last_request_id = b""
         self._clock = reactor.clock
         self._owner: ConnectionOwner | None = None
@@ -173,6 +180,10 @@
         last = self._last_request_id.decode("latin-1")
         return ConnectionUse(self.address, self._number, self._requests, last)
 
+    def has_carried(self, request_id: bytes) -> bool:
+        """Return whether a request with an id was sent on it."""
+        return hash(request_id) in self._request_ids
+
     @property
     def is_open(self) -> bool:
         """Return whether the connection is open."""
@@ -228,7 +239,9 @@
         self._written_before_bytes = self._stream.written_bytes
         self.was_used = True
         self._requests += 1
-        self._last_request_id = request_id or self._last_request_id
+        if request_id:
+            self._request_ids.add(hash(request_id))
+            self._last_request_id = request_id
         try:
             request = h11.Request(
                 method=head.method, target=head.target, headers=head.headers
@@ -406,7 +419,8 @@
         owner.on_end()
 
     def _make_reusable(self) -> None:
-        if self._sender.our_state is not h11.DONE:
+        is_worn_out = self._requests >= MAX_REQUESTS
+        if is_worn_out or self._sender.our_state is not h11.DONE:
             self._stream.close()
             return
         try:
--- a/dogwoodtack/backends/pool.py
+++ b/dogwoodtack/backends/pool.py
@@ -41,6 +41,7 @@
         fresh: bool = False,
         max_idle_s: float = MAX_IDLE_S,
         only_naming: bool = False,
+        request_id: bytes = b"",
     ) -> None:
         """Pass an idle or a new connection to `on_connection(conn, exc)`.
 
@@ -55,24 +56,32 @@
                 for a new connection.
             only_naming: whether to reuse only a connection whose last response named
                 its request, so that the next one is known by that, too.
+            request_id: id of the request to send; a connection that has carried it is
+                left to other requests.
         """
         conn = None
         if fresh or max_idle_s != NO_REUSE:
             max_idle_s = RECENT_IDLE_S if fresh else max_idle_s
-            conn = self._pop_idle(address, max_idle_s, only_naming)
+            conn = self._pop_idle(address, max_idle_s, only_naming, request_id)
         if conn is not None:
             on_connection(conn, None)
             return
         self._dial(address, on_connection)
 
     def _pop_idle(
-        self, address: Address, max_idle_s: float, only_naming: bool = False
+        self,
+        address: Address,
+        max_idle_s: float,
+        only_naming: bool = False,
+        request_id: bytes = b"",
     ) -> BackendConnection | None:
         idle = self._idle.get(address, deque())
         now = self._reactor.clock.monotonic()
         for conn in reversed(list(idle)):
             if only_naming and not conn.names_requests:
                 continue
+            if request_id and conn.has_carried(request_id):
+                continue
             idle.remove(conn)
             if now - conn.idle_since <= max_idle_s and conn.is_quiet:
                 return conn
--- a/dogwoodtack/backends/tests/test_pool.py
+++ b/dogwoodtack/backends/tests/test_pool.py
@@ -2,11 +2,12 @@
 
 import socket
 import unittest
+from unittest import mock
 
 from nose2.tools import params
 
 from dogwoodtack.backends import ConnectionPool, OutgoingHead
-from dogwoodtack.backends.connection import BackendConnection
+from dogwoodtack.backends.connection import MAX_REQUESTS, BackendConnection
 from dogwoodtack.errors import ErrorKind, WireError
 from dogwoodtack.misc import Address
 from dogwoodtack.reactor import Reactor
@@ -75,6 +76,33 @@
         self.reactor.now = 2.0
         self.assertIsNone(self.pool._pop_idle(ADDRESS, 1.0))
 
+    @params((b"", True), (b"id-1", False), (b"id-2", True))
+    def test_connection_that_has_carried_an_id_is_left_to_others(self, id_, is_reused):
+        """Two attempts of a booking shared a connection, and it ran twice."""
+        self.send_request(b"id-1")
+        self.pool.release(self.conn)
+        reused = self.pool._pop_idle(ADDRESS, 30.0, request_id=id_)
+        self.assertEqual(reused, self.conn if is_reused else None)
+        self.assertTrue(self.conn.is_open)
+
+    @params((MAX_REQUESTS - 1, True), (MAX_REQUESTS, False))
+    def test_connection_is_closed_after_its_last_request(self, requests, is_open):
+        """The ids that it has carried are known as long as it is used."""
+        for number in range(requests):
+            self.assertTrue(self.conn.is_open)
+            self.send_request(b"%d" % number)
+        self.assertEqual(self.conn.is_open, is_open)
+        self.assertTrue(self.conn.has_carried(b"0"))
+        self.assertEqual(self.conn.use.carried, requests)
+
+    def send_request(self, request_id):
+        """Send a request and receive a complete response."""
+        head = OutgoingHead(b"GET", b"/", [(b"host", b"x")])
+        self.conn.send_request(head, mock.Mock(), request_id=request_id)
+        self.conn.end_body()
+        self.far.recv(65536)
+        self.conn.on_bytes(UNEXPECTED_RESPONSE)
+
     def test_invalid_request_head_is_not_sent(self):
         invalid_head = OutgoingHead(b"GET", b"/a b", [(b"host", b"x")])
         with self.assertRaises(WireError) as caught:
--- a/dogwoodtack/entry/attempt.py
+++ b/dogwoodtack/entry/attempt.py
@@ -45,7 +45,6 @@
         target: path and query.
         headers: headers that every attempt sends.
         body: the complete body.
-        is_id_unique: whether no other request with its id came to this host before.
     """
 
     request_id: bytes
@@ -53,7 +52,6 @@
     target: bytes
     headers: list[Header]
     body: bytes | bytearray
-    is_id_unique: bool = True
 
 
 class AttemptTarget(NamedTuple):
@@ -171,11 +169,14 @@
         self._deadline = deadline
         wait_s = deadline - self._reactor.clock.monotonic()
         self._timer = self._reactor.call_later(wait_s, self._on_timeout)
-        if not req.request_id or not req.is_id_unique:
-            # No response can name this request alone, so it has to be the first one.
+        if not req.request_id:
+            # No response can name this request, so it has to be the first one.
             max_idle_s = NO_REUSE
         self._pool.acquire(
-            self.target.address, self._on_connection, max_idle_s=max_idle_s
+            self.target.address,
+            self._on_connection,
+            max_idle_s=max_idle_s,
+            request_id=req.request_id,
         )
 
     def cancel(self) -> None:
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -235,8 +235,7 @@
         self.is_done = False
         request_id = find_header(head.headers, deps.header_names.request_id) or b""
         self._request_id = request_id
-        self._is_id_unique = not request_id or not deps.recent_ids.add(request_id)
-        if not self._is_id_unique:
+        if request_id and deps.recent_ids.add(request_id):
             deps.request_log.add_repeated_id(request_id.decode("latin-1"))
 
     # Receiving the request.
@@ -306,7 +305,6 @@
             self._head.target.encode(),
             forwarded_headers(self._head, header_names, len(self._body)),
             self._body,
-            self._is_id_unique,
         )
         self._digest = request_digest(
             self._req.method, self._req.target, self._req.headers, self._req.body
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -99,7 +99,7 @@
         self._host = host
         self._serve = serve
 
-    def acquire(self, address, on_connection, max_idle_s):
+    def acquire(self, address, on_connection, max_idle_s, request_id):
         conn = FakeConn(self._world, address, self._serve)
         if self._host.paths.is_cut_off and address in self._world.instance_addresses:
             conn = None
@@ -446,7 +446,7 @@
             headers = [(HEADERS.request_id, b"id")]
             world.reactor.call_later(0.01, conn.respond, 500, headers, b".")
 
-        def acquire(address, on_connection, max_idle_s):
+        def acquire(address, on_connection, max_idle_s, request_id):
             on_connection(FakeConn(world, address, serve), None)
 
         host._deps.pool.acquire = acquire
@@ -496,7 +496,7 @@
             events.append("sent")
             world.serve_at_instance(conn, out)
 
-        def acquire(address, on_connection, max_idle_s):
+        def acquire(address, on_connection, max_idle_s, request_id):
             on_connection(FakeConn(world, address, serve), None)
 
         host._deps.pool.acquire = acquire
@@ -569,7 +569,7 @@
         exc = WireError(ErrorKind.HOST_EXHAUSTED, "too many open files")
         host.paths.on_connect = mock.Mock()
 
-        def acquire(address, on_connection, max_idle_s):
+        def acquire(address, on_connection, max_idle_s, request_id):
             world.reactor.call_soon(on_connection, None, exc)
 
         with mock.patch.object(host._deps.pool, "acquire", acquire):
--- a/dogwoodtack/frontend/attempt.py
+++ b/dogwoodtack/frontend/attempt.py
@@ -126,6 +126,7 @@
             self._on_connection,
             fresh=not is_idempotent,
             only_naming=not is_idempotent,
+            request_id=self.request_id.encode(),
         )
 
     def _on_connection(
