Tell other zones of crashes while no host of a zone reaches instances

Cause: when all instances are down at once, hosts count their paths to all of them as lost; such a host serves no more and was therefore not its zone's gateway either, so that no zone report left the zone, and what is news is told for 1.5 s only. Receiving zones without a serving host passed no report on either.

Now the first ready host of a zone reports while none reaches instances, without health estimates, which are out of date then; reports with crashes go to all hosts of the receiving zone, as each of them may get the request.

--- a/dogwoodtack/fleet/fleet.py
+++ b/dogwoodtack/fleet/fleet.py
@@ -123,8 +123,8 @@
 
     def is_zone_gateway(self) -> bool:
         """Return whether the local host sends its zone's reports to other zones."""
-        serving = self.serving_hosts()
-        return bool(serving) and serving[0] == self._peer_table.local_host
+        now = self._reactor.clock.monotonic()
+        return self._peer_table.reporting_host(now) == self._peer_table.local_host
 
     def _heartbeat_interval_s(self) -> float:
         now = self._reactor.clock.monotonic()
@@ -184,11 +184,13 @@
         now = self._reactor.clock.monotonic()
         local_host = self._peer_table.local_host
         hosts = self._reported_hosts()
+        # Without paths a host's estimates are out of date.
+        reaches_instances = self._peer_table.reaches_instances
         report = ZoneReport(
             local_host.zone,
             local_host.peer_address,
             self._placer.occupancy.own_zone_counts(),
-            self._placer.unhealthy_percentages(now),
+            self._placer.unhealthy_percentages(now) if reaches_instances else {},
             is_forwarded=False,
             rate_limits=self._placer.rate_limits.reports(now),
             hosts=hosts,
@@ -346,8 +348,10 @@
             return
         self._gateways.on_report(report.zone, report.gateway, now)
         local_host = self._peer_table.local_host
-        # All hosts of the zone need to know who serves elsewhere: here none may soon.
-        hosts = self._zone_hosts() if report.hosts else self.serving_hosts()
+        # All hosts of the zone need to know who serves elsewhere, as none of them may
+        # soon, and what instances have crashed under, as each may get such a request.
+        is_for_all = report.hosts is not None or report.crash_reports
+        hosts = self._zone_hosts() if is_for_all else self.serving_hosts()
         peers = [host.peer_address for host in hosts if host != local_host]
         self._datagrams.send(report._replace(is_forwarded=True), peers)
 
--- a/dogwoodtack/fleet/gateways.py
+++ b/dogwoodtack/fleet/gateways.py
@@ -2,7 +2,8 @@
 
 Traffic between zones is expensive and traffic within a zone is cheap.  So only the
 first serving host of a zone, its gateway, sends reports to other zones, to one host
-each, and that host forwards them within its own zone.
+each, and that host forwards them within its own zone.  While no host of a zone reaches
+the instances, its first ready one is the gateway.
 """
 
 from collections.abc import Iterable
--- a/dogwoodtack/fleet/peers.py
+++ b/dogwoodtack/fleet/peers.py
@@ -138,6 +138,19 @@
         reaching = self._reaching_list
         return reaching[: _serving_count(reaching, slots)]
 
+    def reporting_host(self, now: float) -> HostRecord | None:
+        """Return the host that reports to other zones: the first one that serves.
+
+        While no host of the zone reaches the instances it is the first ready one:
+        the other zones still have to know what instances have crashed under.
+
+        Args:
+            now: seconds on the monotonic clock.
+        """
+        self._update_ready_lists(now)
+        hosts = self._reaching_list or self._ready_list
+        return hosts[0] if hosts else None
+
     def directory_hosts(
         self, slots: int, now: float
     ) -> list[HostRecord] | list[ServingHost]:
