--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -462,6 +462,26 @@
         world.reactor.run_for(2.0)
         self.assertEqual((world.runs[b"id"], statuses), (1, [500]))
 
+    @params("pool", "host_pool")
+    def test_no_attempt_uses_a_connection_that_had_its_request(self, name):
+        """Two names of one host or instance shared a connection, and so an answer."""
+        world = World(1)
+        world.behaviours = ["shed"]
+        host = world.hosts[0]
+        host.paths.is_cut_off = name == "host_pool"
+        host._deps.fleet.handover_hosts = lambda exclude: [
+            one.record for one in world.hosts[1:] if one.record.name not in exclude
+        ]
+        pool = getattr(host._deps, name)
+        with mock.patch.object(pool, "acquire", wraps=pool.acquire) as acquire:
+            host.start(
+                request_head("POST", "/book/"), lambda status, headers, body: None
+            )
+            world.reactor.run_for(2.0)
+        asked = [call.kwargs["request_id"] for call in acquire.call_args_list]
+        self.assertTrue(asked)
+        self.assertEqual(set(asked), {b"id"})
+
     @params(("POST", "/book/", True), ("GET", "/look/", False))
     def test_evidence_of_a_retry_is_logged(self, method, target, is_logged):
         """Nothing told why a booking had been sent to a second instance."""
--- a/dogwoodtack/frontend/tests/test_responses.py
+++ b/dogwoodtack/frontend/tests/test_responses.py
@@ -203,6 +203,33 @@
         self.assertEqual(len(harness.requests), before + 1)
         self.assertEqual(self.outcome(peer)[1], "unknown")
 
+    @params(503, 429, 421)
+    def test_repeated_refusal_is_not_taken_for_the_next_attempts(self, status):
+        """Two names of one address shared a connection, and so a refusal."""
+        harness = self.start(backends=2)
+        address, other = (str(one.address) for one in harness.backends)
+        instances = [
+            {"name": name, "address": address, "slots": 1} for name in ("jt-0", "jt-1")
+        ]
+        instances.append({"name": "jt-2", "address": other, "slots": 1})
+        harness.change({"instances": instances})
+        refusal = SHED.replace(b"503", b"%d" % status)
+        refusal = refusal.replace(b"Content", b"X-Request-Id: cafe-1\r\nContent")
+        tokens = "dogwoodtack.frontend.exchange.new_token"
+        for _ in range(8):
+            first, second = harness.backends
+            first.replies = [Reply(refusal + b"0\r\n\r\n")]
+            second.replies = [Reply(NAMED_OK)]
+            before = len(first.requests), len(second.requests)
+            with mock.patch(tokens, return_value="cafe"):
+                peer = harness.send(POST)
+            sent = len(first.requests) - before[0], len(second.requests) - before[1]
+            if sent[0] == 2:
+                self.assertEqual(sent[1], 0)
+                self.assertEqual(self.outcome(peer)[1], "unknown")
+                return
+        self.fail("no request was sent to both names of the address")
+
     @params(
         # seconds to the end of a planned stop, limit of the request, status
         (0.3, b"", 503),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,6 +22,8 @@
     122,
 )
 KIND_SEEDS = (500, 501)
+# Bookings ran twice at addresses that entries of ended instances named, too.
+ENTRY_SEEDS = (1000, 1005)
 LENGTH_S = 8.0
 # Parts of refusals are drawn more often, so that a short run has enough of them.
 ONCE_BEHAVIOURS = BEHAVIOURS + 4 * ("answer_and_part",)
@@ -37,6 +39,10 @@
     def test_no_request_runs_twice_beside_changed_kinds(self, seed):
         self.check(OnceSoak(seed, changes_kinds=True))
 
+    @params(*ENTRY_SEEDS)
+    def test_no_booking_runs_twice_beside_entries_of_ended_instances(self, seed):
+        self.check(OnceSoak(seed, keeps_entries=True))
+
     @params(*ONCE_SEEDS)
     def test_no_booking_runs_twice_after_odd_responses(self, seed):
         self.check(OnceSoak(seed, behaviours=ONCE_BEHAVIOURS))
