Count only requests with ids against a connection's limit, and name log line classes

Control calls have no ids, so that their connections need not be closed after 128 calls. The limits of log lines are a table by class in place of pairs in an enumeration.

--- a/dogwoodtack/backends/connection.py
+++ b/dogwoodtack/backends/connection.py
@@ -37,8 +37,8 @@
 # Bounds what is read while the response to the request has not begun.
 MAX_INFORMATIONAL_HEADS = 32
 MAX_SKIPPED_BYTES = 32 * 1024 * 1024
-# Bounds the memory of the ids of a connection's requests.
-MAX_REQUESTS = 128
+# Requests with an id that a connection carries; bounds the memory of the ids.
+MAX_REQUEST_IDS = 128
 BODILESS_STATUSES = frozenset({204, 304})
 # Where an earlier response breaks off in its head and another one follows, that one's
 # status line stands in a value or in the reason of the first.
@@ -181,7 +181,7 @@
         return ConnectionUse(self.address, self._number, self._requests, last)
 
     def has_carried(self, request_id: bytes) -> bool:
-        """Return whether a request with an id was sent on it."""
+        """Return whether a request with this id was sent on the connection."""
         return hash(request_id) in self._request_ids
 
     @property
@@ -419,8 +419,8 @@
         owner.on_end()
 
     def _make_reusable(self) -> None:
-        is_worn_out = self._requests >= MAX_REQUESTS
-        if is_worn_out or self._sender.our_state is not h11.DONE:
+        is_full = len(self._request_ids) >= MAX_REQUEST_IDS
+        if is_full or self._sender.our_state is not h11.DONE:
             self._stream.close()
             return
         try:
--- a/dogwoodtack/entry/request_log.py
+++ b/dogwoodtack/entry/request_log.py
@@ -23,21 +23,21 @@
 SUCCESS_STATUSES = range(200, 400)
 
 
-class LineLimit(enum.Enum):
-    """Lines of a sort that are written in one second at most.
+class LineClass(enum.Enum):
+    """Lines that share a limit, so that no others crowd them out of the log.
 
-    Requests that failed or were retried have a limit of their own, so that the others
-    cannot crowd them out of the log.
+    Attributes:
+        ROUTINE: the ends of requests that went well.
+        PROBLEM: the ends of requests that failed or were retried.
+        SEND: the first sends of requests.
     """
 
-    ROUTINE = "routine", 20
-    PROBLEM = "problem", 200
-    SEND = "send", 200
+    ROUTINE = enum.auto()
+    PROBLEM = enum.auto()
+    SEND = enum.auto()
+
 
-    @property
-    def lines_per_s(self) -> int:
-        """Return the limit."""
-        return self.value[1]
+LINES_PER_S = {LineClass.ROUTINE: 20, LineClass.PROBLEM: 200, LineClass.SEND: 200}
 
 
 class AttemptRecord(NamedTuple):
@@ -146,7 +146,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._current_second = 0
-        self._lines_this_second = dict.fromkeys(LineLimit, 0)
+        self._lines_this_second = dict.fromkeys(LineClass, 0)
         self.registry = Registry()
         self._requests = Counter(
             "dogwoodtack_requests_total",
@@ -200,8 +200,8 @@
         self._requests.inc(labels)
         self._latency.observe({"kind": entry.kind}, entry.ms / 1000)
         is_routine = entry.status in SUCCESS_STATUSES and len(entry.tries) == 1
-        limit = LineLimit.ROUTINE if is_routine else LineLimit.PROBLEM
-        if not self._may_log(limit):
+        line_class = LineClass.ROUTINE if is_routine else LineClass.PROBLEM
+        if not self._may_log(line_class):
             self._dropped.inc({})
             return
         tries = "|".join(str(record) for record in entry.tries)
@@ -239,7 +239,7 @@
             return False
         if not is_safe and send.attempt > 1:
             return True
-        may_log = self._may_log(LineLimit.PROBLEM if is_safe else LineLimit.SEND)
+        may_log = self._may_log(LineClass.PROBLEM if is_safe else LineClass.SEND)
         if not may_log:
             self._dropped.inc({})
         return may_log
@@ -247,18 +247,18 @@
     def add_repeated_id(self, request_id: str) -> None:
         """Count a request whose id came before, and log it within the limits."""
         self._repeated_ids.inc({})
-        if self._may_log(LineLimit.PROBLEM):
+        if self._may_log(LineClass.PROBLEM):
             log_event("request-id-repeated", level="WARNING", request=request_id)
         else:
             self._dropped.inc({})
 
-    def _may_log(self, limit: LineLimit) -> bool:
+    def _may_log(self, line_class: LineClass) -> bool:
         second = int(self._clock.monotonic())
         if second != self._current_second:
             self._current_second = second
-            self._lines_this_second = dict.fromkeys(LineLimit, 0)
-        self._lines_this_second[limit] += 1
-        return self._lines_this_second[limit] <= limit.lines_per_s
+            self._lines_this_second = dict.fromkeys(LineClass, 0)
+        self._lines_this_second[line_class] += 1
+        return self._lines_this_second[line_class] <= LINES_PER_S[line_class]
 
     def render(self, state: dict[str, float]) -> bytes:
         """Return the metrics in the Prometheus text format.
