--- a/tests/test_reused_address.py
+++ b/tests/test_reused_address.py
@@ -83,14 +83,14 @@
         form = status, is_not_executed, repeat
         instances, names, statuses = [], [], []
         for number in range(REQUESTS):
-            started = self.start_instance(f"i-{number}", "zone-a", *form)
+            running = self.start_instance(f"i-{number}", "zone-a", *form)
             other = self.start_instance(f"other-{number}", "zone-b", *form)
             ended = [f"ended-{number}-{n}" for n in range(ENDED_ENTRIES[method])]
             for name in ended:
-                self.register(name, started, "zone-a")
+                self.register(name, running, "zone-a")
             self.remove(names)
-            names = [started.name, other.name, *ended]
-            instances += [started, other]
+            names = [running.name, other.name, *ended]
+            instances += [running, other]
             response, _ = self.call(method, prefix, f"{number:016x}", body)
             statuses.append(response.status)
         wait_a_moment()
