--- a/soak/once.py
+++ b/soak/once.py
@@ -526,6 +526,7 @@
             f"{host.name} logged {line}"
             for line in lines
             if any(f"event={event} " in line for event in UNEXPECTED_EVENTS)
+            or "Traceback" in line
             or ("reason=grace-over" in line and "cut=0" not in line)
         ]
         if host.process.poll() is not None:
