Add the types of organisations, uploads and anonymous routes

Change: Organisation, RouteKind.UPLOAD, Route.allows_anonymous and the organisation and body size of a placement request. Nothing fills them yet, except that an upload is decoded and counts as non-idempotent. Hosts still send each other the members that earlier builds read.

--- a/dogwoodtack/feed/relay.py
+++ b/dogwoodtack/feed/relay.py
@@ -31,6 +31,8 @@
 # A peer in the same zone responds in milliseconds.
 RELAY_TIMEOUT_S = 0.5
 STATE_PATH = "/state"
+# Members of a route that hosts of earlier builds read.
+ROUTE_MEMBERS = 9
 
 
 class RelayedState(NamedTuple):
@@ -175,8 +177,10 @@
 
 
 def _encode_configuration(configuration: Configuration) -> list[Any]:
+    """Return the members that hosts of earlier builds read, which take no others."""
     # Named tuples become lists in JSON.
-    return list(configuration)
+    routes = [route[:ROUTE_MEMBERS] for route in configuration.routes]
+    return [configuration.version, routes, configuration.services, configuration.limits]
 
 
 def _decode_configuration(fields: list[Any]) -> Configuration:
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -57,6 +57,10 @@
         abandon_at: latest start at which it is served at all.
         arrived_at: when the request arrived.
         on_decision: called with the instance, or with a Rejection.
+        organisation: the organisation that sends it, empty if it names none.
+        organisation_priority: that organisation's priority, which goes before
+            `priority`; 0 is the highest.
+        body_bytes: size of its body.
     """
 
     service: str
@@ -66,6 +70,9 @@
     abandon_at: float
     arrived_at: float
     on_decision: Callable[[Instance | Rejection], None]
+    organisation: str = ""
+    organisation_priority: int = 0
+    body_bytes: int = 0
 
 
 class Placer:
--- a/dogwoodtack/routing/routes.py
+++ b/dogwoodtack/routing/routes.py
@@ -7,6 +7,7 @@
     "CallerLimits",
     "Configuration",
     "KindChange",
+    "Organisation",
     "Route",
     "RouteKind",
     "RouteTable",
@@ -23,16 +24,18 @@
         SAFE: idempotent requests.
         UNSAFE: non-idempotent requests.
         DOWNLOAD: downloads, which are idempotent too.
+        UPLOAD: requests with large bodies, which are non-idempotent too.
     """
 
     SAFE = "safe"
     UNSAFE = "unsafe"
     DOWNLOAD = "download"
+    UPLOAD = "upload"
 
     @property
     def is_idempotent(self) -> bool:
         """Return whether a request of this kind may run more than once."""
-        return self is not RouteKind.UNSAFE
+        return self in (RouteKind.SAFE, RouteKind.DOWNLOAD)
 
 
 class WeightedService(NamedTuple):
@@ -55,6 +58,8 @@
         objective_s: latency objective in seconds.
         max_attempts: how many instances one request may be sent to.
         priority: priority of its requests, 0 is the highest.
+        allows_anonymous: whether callers need no key, although the configuration has
+            organisations.
     """
 
     name: str
@@ -66,6 +71,7 @@
     objective_s: float
     max_attempts: int
     priority: int
+    allows_anonymous: bool = False
 
 
 class ServiceRules(NamedTuple):
@@ -91,13 +97,43 @@
     idle_timeout_s: float = 15.0
 
 
+class Organisation(NamedTuple):
+    """An organisation whose callers identify themselves by keys.
+
+    Attributes:
+        name: unique within a configuration.
+        key_digests: SHA-256 digests of its keys in hexadecimal form; the keys
+            themselves are kept nowhere.
+        priority: priority of its requests, which goes before that of their routes; 0
+            is the highest.
+        rate_per_s: requests per second that all hosts together may serve; 0 for no
+            limit.
+        burst: further requests that they may serve at once.
+    """
+
+    name: str
+    key_digests: tuple[str, ...]
+    priority: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class Configuration(NamedTuple):
-    """One complete version of the configuration."""
+    """One complete version of the configuration.
+
+    Attributes:
+        version: its number; a higher one replaces it.
+        routes: the routes.
+        services: the services.
+        limits: limits on callers' requests.
+        organisations: the organisations that have keys; None if callers need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[ServiceRules, ...]
     limits: CallerLimits
+    organisations: tuple[Organisation, ...] | None = None
 
 
 class RouteTable:
