--- /dev/null
+++ b/dogwoodtack/fairness/__init__.py
@@ -0,0 +1,5 @@
+"""Fair shares of instances' time among organisations."""
+
+from .ledger import UsageLedger
+
+__all__ = ["UsageLedger"]
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection
 from typing import NamedTuple
 
+from ..fairness import UsageLedger
 from .health_tracker import HealthTracker
 from .instances import Instance, InstanceRegistry
 from .notices import InstanceNotices
@@ -86,6 +87,7 @@
         health: health estimates of them.
         rate_limits: rate limits that they name.
         notices: which of them leave or are paused.
+        usage: recent work of each organisation.
         competing_hosts: hosts that use the same slots, at least 1.
         retry_budget_hosts: hosts that share the slack of the retry budget, 0 if this
             host has no part in it.
@@ -103,6 +105,7 @@
         self.health = HealthTracker()
         self.rate_limits = RateLimits(zone)
         self.notices = InstanceNotices()
+        self.usage = UsageLedger()
         self.competing_hosts = 1
         self.retry_budget_hosts = 1
         self._zone = zone
