Decode a configuration part by part, and its organisations

Organisations and anonymous routes weren't decoded. Change: platform/part_reader.py reads the fields of a part, replaces odd ones and logs them without their values; platform/wire.py decodes routes, services, limits and organisations with it. Only a version number or a table of routes that can't be read makes a version unusable. routing.digest_key gives the digest under which a key is kept.

--- a/dogwoodtack/platform/wire.py
+++ b/dogwoodtack/platform/wire.py
@@ -1,5 +1,7 @@
 """Decoding of the platform's objects."""
 
+import re
+from collections import Counter
 from typing import Any
 
 from ..errors import DECODE_ERRORS, DogwoodtackError
@@ -8,11 +10,14 @@
 from ..routing import (
     CallerLimits,
     Configuration,
+    Organisation,
     Route,
     RouteKind,
     ServiceRules,
     WeightedService,
+    digest_key,
 )
+from .part_reader import PartLog, PartReader, is_number
 
 __all__ = [
     "WireFormatError",
@@ -21,9 +26,24 @@
     "decode_instance",
 ]
 
+# Usually eight hexadecimal digits.
+VERSION_PATTERN = re.compile(r"[0-9a-fA-F]{1,12}")
 VERSION_BASE = 16
 # The largest whole number that every JSON decoder reads exactly.
 MAX_WHOLE_NUMBER = 2**53
+# Longer times and higher rates and weights are slips, and overflow when multiplied.
+MAX_SECONDS = 1e6
+# A shorter limit of time would end every request.
+MIN_SECONDS = 0.001
+MAX_RATE_PER_S = 1e6
+MAX_WEIGHT = 1e9
+DEFAULT_OBJECTIVE_S = 1.0
+# Priority of what has none that can be read.
+LEAST_URGENT = 99
+MAX_HOST_CHARS = 255
+# Callers can't send longer keys and paths: headers are limited to 16 kB by default.
+MAX_TOKEN_CHARS = 8191
+KINDS = frozenset(RouteKind)
 
 
 class WireFormatError(DogwoodtackError):
@@ -33,58 +53,219 @@
 def decode_configuration(spec: Any) -> Configuration:
     """Decode a configuration.
 
+    A part that can't be decoded spoils only itself: its odd fields get safe defaults,
+    and each is logged.  Whatever is odd about organisations counts against them, except
+    for their rates.
+
     Raises:
-        WireFormatError: a field is missing or has an invalid value.
+        WireFormatError: the version is no number, or there is no table of routes.
+            Without one, every request would end with 404.
     """
     try:
-        limits = spec.get("limits") or {}
-        defaults = CallerLimits()
-        return Configuration(
-            # Eight hexadecimal digits.
-            version=int(spec["version"], VERSION_BASE),
-            routes=tuple(
-                _decode_route(name, route) for name, route in spec["routes"].items()
-            ),
-            services=tuple(
-                ServiceRules(
-                    name,
-                    str(rules.get("healthCheckPath", "/")),
-                    int(rules.get("maxConnections", 0)),
-                )
-                for name, rules in spec["services"].items()
-            ),
-            limits=CallerLimits(
-                int(limits.get("maxHeaderBytes", defaults.max_header_bytes)),
-                int(limits.get("maxBodyBytes", defaults.max_body_bytes)),
-                float(limits.get("headerTimeoutS", defaults.header_timeout_s)),
-                float(limits.get("idleTimeoutS", defaults.idle_timeout_s)),
-            ),
-        )
+        version = _decode_version(spec["version"])
+        routes = spec["routes"].items()
     except DECODE_ERRORS as exc:
-        raise WireFormatError(f"configuration: {exc!r}") from exc
+        # The exception may quote a part of the object, which has keys.
+        name = type(exc).__name__
+        message = f"configuration without version or routes: {name}"
+        raise WireFormatError(message) from None
+    log = PartLog(version)
+    decoded = [_decode_route(name, route, log) for name, route in routes]
+    configuration = Configuration(
+        version,
+        tuple(route for route in decoded if route is not None),
+        _decode_services(spec.get("services"), log),
+        _decode_limits(spec.get("limits", {}), log),
+        _decode_organisations(spec["tenants"], log) if "tenants" in spec else None,
+    )
+    log.close()
+    return configuration
 
 
-def _decode_route(name: str, route: dict[str, Any]) -> Route:
-    split = route.get("trafficSplit") or [{"service": route.get("service")}]
-    services = tuple(
-        WeightedService(str(part["service"]), float(part.get("weight", 1.0)))
-        for part in split
-    )
-    timeout = route.get("timeoutS")
+def _decode_version(text: Any) -> int:
+    """Return the number of a version.
+
+    Raises:
+        TypeError, ValueError: the text is no number, or one that no later version
+            could be greater than.
+    """
+    if not VERSION_PATTERN.fullmatch(text):
+        raise ValueError("no version")
+    return int(text, VERSION_BASE)
+
+
+def _decode_route(name: str, value: Any, log: PartLog) -> Route | None:
+    """Return a route, or None if its requests can't be told from others."""
+    part = PartReader(value, "route", name, log)
+    host = part.text("host", is_valid=_is_host)
+    prefix = part.text("pathPrefix", is_valid=_is_path)
+    if not host or not prefix:
+        return None
     return Route(
         name=name,
-        host=str(route["host"]).lower(),
-        prefix=str(route["pathPrefix"]),
-        kind=RouteKind(route["kind"]),
-        weighted_services=services,
-        timeout_s=float(timeout) if timeout else None,
+        host=host.lower(),
+        prefix=prefix,
+        kind=_decode_kind(part),
+        weighted_services=_decode_split(part),
+        # Zero stands for no limit.
+        timeout_s=part.number("timeoutS", 0.0, 0.0, MAX_SECONDS) or None,
         # Responses within this time earn full credit.
-        objective_s=float(route.get("targetLatencyS") or 1.0),
-        max_attempts=int(route.get("maxAttempts", 1)),
-        priority=int(route.get("priority", 0)),
+        objective_s=part.number("targetLatencyS", 0.0, 0.0, MAX_SECONDS)
+        or DEFAULT_OBJECTIVE_S,
+        max_attempts=part.whole("maxAttempts", 1, 1, MAX_WHOLE_NUMBER),
+        priority=_decode_priority(part, missing=0),
+        allows_anonymous=part.is_true("allowAnonymous"),
+    )
+
+
+def _decode_kind(part: PartReader) -> RouteKind:
+    kind = part.text("kind", is_valid=KINDS.__contains__)
+    return RouteKind(kind) if kind else RouteKind.UNSAFE
+
+
+def _decode_priority(part: PartReader, missing: int) -> int:
+    """Return a priority; an odd one must not go before those that can be read."""
+    if "priority" not in part and part.is_table:
+        part.report("priority")
+        return missing
+    return part.whole("priority", LEAST_URGENT, 0, LEAST_URGENT)
+
+
+def _decode_split(part: PartReader) -> tuple[WeightedService, ...]:
+    """Return the usable services of a route, empty if there is none."""
+    services = []
+    items = part.items("trafficSplit", is_optional=True)
+    for item in items:
+        service = item.get("service") if isinstance(item, dict) else None
+        if _is_name(service):
+            services.append(WeightedService(service, _decode_weight(item, part)))
+        else:
+            part.report("trafficSplit")
+    if not services and (not items or "service" in part):
+        service = part.text("service", is_valid=_is_name)
+        services = [WeightedService(service, 1.0)] if service else []
+    return tuple(services)
+
+
+def _decode_weight(item: dict[str, Any], part: PartReader) -> float:
+    weight = item.get("weight", 1.0)
+    if is_number(weight) and 0 <= weight <= MAX_WEIGHT:
+        return float(weight)
+    # A service whose share is not known gets requests only where it is the only one.
+    part.report("trafficSplit")
+    return 0.0
+
+
+def _decode_services(value: Any, log: PartLog) -> tuple[ServiceRules, ...]:
+    if not isinstance(value, dict):
+        log.report("service", "")
+        return ()
+    parts = [PartReader(rules, "service", name, log) for name, rules in value.items()]
+    return tuple(
+        ServiceRules(
+            name,
+            part.text("healthCheckPath", "/", _is_path, is_optional=True),
+            part.whole("maxConnections", 0, 0, MAX_WHOLE_NUMBER, is_optional=True),
+        )
+        for name, part in zip(value, parts, strict=True)
+    )
+
+
+def _decode_limits(value: Any, log: PartLog) -> CallerLimits:
+    part = PartReader(value, "limits", "", log)
+    base = CallerLimits()
+
+    def count(field: str, default: int) -> int:
+        return part.whole(field, default, 1, MAX_WHOLE_NUMBER, is_optional=True)
+
+    def seconds(field: str, default: float) -> float:
+        found = part.number(field, default, MIN_SECONDS, MAX_SECONDS, is_optional=True)
+        return float(found)
+
+    return CallerLimits(
+        count("maxHeaderBytes", base.max_header_bytes),
+        count("maxBodyBytes", base.max_body_bytes),
+        seconds("headerTimeoutS", base.header_timeout_s),
+        seconds("idleTimeoutS", base.idle_timeout_s),
+    )
+
+
+def _decode_organisations(value: Any, log: PartLog) -> tuple[Organisation, ...]:
+    """Return the organisations, none of them if the value is no table.
+
+    A key of several organisations is valid for none, as nobody can tell whose request
+    it is.
+    """
+    if not isinstance(value, dict):
+        log.report("organisation", "")
+        return ()
+    parts = [
+        PartReader(fields, "organisation", name, log) for name, fields in value.items()
+    ]
+    digests = [_decode_keys(part) for part in parts]
+    uses = Counter(digest for known in digests for digest in known)
+    decoded = []
+    for name, part, known in zip(value, parts, digests, strict=True):
+        if not _is_header_text(name):
+            part.report("")
+            continue
+        own = tuple(digest for digest in known if uses[digest] == 1)
+        if len(own) < len(known):
+            part.report("apiKeys")
+        rate_per_s = part.number("ratePerS", 0.0, 0.0, MAX_RATE_PER_S, is_optional=True)
+        decoded.append(
+            Organisation(
+                name,
+                own,
+                _decode_priority(part, missing=LEAST_URGENT),
+                float(rate_per_s),
+                # Without a usable burst, what a second allows may come at once.
+                float(
+                    part.number(
+                        "burst", rate_per_s, 0.0, MAX_RATE_PER_S, not rate_per_s
+                    )
+                ),
+            )
+        )
+    return tuple(decoded)
+
+
+def _decode_keys(part: PartReader) -> tuple[str, ...]:
+    """Return the digests of an organisation's readable keys, each once."""
+    keys = part.items("apiKeys")
+    readable = [key for key in keys if _is_header_text(key)]
+    if len(readable) < len(keys):
+        part.report("apiKeys")
+    return tuple(dict.fromkeys(digest_key(key) for key in readable))
+
+
+def _is_header_text(value: Any) -> bool:
+    """Return whether a text can be a header's value or a token in it."""
+    return (
+        isinstance(value, str)
+        and 0 < len(value) <= MAX_TOKEN_CHARS
+        and all("!" <= char <= "~" for char in value)
     )
 
 
+def _is_host(value: str) -> bool:
+    return _is_header_text(value) and len(value) <= MAX_HOST_CHARS
+
+
+def _is_path(value: str) -> bool:
+    is_short = len(value) <= MAX_TOKEN_CHARS
+    return value.startswith("/") and value.isprintable() and is_short
+
+
+def _is_name(value: Any) -> bool:
+    """Return whether instances can have a service's name."""
+    try:
+        check_name(value)
+    except ValueError:
+        return False
+    return True
+
+
 def decode_instance(item: Any) -> Instance:
     """Decode an entry of the service directory.
 
--- a/dogwoodtack/routing/__init__.py
+++ b/dogwoodtack/routing/__init__.py
@@ -1,5 +1,6 @@
 """Routing: which service a request goes to."""
 
+from .organisations import digest_key
 from .routes import (
     CallerLimits,
     Configuration,
@@ -25,5 +26,6 @@
     "ServiceRules",
     "TrafficSplitter",
     "WeightedService",
+    "digest_key",
     "kind_changes",
 ]
