Pass organisations on between hosts, and ask the store seldom without a configuration

Cause: hosts relay configurations to each other, and one without organisations and anonymous routes opens every route to callers without keys. Change: the relay sends organisations (digests), anonymous routes and the kinds that earlier builds don't know in keys of their own; those builds get a kind that they know, as one that they can't decode would hide all instances from them. A configuration without usable additions is not put in force; the host reads the store, again after a failure, and asks no peer twice for that version. After 5 calls without a usable configuration a host asks only for that, at most every 2 s, and brings its instances up to date when it is there. PlatformSource decodes and logs an unchanged object once. A route without usable services gets no instance, so 503.

--- a/dogwoodtack/feed/feed.py
+++ b/dogwoodtack/feed/feed.py
@@ -35,6 +35,12 @@
 # relay request hardly more.
 STARTUP_STAGGER_S = 0.1
 MAX_STAGGER_STEPS = 6
+# Calls of a host without a usable configuration: after some of the usual kind it waits
+# for an operator, which takes minutes.  17 hosts that went on as fast made 2,168 calls
+# in a day.
+EAGER_TRIES = 5
+UNCONFIGURED_INTERVAL_S = 2.0
+UNCONFIGURED_SPREAD = 0.1
 # Changes come in bursts; a pause lets one call return several.
 BATCH_PAUSE_S = 0.1
 # Longest retry delays while the store is unreachable: the zone's highest-ranked host
@@ -119,6 +125,14 @@
         self._confirmer = ConfigurationConfirmer(reactor, self._read_newest)
         # A read from a peer is under way at most until then.
         self._pull_ends_by = -math.inf
+        # Calls that showed no usable configuration while none was known.
+        self._vain_tries = 0
+        # The newest version that a peer knows but can't pass on whole, and the newest
+        # of those for which the store was read since.
+        self._partial_version = 0
+        self._settled_version = 0
+        # The version that each peer has shown not to pass on whole.
+        self._partial_peers: dict[Address, int] = {}
         self._store_seen_at = -math.inf
         # When the store last responded to any host of the zone.
         self._zone_contact_at = -math.inf
@@ -193,9 +207,50 @@
             return False
         return self._peer_table.store_reader(now) is not None
 
+    # A configuration that is not known.
+
+    def _is_waiting_for_operator(self) -> bool:
+        """Return whether only a new version can make this host's configuration known.
+
+        Calls for it are the only ones to the store then.  Instances that are known
+        have no use yet, and are brought up to date once it is there.
+        """
+        return self.configuration is None and self._vain_tries >= EAGER_TRIES
+
+    def _record_try(self) -> None:
+        """Count a call of either loop that has left the configuration unknown."""
+        if self.configuration is None:
+            self._vain_tries += 1
+
+    def _pace(self, delay_s: float) -> float:
+        """Return the delay in seconds before the next call for the configuration."""
+        if not self._is_waiting_for_operator():
+            return delay_s
+        # Spread, as all hosts of a fleet may wait since the same moment.
+        spread = 1.0 + UNCONFIGURED_SPREAD * self._rng.random()
+        return max(delay_s, UNCONFIGURED_INTERVAL_S * spread)
+
+    def _is_owed_by_store(self) -> bool:
+        """Return whether a peer knows a version that only the store can tell whole."""
+        known = max(self.version, self._settled_version)
+        return self._partial_version > known
+
+    def _on_partial_configuration(self, version: int) -> None:
+        """Read a version from the store that a peer can't pass on."""
+        if version <= self._partial_version:
+            # A read for it has begun and is repeated until it succeeds.
+            return
+        self._partial_version = version
+        self._configuration_position = None
+        # Begins a call at once, so that a reply to an earlier one doesn't settle it.
+        self._sync_configuration()
+
     # Instances.
 
     def _sync_instances(self) -> None:
+        if self._is_waiting_for_operator():
+            self._instances_loop.schedule(FOLLOW_CHECK_S)
+            return
         if self._is_relist_due():
             self._needs_snapshot = True
         elif self._follows_peer():
@@ -339,7 +394,7 @@
     # Configuration.
 
     def _sync_configuration(self) -> None:
-        if self._follows_peer():
+        if self._follows_peer() and not self._is_owed_by_store():
             self._configuration_loop.schedule(FOLLOW_CHECK_S)
             return
         call = self._configuration_loop.begin_call()
@@ -360,12 +415,17 @@
             # Read the full configuration next, as the watch history may be gone.
             self._configuration_position = None
             self._record_failure(exc)
-            self._configuration_loop.schedule(self._retry_delay_s())
+            self._record_try()
+            self._configuration_loop.schedule(self._pace(self._retry_delay_s()))
             return
+        if update.configuration is None:
+            self._record_try()
         is_known = self.configuration is not None or update.configuration is not None
         if is_latest:
             # Scheduled first, so that the feed goes on if applying the update fails.
-            self._configuration_loop.schedule(BATCH_PAUSE_S if is_known else RETRY_S)
+            delay_s = BATCH_PAUSE_S if is_known else self._pace(RETRY_S)
+            self._configuration_loop.schedule(delay_s)
+            self._settled_version = self._partial_version
         self._record_contact(self._instances_loop)
         self._observe_era(update.position.era)
         self._configuration_position = update.position
@@ -404,7 +464,11 @@
             before=self.version,
             routes=len(configuration.routes),
         )
+        is_first = self.configuration is None
         self.configuration = configuration
+        self._partial_peers.clear()
+        if is_first and self._vain_tries >= EAGER_TRIES:
+            self._instances_loop.schedule(0.0)
         self._callbacks.on_configuration(configuration)
 
     # Peers.
@@ -419,7 +483,7 @@
             self._observe_contact(now - heartbeat.store_age_s)
         position = self.registry.position
         is_newer = (
-            heartbeat.version > self.version
+            self._has_newer_version(heartbeat)
             or heartbeat.position > position
             or (self._is_full_pull_due() and heartbeat.position == position)
         )
@@ -432,6 +496,12 @@
         self._pull_ends_by = now + pause_s + OVERDUE_PULL_S
         self._reactor.call_later(pause_s, self._pull, heartbeat.host.relay_address)
 
+    def _has_newer_version(self, heartbeat: Heartbeat) -> bool:
+        """Return whether a peer may pass on a newer configuration."""
+        version = heartbeat.version
+        is_partial = self._partial_peers.get(heartbeat.host.relay_address) == version
+        return version > self.version and not is_partial
+
     def _is_full_pull_due(self) -> bool:
         """Return whether removals in a peer's state were withheld and are due."""
         return self._has_withheld_peer_removals and not self._is_recovering()
@@ -439,9 +509,10 @@
     def _pull(self, address: Address) -> None:
         needs_all = not self._has_snapshot or self._is_full_pull_due()
         after = START_POSITION if needs_all else self.registry.position
-        self._relay_client.read(address, after, self.version, self._on_relayed)
+        on_done = functools.partial(self._on_relayed, address)
+        self._relay_client.read(address, after, self.version, on_done)
 
-    def _on_relayed(self, state: RelayedState | None) -> None:
+    def _on_relayed(self, address: Address, state: RelayedState | None) -> None:
         self._pull_ends_by = -math.inf
         if state is None:
             return
@@ -450,6 +521,9 @@
         else:
             self._apply_peer_instances(state)
         self._apply_configuration(state.configuration)
+        if state.partial_version > self.version:
+            self._partial_peers[address] = state.partial_version
+            self._on_partial_configuration(state.partial_version)
         self._report_sync()
 
     def _apply_peer_instances(self, state: RelayedState) -> None:
@@ -526,6 +600,7 @@
         self._recovering_until = self._reactor.clock.monotonic() + RECOVERY_GRACE_S
         self._needs_snapshot = True
         self._configuration_position = None
+        self._partial_version = self._settled_version = 0
         self._callbacks.on_store_restored()
 
     # Contact with the store.
@@ -569,7 +644,10 @@
             return
         gap_s = at - self._zone_contact_at
         self._zone_contact_at = at
-        if MAX_CONTACT_GAP_S < gap_s < math.inf:
+        max_gap_s = MAX_CONTACT_GAP_S
+        if self.configuration is None:
+            max_gap_s += UNCONFIGURED_INTERVAL_S * (1.0 + UNCONFIGURED_SPREAD)
+        if max_gap_s < gap_s < math.inf:
             until = at + RECOVERY_GRACE_S
             self._recovering_until = max(self._recovering_until, until)
             log_event("store-was-away", seconds=gap_s)
--- a/dogwoodtack/feed/relay.py
+++ b/dogwoodtack/feed/relay.py
@@ -1,6 +1,7 @@
 """Host-to-host transfer of instances and configuration over HTTP."""
 
 import json
+import re
 from collections.abc import Callable
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlencode, urlsplit
@@ -15,11 +16,13 @@
     InstanceChange,
     InstanceRegistry,
     check_instance,
+    check_name,
 )
 from ..position import START_POSITION, StorePosition, decode_position
 from ..routing import (
     CallerLimits,
     Configuration,
+    Organisation,
     Route,
     RouteKind,
     ServiceRules,
@@ -33,6 +36,14 @@
 STATE_PATH = "/state"
 # Members of a route that hosts of earlier builds read.
 ROUTE_MEMBERS = 9
+# Kinds of routes that those know, and the index of the kind among the members.
+EARLIER_KINDS = frozenset({RouteKind.SAFE, RouteKind.UNSAFE, RouteKind.DOWNLOAD})
+KIND_MEMBER = Route._fields.index("kind")
+# Beside the configuration, the keys of what hosts of earlier builds don't read.
+ORGANISATIONS_KEY = "organisations"
+ANONYMOUS_KEY = "anonymous"
+KINDS_KEY = "kinds"
+DIGEST_PATTERN = re.compile("[0-9a-f]{64}")
 
 
 class RelayedState(NamedTuple):
@@ -46,6 +57,8 @@
         is_peer_synced: whether the peer knows a configuration and has a full snapshot
             of the instances.
         configuration: a newer configuration, or None.
+        partial_version: version of a newer configuration that the peer can't pass on
+            whole, as it runs an earlier build; 0 if there is none.
         recovery_left_s: how many more seconds the peer withholds removals, because the
             store has just come back.
     """
@@ -56,6 +69,7 @@
     is_peer_synced: bool
     configuration: Configuration | None
     recovery_left_s: float
+    partial_version: int = 0
 
 
 class RelayClient:
@@ -137,6 +151,8 @@
         "configuration": _encode_configuration(configuration) if has_newer else None,
         "recovery": round(recovery_left_s, 3),
     }
+    if has_newer:
+        fields |= _encode_additions(configuration)
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
@@ -179,11 +195,37 @@
 def _encode_configuration(configuration: Configuration) -> list[Any]:
     """Return the members that hosts of earlier builds read, which take no others."""
     # Named tuples become lists in JSON.
-    routes = [route[:ROUTE_MEMBERS] for route in configuration.routes]
+    routes = [_earlier_route(route)[:ROUTE_MEMBERS] for route in configuration.routes]
     return [configuration.version, routes, configuration.services, configuration.limits]
 
 
+def _earlier_route(route: Route) -> Route:
+    """Return a route whose kind hosts of earlier builds know.
+
+    One kind that they can't decode would also hide all instances from them.
+    """
+    if route.kind in EARLIER_KINDS:
+        return route
+    kind = RouteKind.SAFE if route.kind.is_idempotent else RouteKind.UNSAFE
+    return route._replace(kind=kind)
+
+
+def _encode_additions(configuration: Configuration) -> dict[str, Any]:
+    """Return what a configuration has beside the members of earlier builds."""
+    routes = configuration.routes
+    return {
+        ORGANISATIONS_KEY: configuration.organisations,
+        ANONYMOUS_KEY: [route.name for route in routes if route.allows_anonymous],
+        KINDS_KEY: {
+            route.name: route.kind
+            for route in routes
+            if route.kind not in EARLIER_KINDS
+        },
+    }
+
+
 def _decode_configuration(fields: list[Any]) -> Configuration:
+    """Decode the members that hosts of earlier builds send."""
     version, routes, services, limits = fields
     return Configuration(
         int(version),
@@ -194,9 +236,52 @@
 
 
 def _decode_route(fields: list[Any]) -> Route:
-    route = Route(*fields)
+    route = Route(*fields[:ROUTE_MEMBERS])
     services = tuple(WeightedService(*part) for part in route.weighted_services)
-    return route._replace(kind=RouteKind(route.kind), weighted_services=services)
+    return route._replace(kind=_decode_kind(route.kind), weighted_services=services)
+
+
+def _with_additions(base: Configuration, fields: dict[str, Any]) -> Configuration:
+    """Return a configuration with what a peer sends beside it.
+
+    Raises:
+        KeyError: the peer sends no additions, as it runs an earlier build.
+        TypeError, ValueError, AttributeError: a field has an invalid value.
+    """
+    anonymous = frozenset(fields[ANONYMOUS_KEY])
+    kinds = fields[KINDS_KEY]
+    routes = tuple(
+        route._replace(
+            kind=_decode_kind(kinds.get(route.name, route.kind)),
+            allows_anonymous=route.name in anonymous,
+        )
+        for route in base.routes
+    )
+    rows = fields[ORGANISATIONS_KEY]
+    organisations = (
+        None if rows is None else tuple(_decode_organisation(row) for row in rows)
+    )
+    return base._replace(routes=routes, organisations=organisations)
+
+
+def _decode_kind(text: str) -> RouteKind:
+    """Return a kind; one of a later build counts as non-idempotent."""
+    return RouteKind(text) if text in list(RouteKind) else RouteKind.UNSAFE
+
+
+def _decode_organisation(row: list[Any]) -> Organisation:
+    """Decode an organisation.
+
+    Raises:
+        TypeError, ValueError: a value is invalid.
+    """
+    name, digests, priority, rate_per_s, burst = row[: len(Organisation._fields)]
+    check_name(name)
+    if not all(DIGEST_PATTERN.fullmatch(digest) for digest in digests):
+        raise ValueError("no digest of a key")
+    return Organisation(
+        name, tuple(digests), int(priority), float(rate_per_s), float(burst)
+    )
 
 
 def decode_state(fields: dict[str, Any]) -> RelayedState:
@@ -206,7 +291,7 @@
         KeyError: a field is missing.
         TypeError, ValueError, AttributeError: a field has an invalid value.
     """
-    configuration = fields["configuration"]
+    configuration, partial_version = _decode_newer(fields)
     position = decode_position(fields)
     instances = fields["instances"]
     # Older hosts send no entries.
@@ -219,6 +304,25 @@
         position,
         bool(fields["whole"]),
         bool(fields["complete"]),
-        None if configuration is None else _decode_configuration(configuration),
+        configuration,
         float(fields.get("recovery", 0.0)),
+        partial_version,
     )
+
+
+def _decode_newer(fields: dict[str, Any]) -> tuple[Configuration | None, int]:
+    """Return a newer configuration, or the version of one that isn't passed on whole.
+
+    Taken without its organisations, it would open every route to callers without keys.
+    """
+    members = fields["configuration"]
+    if members is None:
+        return None, 0
+    base = _decode_configuration(members)
+    try:
+        return _with_additions(base, fields), 0
+    except DECODE_ERRORS as exc:
+        # The exception may quote a value; only its type is logged.
+        error = type(exc).__name__
+        log_event("relayed-configuration-partial", version=base.version, error=error)
+        return None, base.version
--- a/dogwoodtack/feed/tests/test_feed.py
+++ b/dogwoodtack/feed/tests/test_feed.py
@@ -295,6 +295,8 @@
         self.regressions = []
         self.restored_eras = []
         self.syncs = 0
+        # Whether peers send what hosts of the previous build send.
+        self.is_peer_earlier = False
         self.feed = Feed(
             world.reactor,
             self.source,
@@ -375,7 +377,11 @@
             feed.recovery_left_s(),
         )
         delay_s = 0.001 + self.world.rng.random() * self.source.fault_level
-        state = decode_state(json.loads(body))
+        fields = json.loads(body)
+        if self.is_peer_earlier:
+            for key in ("organisations", "anonymous", "kinds"):
+                fields.pop(key, None)
+        state = decode_state(fields)
         self.world.reactor.call_later(delay_s, on_done, state)
 
 
@@ -781,5 +787,103 @@
         self.assertEqual(len(world.hosts[reader].registry.all()), 3)
 
 
+class CountingSource(UnreliableSource):
+    """Records when calls were made to the store."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.called_at = []
+
+    def _call(self, *args):
+        self.called_at.append(self._reactor.clock.now)
+        super()._call(*args)
+
+
+class MissingConfigurationTest(unittest.TestCase):
+    def make_world(self, hosts, version=0):
+        """Return a world whose store has no usable configuration."""
+        with mock.patch(f"{__name__}.UnreliableSource", CountingSource):
+            world = World(11, hosts=0)
+            world.store.state = world.store.state._replace(version=version)
+            world.hosts = [None] * hosts
+            for number in range(hosts):
+                world.start(number)
+        return world
+
+    @params("none", "away", "cut")
+    def test_store_is_asked_seldom_after_the_first_tries(self, fault):
+        """17 hosts without a usable configuration made 2,168 calls on one day."""
+        world = self.make_world(hosts=2)
+        world.store.is_away = fault == "away"
+        for host in world.hosts:
+            host.source.is_cut = fault == "cut"
+        world.run(60.0)
+        for host in world.hosts:
+            called_at = [at for at in host.source.called_at if at > 110.0]
+            gaps_s = [then - now for now, then in itertools.pairwise(called_at)]
+            self.assertGreaterEqual(min(gaps_s), 2.0)
+            self.assertLess(max(gaps_s), 4.0)
+            self.assertFalse(host.feed._is_recovering())
+
+    def test_configuration_that_comes_late_is_in_force_soon(self):
+        """The instances, which were not followed for a while, are current then."""
+        world = self.make_world(hosts=2)
+        world.run(30.0)
+        world.store.remove("i-0")
+        world.store.put("i-7")
+        world.store.configure()
+        world.run(3.5)
+        for host in world.hosts:
+            self.assertTrue(host.feed.is_synced)
+            self.assertEqual(host.versions, [world.store.version])
+            known = sorted(one.id for one in host.registry.all())
+            self.assertEqual(known, ["i-1", "i-2", "i-7"])
+            self.assertEqual(host.regressions, [])
+
+
+class EarlierBuildTest(unittest.TestCase):
+    """A follower whose peer passes on no additions of the configuration."""
+
+    def setUp(self):
+        with mock.patch(f"{__name__}.UnreliableSource", CountingSource):
+            self.world = World(4)
+        self.world.run(3.0)
+        table = self.world.hosts[0].peer_table
+        is_reader = table.store_reader(self.world.reactor.clock.now) is None
+        self.follower = self.world.hosts[1 if is_reader else 0]
+        self.follower.is_peer_earlier = True
+        self.reads = len(self.follower.source.called_at)
+
+    def test_newer_version_is_read_from_the_store_once(self):
+        """Put in force as relayed, it would open routes that need a key."""
+        self.world.store.configure()
+        self.world.run(2.0)
+        self.assertEqual(self.follower.feed.version, self.world.store.version)
+        # After the read the host follows its peer again.
+        self.assertEqual(len(self.follower.source.called_at) - self.reads, 1)
+
+    def test_it_is_not_in_force_until_the_store_answers(self):
+        before = self.follower.feed.version
+        self.follower.source.is_cut = True
+        self.world.relay_reads = 0
+        self.world.store.configure()
+        self.world.run(20.0)
+        self.assertEqual(self.follower.feed.version, before)
+        # As often as any follower that tries to reach the store.
+        self.assertLess(len(self.follower.source.called_at) - self.reads, 20)
+        self.follower.source.restore()
+        self.world.run(3.5)
+        self.assertEqual(self.follower.feed.version, self.world.store.version)
+
+    def test_store_without_that_version_is_asked_once(self):
+        """It has come back from a copy that lacks what the peer still has in force."""
+        reader = next(host for host in self.world.hosts if host is not self.follower)
+        newer = reader.feed.configuration._replace(version=99)
+        reader.feed.configuration = newer
+        self.world.run(10.0)
+        self.assertEqual(self.follower.feed.version, self.world.store.version)
+        self.assertEqual(len(self.follower.source.called_at) - self.reads, 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/dogwoodtack/feed/tests/test_relay.py
+++ b/dogwoodtack/feed/tests/test_relay.py
@@ -16,9 +16,11 @@
 from dogwoodtack.platform.tests.test_wire import CONFIG
 from dogwoodtack.platform.wire import decode_configuration
 from dogwoodtack.position import START_POSITION, StorePosition
+from dogwoodtack.routing import Organisation, RouteKind, digest_key
 from dogwoodtack.store.tests.test_client import OneReplyClient
 
 CONFIGURATION = decode_configuration(CONFIG)
+ROUTE = CONFIGURATION.routes[0]
 
 
 def make_registry():
@@ -75,6 +77,63 @@
         found = decode_state(json.loads(body)).configuration
         self.assertEqual(found, CONFIGURATION if is_sent else None)
 
+    def test_additions_of_a_configuration_are_passed_on(self):
+        """Without them, a follower would take every route for one without keys."""
+        organisation = Organisation("org-1", (digest_key("k1"),), 1, 212.0, 300.0)
+        upload = ROUTE._replace(name="r-2", kind=RouteKind.UPLOAD)
+        for organisations in (None, (), (organisation,)):
+            configuration = CONFIGURATION._replace(
+                routes=(ROUTE._replace(allows_anonymous=True), upload),
+                organisations=organisations,
+            )
+            body = handle_relay_request(
+                "/state?version=0", make_registry(), configuration, True, 0.0
+            )
+            self.assertNotIn("k1", body.decode())
+            state = decode_state(json.loads(body))
+            self.assertEqual(state.configuration, configuration)
+            self.assertEqual(state.partial_version, 0)
+
+    def test_hosts_of_the_previous_build_can_read_the_configuration(self):
+        """They reject routes with other members or kinds, with all instances."""
+        upload = ROUTE._replace(kind=RouteKind.UPLOAD, allows_anonymous=True)
+        configuration = CONFIGURATION._replace(routes=(upload,), organisations=())
+        body = handle_relay_request(
+            "/state?version=0", make_registry(), configuration, True, 0.0
+        )
+        members = json.loads(body)["configuration"]
+        self.assertEqual(len(members), 4)
+        self.assertEqual((len(members[1][0]), members[1][0][3]), (9, "unsafe"))
+
+    @params(
+        ("organisations",),
+        ("anonymous",),
+        ("kinds",),
+        ("organisations", "anonymous", "kinds"),
+        ("organisations", 7),
+        ("organisations", [7]),
+        ("organisations", [["org-1", ["k1"], 1, 0.0, 0.0]]),
+        ("organisations", [["a\r\nb", [], 1, 0.0, 0.0]]),
+        ("kinds", []),
+    )
+    def test_configuration_without_usable_additions_is_not_taken(self, *change):
+        """One of the previous build would open every route that needs a key."""
+        fields = json.loads(request_state("/state?revision=0&version=0"))
+        if len(change) == 2:
+            fields[change[0]] = change[1]
+        else:
+            for key in change:
+                del fields[key]
+        state = decode_state(fields)
+        self.assertEqual((state.configuration, state.partial_version), (None, 12))
+        self.assertEqual(len(state.changes), 3)
+
+    def test_kind_of_a_later_build_is_not_idempotent(self):
+        fields = json.loads(request_state("/state?revision=0&version=0"))
+        fields["kinds"] = {"r-1": "later"}
+        kind = decode_state(fields).configuration.routes[0].kind
+        self.assertEqual(kind, RouteKind.UNSAFE)
+
     def test_other_path_is_not_answered(self):
         self.assertIsNone(request_state("/other"))
 
--- a/dogwoodtack/platform/source.py
+++ b/dogwoodtack/platform/source.py
@@ -1,5 +1,7 @@
 """Instances, configuration and host records in the platform's store."""
 
+import hashlib
+import json
 from typing import Any
 
 from ..errors import StoreConflict, StoreError
@@ -16,6 +18,7 @@
 from ..logs import log_event
 from ..placement import InstanceChange
 from ..position import StorePosition
+from ..routing import Configuration
 from .objects import Event, Listing, ObjectStore
 from .wire import (
     WireFormatError,
@@ -40,6 +43,10 @@
 
     def __init__(self, store: ObjectStore) -> None:
         self._store = store
+        # The last configuration and a digest of its object, which has keys.  It is read
+        # again and again, and would be logged each time if a part of it is unusable.
+        self._digest = b""
+        self._configuration: Configuration | None = None
 
     @property
     def calls_made(self) -> int:
@@ -94,7 +101,7 @@
             if listing is None:
                 on_done(None, exc)
                 return
-            on_done(_newest_configuration(listing.items, listing.position), None)
+            on_done(self._newest_configuration(listing.items, listing.position), None)
 
         self._store.list(CONFIGURATION_KIND, on_listing)
 
@@ -110,10 +117,30 @@
                 on_done(None, exc)
                 return
             items = [event.item for event in events if not event.is_deleted]
-            on_done(_newest_configuration(items, position), None)
+            on_done(self._newest_configuration(items, position), None)
 
         self._store.watch(CONFIGURATION_KIND, after, wait_s, on_events)
 
+    def _newest_configuration(
+        self, items: list[Any], position: StorePosition
+    ) -> ConfigurationUpdate:
+        """Return the newest configuration among objects, if one can be decoded."""
+        for item in reversed(items):
+            if _name(item) != CONFIGURATION_NAME:
+                continue
+            spec = item.get("spec")
+            digest = hashlib.sha256(json.dumps(spec).encode()).digest()
+            if self._configuration is not None and digest == self._digest:
+                return ConfigurationUpdate(self._configuration, position)
+            try:
+                self._configuration = decode_configuration(spec)
+            except WireFormatError as exc:
+                log_event("configuration-unusable", level="ERROR", error=str(exc))
+                continue
+            self._digest = digest
+            return ConfigurationUpdate(self._configuration, position)
+        return ConfigurationUpdate(None, position)
+
     def read_hosts(self, zone: str, on_done: OnHosts) -> None:
         """Read the records of all hosts that ever announced themselves in a zone."""
 
@@ -199,17 +226,3 @@
         log_event("instance-entry-unusable", level="DEBUG", name=name, error=str(exc))
         return InstanceChange(name, position, None)
     return InstanceChange(name, position, instance, entry_version)
-
-
-def _newest_configuration(
-    items: list[Any], position: StorePosition
-) -> ConfigurationUpdate:
-    """Return the newest configuration among objects, if one can be decoded."""
-    for item in reversed(items):
-        if _name(item) != CONFIGURATION_NAME:
-            continue
-        try:
-            return ConfigurationUpdate(decode_configuration(item["spec"]), position)
-        except (WireFormatError, KeyError) as exc:
-            log_event("configuration-unusable", level="ERROR", error=str(exc))
-    return ConfigurationUpdate(None, position)
--- a/dogwoodtack/routing/routes.py
+++ b/dogwoodtack/routing/routes.py
@@ -53,7 +53,8 @@
         host: the host name that callers send, in lower case.
         prefix: path prefix; it begins and ends with a slash.
         kind: whether its requests may be retried.
-        weighted_services: the services that share the requests; one for a plain route.
+        weighted_services: the services that share the requests; one for a plain route,
+            none if its services can't be decoded.
         timeout_s: longest time in seconds that a caller waits, None for no limit.
         objective_s: latency objective in seconds.
         max_attempts: how many instances one request may be sent to.
--- a/dogwoodtack/routing/splits.py
+++ b/dogwoodtack/routing/splits.py
@@ -23,7 +23,13 @@
         self._credits: dict[str, tuple[tuple[WeightedService, ...], list[float]]] = {}
 
     def next_service(self, route: Route) -> str:
-        """Return the service that the route's next request goes to."""
+        """Return the service that the route's next request goes to.
+
+        No instance has an empty name of its service, which a route without usable
+        services gets.
+        """
+        if not route.weighted_services:
+            return ""
         if len(route.weighted_services) == 1:
             return route.weighted_services[0].service
         state = self._credits.get(route.name)
