Let one odd object or definition spoil only itself in dogwoodtackd

Change: objects are applied and decoded one by one; replication.messages decodes summaries; catalog/parts.py takes the usable parts of a definition that does not parse, if there is no previous version. A fetch with unusable objects does not count as complete.

--- a/dogwoodtack/catalog/catalog.py
+++ b/dogwoodtack/catalog/catalog.py
@@ -2,8 +2,9 @@
 
 from typing import Any, NamedTuple
 
-from ..errors import RequestError
+from ..errors import DECODE_ERRORS, RequestError
 from ..logs import log_event
+from .parts import parse_parts
 from .service import RouteRule, Service, parse_service
 
 __all__ = ["Catalog", "Match", "is_removed"]
@@ -28,7 +29,9 @@
         """Apply a new version of a service's definition, or its removal.
 
         A definition that does not parse is logged and the previous version stays in
-        force: a newer node may have written fields that this one does not know.
+        force: a newer node may have written fields that this one does not know.  A node
+        that knows no previous version takes the usable parts, as requests would get 404
+        otherwise, or go to a service with a shorter prefix.
 
         Args:
             name: the service's name.
@@ -37,9 +40,12 @@
         """
         try:
             service = None if is_removed(value) else parse_service(name, value)
-        except RequestError as exc:
-            log_event("service-unreadable", "ERROR", service=name, detail=exc.detail)
-            return
+        except (RequestError, *DECODE_ERRORS) as exc:
+            detail = getattr(exc, "detail", repr(exc))
+            log_event("service-unreadable", "ERROR", service=name, detail=detail)
+            service = None if name in self._services else parse_parts(name, value)
+            if service is None:
+                return
         self._drop_routes(name)
         if service is None:
             self._services.pop(name, None)
--- a/dogwoodtack/catalog/tests/test_catalog.py
+++ b/dogwoodtack/catalog/tests/test_catalog.py
@@ -67,6 +67,43 @@
         self.catalog.put("certdocs", 2, None)
         self.assertEqual(self.matched_service("hanbit.example", "/certs"), "jobtrack")
 
+    @params(
+        {"flor": 1},
+        {"floor": "all"},
+        {"slow_ms": "x"},
+        {"routes": [7, {"host": "hanbit.example", "prefix": "/new"}]},
+        {"routes": [{"host": "hanbit.example", "prefix": "/new", "timeout_ms": -1}]},
+        {"routes": [{"host": "hanbit.example", "prefix": "/new", "later": 1}]},
+        {"instances": [INSTANCE, {"name": "jt-2", "address": "x"}]},
+        {"instances": [INSTANCE, INSTANCE]},
+        {"instances": [{**INSTANCE, "later": 1}], "shares": 7},
+    )
+    def test_odd_part_of_a_new_service_spoils_only_itself(self, odd):
+        """A node without a previous version answered 404 to all its requests."""
+        value = {
+            "routes": [{"host": "hanbit.example", "prefix": "/new"}],
+            "instances": [INSTANCE],
+            "caution": 0.25,
+            **odd,
+        }
+        self.catalog.put("newdocs", 3, value)
+        self.assertEqual(self.matched_service("hanbit.example", "/new/1"), "newdocs")
+        service = self.catalog.get("newdocs")
+        self.assertEqual([one.name for one in service.instances], ["jt-1"])
+        self.assertEqual((service.caution, service.floor), (0.25, "floor" in odd))
+        self.assertEqual(self.catalog.version("newdocs"), 3)
+
+    def test_route_with_unreadable_methods_has_no_idempotent_ones(self):
+        route = {"host": "hanbit.example", "prefix": "/new", "idempotent_methods": 7}
+        self.catalog.put("newdocs", 3, {"routes": [route]})
+        found = self.catalog.match("hanbit.example", "/new/1").route
+        self.assertEqual(found.idempotent_methods, frozenset())
+
+    @params(None, 7, [], "x", {"routes": [[]]}, {"routes": {}})
+    def test_unusable_service_does_not_raise(self, value):
+        self.catalog.put("newdocs", 3, value)
+        self.assertEqual(self.matched_service("hanbit.example", "/new/1"), "jobtrack")
+
     def test_invalid_version_leaves_the_previous_one_in_force(self):
         self.catalog.put("certdocs", 2, {"routes": "none"})
         self.assertEqual(self.matched_service("hanbit.example", "/certs"), "certdocs")
--- a/dogwoodtack/replication/messages.py
+++ b/dogwoodtack/replication/messages.py
@@ -1,5 +1,6 @@
 """Messages between nodes about the configuration."""
 
+import math
 from typing import Any, NamedTuple, TypedDict
 
 from ..store import StoreObject
@@ -12,11 +13,18 @@
     "MemberRange",
     "ReplicationStatus",
     "WireObject",
+    "exchange_from_wire",
     "object_from_wire",
     "object_to_wire",
 ]
 
 
+# A greater one would hide every later change.
+MAX_VERSION = 2**53
+# The watermark of a node that knows of no revision up to which nothing is missing.
+NO_WATERMARK = -1
+
+
 class WireObject(TypedDict):
     """The JSON form of a StoreObject."""
 
@@ -103,8 +111,43 @@
 
     Raises:
         KeyError: a field is missing.
-        ValueError: the version is not a number.
+        TypeError, ValueError: a field has another type, or is a text that can't be
+            encoded; the version is no whole number.
+    """
+    kind, name, version = item["kind"], item["name"], item["version"]
+    for text in (kind, name):
+        if not isinstance(text, str):
+            raise TypeError("a kind or name is no text")
+        # Digests are made of the encoded texts.
+        text.encode()
+    if not is_whole_number(version):
+        raise ValueError("a version is no whole number")
+    return StoreObject(kind, name, version, item.get("value"))
+
+
+def is_whole_number(value: Any) -> bool:
+    """Return whether a JSON value is a revision or version, which later ones exceed."""
+    is_number = isinstance(value, int) and not isinstance(value, bool)
+    return is_number and 0 <= value <= MAX_VERSION
+
+
+def exchange_from_wire(body: Any) -> ExchangeBody:
+    """Return the summary that a JSON form describes.
+
+    Raises:
+        KeyError: a field is missing.
+        TypeError, ValueError: a field has another type or is out of range.
     """
-    return StoreObject(
-        item["kind"], item["name"], int(item["version"]), item.get("value")
-    )
+    root, watermark, age_s = body["root"], body["watermark"], body["age_s"]
+    if not isinstance(root, str):
+        raise TypeError("a root is no text")
+    if watermark != NO_WATERMARK and not is_whole_number(watermark):
+        raise ValueError("a watermark is no revision")
+    if age_s is not None and not 0.0 <= float(age_s) < math.inf:
+        raise ValueError("an age is no number of seconds")
+    return {
+        "root": root,
+        "is_synced": body["is_synced"] is True,
+        "watermark": watermark,
+        "age_s": None if age_s is None else float(age_s),
+    }
--- a/dogwoodtack/replication/replicator.py
+++ b/dogwoodtack/replication/replicator.py
@@ -8,6 +8,7 @@
 from ..calls import Reply
 from ..confirmation import ConfigurationConfirmer, OnConfirmed
 from ..control import ControlRequest, Route
+from ..digest import BUCKETS
 from ..errors import (
     DECODE_ERRORS,
     ErrorKind,
@@ -27,6 +28,7 @@
     MemberRange,
     PushBody,
     ReplicationStatus,
+    exchange_from_wire,
     object_from_wire,
     object_to_wire,
 )
@@ -227,9 +229,13 @@
             zone = (
                 self._membership.local_member.zone if self._is_assigned_watcher else ""
             )
-            self._push(
-                new if is_full_list else snapshot.objects, MemberRange(zone=zone)
-            )
+            # An object that can't be encoded is not held, and can't be sent either.
+            held = [
+                obj
+                for obj in (new if is_full_list else snapshot.objects)
+                if self._state.version(obj.kind, obj.name) >= obj.version
+            ]
+            self._push(held, MemberRange(zone=zone))
         self._mark_synced("store")
 
     def confirm_configuration(self, on_done: OnConfirmed) -> None:
@@ -291,7 +297,7 @@
         """Apply objects from the store or a peer and return the new ones."""
         self._is_applying_received = True
         try:
-            new = [obj for obj in objects if self._state.apply(obj)]
+            new = [obj for obj in objects if self._apply_object(obj)]
         finally:
             self._is_applying_received = False
         for obj in new:
@@ -304,6 +310,23 @@
             )
         return new
 
+    def _apply_object(self, obj: StoreObject) -> bool:
+        """Apply an object and return whether it is new.
+
+        One that another writer made unusable must not keep back those after it, which
+        would be read with it again and again.
+        """
+        try:
+            return self._state.apply(obj)
+        except DECODE_ERRORS as exc:
+            self._limited_log.warn(
+                "config-object-unusable",
+                kind=obj.kind,
+                name=obj.name,
+                error=type(exc).__name__,
+            )
+            return False
+
     def _push(self, objects: list[StoreObject], target_range: MemberRange) -> None:
         """Push objects to every other member in a range."""
         members = self._update_sorted_members()
@@ -336,10 +359,14 @@
         )
 
     def _handle_push(self, req: ControlRequest) -> Any:
-        objects = self._parse_objects(req.body["objects"])
+        try:
+            objects, _ = self._parse_objects(req.body["objects"])
+            target = req.body["range"]
+            target_range = None if target is None else MemberRange(*target)
+        except DECODE_ERRORS as exc:
+            raise RequestError(ErrorKind.BAD_REQUEST, repr(exc)) from exc
         self._apply_received(objects)
-        if req.body["range"] is not None and self._may_relay(objects):
-            target_range = MemberRange(*req.body["range"])
+        if target_range is not None and self._may_relay(objects):
             self._reactor.call_soon(self._push, objects, target_range)
         return {}
 
@@ -358,12 +385,15 @@
             self._relay_counts.popitem(last=False)
         return count <= MAX_RELAYS_PER_BATCH
 
-    @staticmethod
-    def _parse_objects(items: list[Any]) -> list[StoreObject]:
-        try:
-            return [object_from_wire(item) for item in items]
-        except (KeyError, TypeError, ValueError) as exc:
-            raise RequestError(ErrorKind.BAD_REQUEST, repr(exc)) from exc
+    def _parse_objects(self, items: list[Any]) -> tuple[list[StoreObject], bool]:
+        """Return the usable objects of a peer, and whether these are all."""
+        objects = []
+        for item in items:
+            try:
+                objects.append(object_from_wire(item))
+            except DECODE_ERRORS as exc:
+                self._limited_log.warn("peer-object-unusable", error=repr(exc))
+        return objects, len(objects) == len(items)
 
     # Anti-entropy with one other node a second.
 
@@ -385,8 +415,16 @@
                 self._on_unresponsive(member)
                 self._exchange_with_any(attempts - 1)
                 return
-            self._apply_exchange(reply.body)
-            if reply.body["root"] != self._state.digest.root:
+            try:
+                body = exchange_from_wire(reply.body)
+            except DECODE_ERRORS as error:
+                self._limited_log.warn(
+                    "exchange-unusable", member=member.name, error=repr(error)
+                )
+                self._exchange_with_any(attempts - 1)
+                return
+            self._apply_exchange(body)
+            if body["root"] != self._state.digest.root:
                 self._fetch(member, 0, _ignore_completion)
 
         body = self._exchange_body()
@@ -412,7 +450,11 @@
             self.watermark = max(self.watermark, body["watermark"])
 
     def _handle_exchange(self, req: ControlRequest) -> ExchangeBody:
-        self._apply_exchange(req.body)
+        try:
+            body = exchange_from_wire(req.body)
+        except DECODE_ERRORS as exc:
+            raise RequestError(ErrorKind.BAD_REQUEST, repr(exc)) from exc
+        self._apply_exchange(body)
         return self._exchange_body()
 
     def _fetch(
@@ -432,25 +474,32 @@
                 return
             body: BucketsReply = reply.body
             try:
-                self._apply_buckets(member, body)
-                next_bucket, is_synced = body["next"], body["is_synced"]
-            except (RequestError, *DECODE_ERRORS) as error:
+                is_whole = self._apply_buckets(member, body)
+                next_bucket = _next_bucket(body, first)
+                is_synced = body["is_synced"] is True
+            except DECODE_ERRORS as error:
                 self._limited_log.warn(
                     "buckets-unusable", member=member.name, error=repr(error)
                 )
                 on_done(False)
                 return
             if next_bucket is None:
-                on_done(is_synced)
+                on_done(is_synced and is_whole)
                 return
-            self._fetch(member, next_bucket, on_done)
+            self._fetch(
+                member, next_bucket, lambda is_rest: on_done(is_rest and is_whole)
+            )
 
         body: BucketsBody = {"buckets": self._state.digest.buckets(), "first": first}
         self._peers.call(member.peer_address, "/spread/buckets", body, on_reply)
 
-    def _apply_buckets(self, member: Member, body: BucketsReply) -> None:
-        """Apply what is newer at a member, and send it what is newer here."""
-        remote_objects = self._parse_objects(body["objects"])
+    def _apply_buckets(self, member: Member, body: BucketsReply) -> bool:
+        """Apply what is newer at a member, and send it what is newer here.
+
+        Returns:
+            Whether all objects of the member were usable.
+        """
+        remote_objects, is_whole = self._parse_objects(body["objects"])
         versions = {(one.kind, one.name): one.version for one in remote_objects}
         newer = [
             obj
@@ -463,10 +512,14 @@
             batch = [object_to_wire(one) for one in newer[start : start + PUSH_BATCH]]
             push: PushBody = {"objects": batch, "range": None}
             self._peers.call(member.peer_address, "/spread/push", push, _ignore_reply)
+        return is_whole
 
     def _handle_buckets(self, req: ControlRequest) -> BucketsReply:
-        differing = self._state.digest.differing_buckets(req.body["buckets"])
-        remaining = [index for index in differing if index >= req.body["first"]]
+        try:
+            differing = self._state.digest.differing_buckets(req.body["buckets"])
+            remaining = [index for index in differing if index >= req.body["first"]]
+        except DECODE_ERRORS as exc:
+            raise RequestError(ErrorKind.BAD_REQUEST, repr(exc)) from exc
         chosen: list[int] = []
         objects: list[Any] = []
         size = 0
@@ -539,6 +592,18 @@
         self._on_synced()
 
 
+def _next_bucket(body: BucketsReply, first: int) -> int | None:
+    """Return the bucket to go on with after those of a reply, None after the last.
+
+    Raises:
+        TypeError, ValueError: it is no later bucket, so that the fetch would not end.
+    """
+    index = body["next"]
+    if index is not None and not first < index < BUCKETS:
+        raise ValueError("the next bucket is no later one")
+    return index
+
+
 def _ignore_reply(reply: Reply | None, exc: WireError | None) -> None:
     """Ignore a reply that changes nothing."""
 
--- a/dogwoodtack/replication/state.py
+++ b/dogwoodtack/replication/state.py
@@ -49,14 +49,19 @@
         self._listeners.append(on_change)
 
     def apply(self, obj: StoreObject) -> bool:
-        """Store an object if it is newer than the known one; return whether."""
+        """Store an object if it is newer than the known one; return whether.
+
+        Raises:
+            ValueError, RecursionError: the object can't be encoded; it is not stored.
+        """
         key = (obj.kind, obj.name)
         known = self._objects.get(key)
         if known is not None and known.version >= obj.version:
             return False
-        self._objects[key] = _StoredObject(obj.version, _encode(obj.value))
-        self._decoded.pop(key, None)
+        stored = _StoredObject(obj.version, _encode(obj.value))
         self._index(key, known, obj.version)
+        self._objects[key] = stored
+        self._decoded.pop(key, None)
         for listener in self._listeners:
             _notify(listener, obj)
         return True
--- a/dogwoodtack/replication/tests/test_replicator.py
+++ b/dogwoodtack/replication/tests/test_replicator.py
@@ -1,11 +1,14 @@
 """Tests that changes reach all nodes within 3 s under faults, on a virtual clock."""
 
+import functools
+import math
 import random
 import unittest
 
 from nose2.tools import params
 
-from dogwoodtack.control import Route
+from dogwoodtack.control import ControlRequest, Route
+from dogwoodtack.errors import ErrorKind, RequestError
 from dogwoodtack.membership.tests.fakes import FakeNetwork, address_of
 from dogwoodtack.replication.replicator import WATCHERS_PER_ZONE
 
@@ -197,6 +200,8 @@
         {"buckets": [0], "objects": [{}], "next": None, "is_synced": True},
         {"buckets": [[]], "objects": [], "next": None, "is_synced": True},
         {"buckets": [], "objects": []},
+        {"buckets": [], "objects": [], "next": 0, "is_synced": True},
+        {"buckets": [], "objects": [], "next": None, "is_synced": "yes"},
     )
     def test_new_host_after_unusable_replies_of_peers(self, body):
         views = self.network.views
@@ -216,6 +221,54 @@
         self.assertTrue(node.replicator.is_synced)
         self.assert_in_force([node])
 
+    @params(
+        ("\ud800", 0),
+        ("odd", 5000),
+    )
+    def test_object_of_another_writer_does_not_hide_others(self, name, depth):
+        """The objects after it in the list could not be applied, each time again."""
+        value = functools.reduce(lambda value, _: [value], range(depth), 1)
+        self.store.write(name, value)
+        self.write()
+        self.run_for(IN_FORCE_WITHIN_S)
+        self.assert_in_force(self.nodes)
+
+    @params(
+        {"objects": [{}], "range": None},
+        {"objects": [{"kind": 7, "name": "x", "version": 1}], "range": None},
+        {"objects": [{"kind": "k", "name": "x", "version": 1e999}], "range": None},
+        {"objects": [{"kind": "k", "name": "x", "version": 10**400}], "range": None},
+    )
+    def test_odd_object_of_a_peer_does_not_hide_others(self, body):
+        self.version += 7
+        good = {"kind": "service", "name": "s", "version": self.version, "value": {}}
+        body = {**body, "objects": [*body["objects"], good]}
+        node = self.nodes[3]
+        node.replicator._handle_push(ControlRequest("POST", "", {}, {}, body))
+        self.assertEqual(node.version("s"), self.version)
+
+    @params(
+        ("/spread/push", {}),
+        ("/spread/push", {"objects": 7, "range": None}),
+        ("/spread/push", {"objects": [], "range": [1, 2, 3, 4]}),
+        ("/spread/exchange", None),
+        ("/spread/exchange", {"watermark": 10**400}),
+        ("/spread/exchange", {"age_s": -5.0}),
+        ("/spread/exchange", {"age_s": math.nan}),
+        ("/spread/buckets", {"buckets": 7, "first": 0}),
+        ("/spread/buckets", {"buckets": [], "first": 0}),
+    )
+    def test_odd_call_of_a_peer_is_rejected(self, path, body):
+        """A watermark that no revision exceeds would hide every later change."""
+        replicator = self.nodes[3].replicator
+        if path == "/spread/exchange" and body:
+            body = {**replicator._exchange_body(), **body}
+        view = {route.pattern: route.view for route in replicator.routes()}[path]
+        with self.assertRaises(RequestError) as caught:
+            view(ControlRequest("POST", path, {}, {}, body))
+        self.assertIs(caught.exception.kind, ErrorKind.BAD_REQUEST)
+        self.assertEqual(replicator.watermark, self.version)
+
     @params(True, False)
     def test_confirmation_shows_what_was_written_before_it(self, is_reached):
         """A host repeated requests by a configuration that had just changed."""
