Map keys to organisations, and check them at each host

A configuration without organisations is served as before. The detail of a malformed request no longer quotes it, as it could contain a key. The label values of the new metric are escaped by us, since the renderer does not do so.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -4,10 +4,11 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from ..backends import ConnectionPool, ConnectionUse
+from ..access import AccessControl, Admission, canonical_name, parse_credentials
+from ..backends import ConnectionPool, ConnectionUse, Header
 from ..errors import ErrorKind, Outcome, answer_for
 from ..fleet import Fleet
-from ..frontend.conn import RequestHead, ServerConn
+from ..frontend.conn import RequestHead, ServerConn, is_bodiless
 from ..frontend.headers import response_headers
 from ..logs import log_failure
 from ..misc import parse_count
@@ -27,7 +28,7 @@
 )
 from ..quarantine import Quarantine, request_digest
 from ..reactor import Reactor, Timer
-from ..routing import Route, TrafficSplitter
+from ..routing import Organisation, Route, TrafficSplitter
 from .attempt import (
     SUCCESS_STATUSES,
     Attempt,
@@ -102,6 +103,10 @@
 LEAVING_RETRY_AFTER_S = 0.0
 # A long body is received and sent on within this time.
 BODY_RETRY_AFTER_S = 1.0
+# Whether a key is valid shows soon, here or at another host.
+KEYS_RETRY_AFTER_S = 0.5
+# Bodies over this size are received only with a valid key, where one is needed.
+LONG_BODY_BYTES = 16_384
 # Attempts that time out at a request's deadline get to report this first.
 DEADLINE_GRACE_S = 0.05
 
@@ -136,6 +141,7 @@
         recent_ids: ids of the last requests.
         response_kb: expected response size in kilobytes by route name, a moving
             average over past responses.
+        access: which organisation sends a request, and whether it may.
     """
 
     reactor: Reactor
@@ -159,6 +165,7 @@
     request_log: RequestLog
     recent_ids: RecentIds
     response_kb: dict[str, float]
+    access: AccessControl
 
 
 def _isolated(step: Callable[..., None]) -> Callable[..., None]:
@@ -210,6 +217,8 @@
         self._arrived_at = self._now()
         self._body = bytearray()
         self._route: Route | None = None
+        self._organisation: Organisation | None = None
+        self._requires_keys = False
         self._config_version = 0
         self._repeats: RepeatPermission | None = None
         self._service = ""
@@ -240,6 +249,62 @@
 
     # Receiving the request.
 
+    @_isolated
+    def on_head(self) -> None:
+        """Reject a request with a long body at once if it has no valid key.
+
+        Others are checked when they are complete, which leaves their connection in use.
+        """
+        if not self._deps.access.requires_keys or is_bodiless(self._head):
+            return
+        route, _ = self._deps.find_route(
+            self._head.header(b"host") or "", self._head.target
+        )
+        is_long = self._declared_bytes() > LONG_BODY_BYTES or (
+            self._head.header(b"transfer-encoding") is not None
+        )
+        if route is None:
+            if is_long:
+                self._send_error(ErrorKind.NO_ROUTE)
+            return
+        if is_long:
+            self._check_access(route)
+        else:
+            self._organisation = self._admission(route).organisation
+
+    def _declared_bytes(self) -> int:
+        return parse_count(self._head.header(b"content-length") or "") or 0
+
+    def _admission(self, route: Route) -> Admission:
+        name = self._deps.header_names.authorization
+        credentials = parse_credentials(self._head.headers, name)
+        return self._deps.access.check(credentials, route.allows_anonymous)
+
+    def _check_access(self, route: Route) -> bool:
+        """Find the organisation of the request, or reject it.
+
+        Returns:
+            Whether the request may go on.
+        """
+        admission = self._admission(route)
+        self._requires_keys = self._deps.access.requires_keys
+        self._organisation = admission.organisation
+        if admission.error is None:
+            return True
+        self._route = route
+        self._detail = admission.detail
+        is_unconfirmed = admission.error is ErrorKind.CUT_OFF
+        self._send_error(
+            admission.error, KEYS_RETRY_AFTER_S if is_unconfirmed else None
+        )
+        return False
+
+    def _caller(self) -> str:
+        """Return whose share of the memory the body counts against."""
+        if self._organisation is not None:
+            return f"organisation {self._organisation.name}"
+        return f"address {self._conn.peer.host}"
+
     @_isolated
     def on_body(self, data: bytes) -> None:
         """Buffer a piece of the body, so that the request can be retried."""
@@ -251,16 +316,20 @@
             )
             return
         if not self._has_room(len(self._body) + len(data)):
-            self._detail = "too many long bodies"
+            self._detail = (
+                "too many long bodies: "
+                f"{self._deps.request_buffers.describe(self._caller())}"
+            )
             self._send_error(ErrorKind.OVERLOADED, BODY_RETRY_AFTER_S)
             return
         self._body += data
 
     def _has_room(self, received_bytes: int) -> bool:
         """Return whether the body fits, of which so many bytes are known to come."""
-        declared = parse_count(self._head.header(b"content-length") or "") or 0
-        size = max(received_bytes, min(declared, self._max_body_bytes))
-        return self._deps.request_buffers.reserve(self, size)
+        size = max(received_bytes, min(self._declared_bytes(), self._max_body_bytes))
+        return self._deps.request_buffers.reserve(
+            self, size, self._caller(), self._now()
+        )
 
     @_isolated
     def on_body_end(self) -> None:
@@ -278,6 +347,8 @@
             self._send_error(ErrorKind.NO_ROUTE)
             return
         self._route = route
+        if not self._check_access(route):
+            return
         self._repeats = RepeatPermission(
             self._head.method,
             route,
@@ -303,11 +374,16 @@
             self._request_id,
             self._head.method.encode(),
             self._head.target.encode(),
-            forwarded_headers(self._head, header_names, len(self._body)),
+            forwarded_headers(
+                self._head, header_names, len(self._body), self._requires_keys
+            ),
             self._body,
         )
         self._digest = request_digest(
-            self._req.method, self._req.target, self._req.headers, self._req.body
+            self._req.method,
+            self._req.target,
+            self._req.headers + self._digest_headers(),
+            self._req.body,
         )
         self._request_placement()
 
@@ -341,6 +417,7 @@
         self, on_decision: Callable[[Instance | Rejection], None]
     ) -> PlacementRequest:
         route = self._route
+        organisation = self._organisation
         now = self._now()
         service_time_s = self._deps.placer.service_time_s(self._service)
         is_exploratory = (
@@ -368,6 +445,8 @@
             abandon_at=self._deadline - service_time_s / 2,
             arrived_at=self._arrived_at,
             on_decision=on_decision,
+            organisation="" if organisation is None else organisation.name,
+            organisation_priority=0 if organisation is None else organisation.priority,
         )
 
     def _request_placement(self) -> None:
@@ -496,7 +575,12 @@
         expected_instance = (deps.header_names.expected_instance, instance.id.encode())
         attempt = self._make_attempt(
             deps.pool,
-            AttemptTarget(instance.id, instance.address, [expected_instance], instance),
+            AttemptTarget(
+                instance.id,
+                instance.address,
+                [expected_instance, *self._tenant_headers()],
+                instance,
+            ),
             functools.partial(deps.paths.on_connect, instance),
         )
         call_later = deps.reactor.call_later
@@ -562,7 +646,13 @@
         left_header = (ATTEMPTS_LEFT_HEADER, str(left).encode())
         attempt = self._make_attempt(
             deps.host_pool,
-            AttemptTarget(host.name, host.handover_address, [left_header], None, left),
+            AttemptTarget(
+                host.name,
+                host.handover_address,
+                [left_header, *self._key_headers()],
+                None,
+                left,
+            ),
             _ignore_connect,
         )
         service_time_s = deps.placer.service_time_s(self._service)
@@ -573,6 +663,30 @@
         attempt.start(self._req, self._deadline, MAX_HOST_IDLE_S)
         return True
 
+    # What says which organisation sends the request.
+
+    def _tenant_headers(self) -> list[Header]:
+        """Return the headers that tell an instance the organisation."""
+        if self._organisation is None:
+            return []
+        return [(self._deps.header_names.tenant, self._organisation.name.encode())]
+
+    def _key_headers(self) -> list[Header]:
+        """Return the headers by which another host checks the key again."""
+        if not self._requires_keys:
+            # They are among the forwarded ones.
+            return []
+        name = self._deps.header_names.authorization
+        return [pair for pair in self._head.headers if canonical_name(pair[0]) == name]
+
+    def _digest_headers(self) -> list[Header]:
+        """Return headers that keep organisations' equal requests apart.
+
+        The digest takes the Authorization header into account, which is not forwarded.
+        All hosts and all keys of an organisation have the same digest.
+        """
+        return [(b"authorization", value) for _, value in self._tenant_headers()]
+
     def _hedge_delay_s(self, service_time_s: float) -> float:
         return max(
             HEDGE_OBJECTIVE_FACTOR * self._route.objective_s,
@@ -934,7 +1048,8 @@
     def on_request_error(self, kind: ErrorKind, detail: str) -> None:
         """Reject a request that is malformed or too large."""
         if not self.is_done:
-            self._detail = detail
+            # What follows may quote the request, which may contain a key.
+            self._detail = detail.partition(": ")[0]
             self._send_error(kind)
 
     def on_conn_drained(self) -> None:
@@ -980,6 +1095,7 @@
             waited_ms=(first_dispatch_at - self._arrived_at) * 1000,
             tries=tuple(self._attempt_records),
             detail=self._detail,
+            organisation=self._organisation.name if self._organisation else "",
         )
         self._deps.request_log.add(entry)
 
--- a/dogwoodtack/entry/explain.py
+++ b/dogwoodtack/entry/explain.py
@@ -14,6 +14,8 @@
     "overloaded": "No slot would have been free in time; nothing was sent.",
     "quarantined": "Instances had crashed under this request; nothing was sent.",
     "deadline-passed": "The deadline passed before an instance was free.",
+    "unauthorized": "The key is not valid for this route; nothing was sent.",
+    "bad-request": "The request is malformed; nothing was sent.",
     "no-route": "The configuration in force has no route for this host and path.",
     "backend-shed": "Every instance that was tried rejected the request unexecuted.",
     "backend-refused": "No instance could be reached; nothing was sent.",
--- a/dogwoodtack/entry/frontend.py
+++ b/dogwoodtack/entry/frontend.py
@@ -66,6 +66,7 @@
             self._is_handover,
         )
         self._add_exchange(conn, exchange)
+        exchange.on_head()
 
     def on_stop_progress(self) -> None:
         """Reject the requests that are not sent yet and can't be finished any more."""
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -9,12 +9,13 @@
 from circuits import BaseComponent, handler
 from circuits.core.pollers import EPoll
 
+from ..access import AccessControl, StoreContacts
 from ..backends import ConnectionPool
 from ..calls import Client
 from ..clock import SystemClock
 from ..errors import SettingsError
 from ..feed import Feed, FeedCallbacks, RelayClient, Source, handle_relay_request
-from ..fleet import Fleet, HostRecord, PeerTable
+from ..fleet import Fleet, Heartbeat, HostRecord, PeerTable
 from ..logs import LineSink, log_event
 from ..misc import Address
 from ..placement import InstanceChange, InstanceRegistry, Placer
@@ -139,6 +140,9 @@
         self.placer = Placer(self.registry, cfg.zone, self.rng, cfg.bounds.retries)
         self.quarantine = Quarantine()
         self.peer_table = PeerTable(self.local_host)
+        self.access = AccessControl(self._are_keys_confirmed)
+        self.store_contacts = StoreContacts()
+        self._were_keys_confirmed = True
         events = FeedCallbacks(
             self._on_configuration,
             self._on_instances,
@@ -160,7 +164,7 @@
             self.placer,
             self.quarantine,
             self.feed.sync_status,
-            self.feed.on_heartbeat,
+            self._on_heartbeat,
         )
         self.host_records = HostRecords(
             self.reactor,
@@ -216,6 +220,7 @@
             request_log=self.request_log,
             recent_ids=RecentIds(),
             response_kb={},
+            access=self.access,
         )
         limits = connection_limits(cfg.max_descriptors)
         self.frontend = EntryFrontend(
@@ -267,10 +272,46 @@
                 version=configuration.version,
                 **change._asdict(),
             )
+        self._set_organisations(configuration)
         self._routes = configuration.routes
         self._route_table = RouteTable(configuration.routes)
         self.fleet.send_heartbeat()
 
+    def _set_organisations(self, configuration: Configuration) -> None:
+        self.access.set_organisations(configuration.organisations)
+        if self.access.requires_keys:
+            log_event(
+                "access-rules",
+                version=configuration.version,
+                organisations=len(configuration.organisations),
+                valid_keys=self.access.valid_keys,
+            )
+
+    def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
+        now = self.reactor.clock.monotonic()
+        self.store_contacts.on_heartbeat(heartbeat.version, heartbeat.store_age_s, now)
+        self.feed.on_heartbeat(heartbeat)
+
+    def _are_keys_confirmed(self) -> bool:
+        """Return whether the keys known here may still be relied on."""
+        bounds = self.settings.bounds
+        return not bounds.strict_revocation or self._keys_age_s() <= bounds.revoke_s
+
+    def _keys_age_s(self) -> float:
+        """Return the seconds since the configuration was known to be the newest."""
+        version, _, store_age_s = self.feed.sync_status()
+        now = self.reactor.clock.monotonic()
+        return min(store_age_s, self.store_contacts.age_s(version, now))
+
+    def _log_confirmation(self) -> None:
+        """Log when the keys can't be relied on any more, and when they can again."""
+        is_confirmed = not self.access.requires_keys or self._are_keys_confirmed()
+        if is_confirmed != self._were_keys_confirmed:
+            self._were_keys_confirmed = is_confirmed
+            age_s = self._keys_age_s()
+            event = "keys-confirmed" if is_confirmed else "keys-unconfirmed"
+            log_event(event, level="WARNING", age_s=age_s, version=self.feed.version)
+
     def _on_instances(self, changes: list[InstanceChange]) -> None:
         removed = [change.id for change in changes if change.instance is None]
         self.placer.forget(removed)
@@ -370,6 +411,8 @@
             "store_era": position.era,
             "instances_revision": position.revision,
             "store_age_s": age_s,
+            "valid_keys": self.access.valid_keys,
+            "keys_age_s": self._keys_age_s(),
             "instances_age_s": self.feed.instances_age_s,
             "removals_withheld": float(self.feed.withholds_removals),
             "store_calls": self._store_client.calls_made,
@@ -380,6 +423,7 @@
     def _flush_logs(self) -> None:
         """Write log lines that were held back because their reader was slow."""
         self.reactor.call_later(LOG_FLUSH_S, self._flush_logs)
+        self._log_confirmation()
         now = self.reactor.clock.monotonic()
         for instance_id in self.placer.notices.pop_ended_pauses(now):
             log_event("instance-pause-ended", instance=instance_id)
--- a/dogwoodtack/entry/replies.py
+++ b/dogwoodtack/entry/replies.py
@@ -49,6 +49,9 @@
         (b"content-length", str(len(body)).encode()),
     ]
     headers.extend(extra_headers)
+    if kind is ErrorKind.UNAUTHORIZED:
+        # A 401 has to name a scheme (RFC 9110).
+        headers.append((b"www-authenticate", b"Bearer"))
     if retry_after_s is not None:
         headers.append((b"retry-after", f"{retry_after_s:.2f}".encode()))
     conn.send_head(status, headers)
--- a/dogwoodtack/entry/request.py
+++ b/dogwoodtack/entry/request.py
@@ -1,5 +1,6 @@
 """The forwarded headers of a caller's request, and its time limit."""
 
+from ..access import canonical_name
 from ..backends import Header
 from ..frontend.conn import RequestHead
 from ..frontend.headers import drop_hop_by_hop
@@ -58,7 +59,10 @@
 
 
 def forwarded_headers(
-    head: RequestHead, header_names: HeaderNames, body_bytes: int
+    head: RequestHead,
+    header_names: HeaderNames,
+    body_bytes: int,
+    requires_keys: bool = False,
 ) -> list[Header]:
     """Return the headers that every attempt of a request sends.
 
@@ -66,6 +70,8 @@
         head: the caller's request.
         header_names: header names on the wire; those that a host sets are left out.
         body_bytes: length of the complete body, which is sent.
+        requires_keys: whether there are organisations; then what the caller says of
+            itself is left out, in whatever spelling.
     """
     excluded = header_names.set_by_host() | {
         b"content-length",
@@ -74,6 +80,11 @@
     }
     kept = drop_hop_by_hop(head.headers)
     headers = [pair for pair in kept if pair[0] not in excluded]
+    if requires_keys:
+        identifying = header_names.identifying()
+        headers = [
+            pair for pair in headers if canonical_name(pair[0]) not in identifying
+        ]
     if body_bytes or head.method not in ("GET", "HEAD"):
         headers.append((b"content-length", str(body_bytes).encode()))
     return headers
--- a/dogwoodtack/entry/request_log.py
+++ b/dogwoodtack/entry/request_log.py
@@ -6,6 +6,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from ..access import OrganisationCounts
 from ..backends import ConnectionUse
 from ..clock import Clock
 from ..logs import log_event
@@ -21,6 +22,9 @@
 
 LATENCY_BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
 SUCCESS_STATUSES = range(200, 400)
+SERVER_ERROR = 500
+# With these a host or an instance says that a request has not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 class LineClass(enum.Enum):
@@ -77,6 +81,7 @@
         waited_ms: milliseconds until the first attempt, or to the end without any.
         tries: the attempts, in the order in which they ended.
         detail: further explanation of an error.
+        organisation: name of the organisation that sent it, empty if it named none.
     """
 
     id: str
@@ -90,6 +95,7 @@
     waited_ms: float
     tries: tuple[AttemptRecord, ...]
     detail: str
+    organisation: str = ""
 
 
 class RetryEvidence(NamedTuple):
@@ -184,6 +190,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self._by_organisation = Counter(
+            "dogwoodtack_organisation_requests_total",
+            "Requests of the largest organisations by result.",
+            registry=self.registry,
+        )
+        self._organisations = OrganisationCounts()
         self._gauges = Gauge(
             "dogwoodtack_state",
             "What the host holds and believes, by name.",
@@ -199,6 +211,8 @@
         }
         self._requests.inc(labels)
         self._latency.observe({"kind": entry.kind}, entry.ms / 1000)
+        if entry.organisation:
+            self._organisations.record(entry.organisation, _result_of(entry.status))
         is_routine = entry.status in SUCCESS_STATUSES and len(entry.tries) == 1
         line_class = LineClass.ROUTINE if is_routine else LineClass.PROBLEM
         if not self._may_log(line_class):
@@ -266,5 +280,21 @@
         """
         for name, value in state.items():
             self._gauges.set({"name": name}, value)
+        self._by_organisation.values.clear()
+        for organisation, result, count in self._organisations.rows():
+            labels = {"organisation": _escaped(organisation), "result": result}
+            self._by_organisation.set(labels, count)
         content, _headers = render(self.registry, ["text/plain"])
         return content
+
+
+def _result_of(status: int) -> str:
+    """Return how a request ended, in one of the words by which metrics are kept."""
+    if status in NOT_RUN_STATUSES:
+        return "rejected"
+    return "served" if status < SERVER_ERROR else "failed"
+
+
+def _escaped(label: str) -> str:
+    """Return a label's value as the text format requires; the renderer does not."""
+    return label.replace("\\", "\\\\").replace('"', '\\"')
--- a/dogwoodtack/entry/settings.py
+++ b/dogwoodtack/entry/settings.py
@@ -17,12 +17,17 @@
         retries: the retry budget shared by all hosts.
         max_pause_s: longest time in seconds for which an instance that asks for a
             pause gets no request.
+        strict_revocation: whether keys are valid only while the host hears from the
+            store, or from a peer that does.
+        revoke_s: for how many seconds they stay valid without.
     """
 
     grace_s: float = 6.0
     max_answer_ttl_s: float = 5.0
     retries: RetryRules = RetryRules()
     max_pause_s: float = 300.0
+    strict_revocation: bool = False
+    revoke_s: float = 5.0
 
 
 class EntrySettings(NamedTuple):
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -10,6 +10,7 @@
 
 from nose2.tools import params
 
+from dogwoodtack.access import AccessControl
 from dogwoodtack.backends import ConnectionUse, ResponseHead
 from dogwoodtack.entry.buffers import RequestBuffers, ResponseBuffers
 from dogwoodtack.entry.evidence import Evidence
@@ -38,6 +39,7 @@
 REQUESTS = 12
 SPAN_S = 2.0
 MAX_ATTEMPTS = 2
+MAX_BODY_BYTES = 400_000
 # Statuses with which a host says that a request has not run and will not.
 REJECTION_STATUSES = (408, 429, 503)
 # What an instance does with a request, and whether it runs it then.
@@ -165,6 +167,8 @@
 class FakeCallerConn:
     """The connection on which a host receives a request."""
 
+    peer = Address("127.0.0.9", 9000)
+
     def __init__(self, on_response):
         self._on_response = on_response
         self._head = None
@@ -278,6 +282,7 @@
         registry = InstanceRegistry()
         for revision, one in enumerate(world.instances, 1):
             apply_each(registry, make_change(revision, one, name=one.id))
+        self.access = AccessControl(lambda: True)
         self.placer = Placer(registry, "a", rng, RetryRules(2.0, 10.0, 500.0))
         idle_limit = IdleLimit()
         self.grace = GracePeriod(clock)
@@ -306,6 +311,7 @@
             request_log=self.request_log,
             recent_ids=RecentIds(),
             response_kb={},
+            access=self.access,
         )
 
     def handover_hosts(self, exclude):
@@ -337,13 +343,17 @@
         return self.start(head, on_response, is_handed_over)
 
     def start(self, head, on_response, is_handed_over=False):
-        conn = FakeCallerConn(on_response)
-        exchange = Exchange(
-            self._deps, conn, head, 1000, lambda ended: None, is_handed_over
-        )
+        exchange = self.begin(head, on_response, is_handed_over)
         exchange.on_body_end()
         return exchange
 
+    def begin(self, head, on_response, is_handed_over=False):
+        """Start an exchange whose body is still to come."""
+        conn = FakeCallerConn(on_response)
+        return Exchange(
+            self._deps, conn, head, MAX_BODY_BYTES, lambda ended: None, is_handed_over
+        )
+
 
 def request_head(method, target):
     """Return the head of a request with the id `id` and a deadline of 1 s."""
--- a/dogwoodtack/entry/wire.py
+++ b/dogwoodtack/entry/wire.py
@@ -20,6 +20,8 @@
 
     Attributes:
         request_id: identifies one attempt of a caller; instances echo it.
+        authorization: carries the key of an organisation.
+        tenant: tells instances the name of the organisation; only hosts set it.
         deadline_ms: milliseconds that the sender will wait for the response.
         signature: proves that a response comes from the instance.
         expected_instance: the only instance that may run the request.
@@ -32,6 +34,8 @@
     """
 
     request_id: bytes
+    authorization: bytes
+    tenant: bytes
     deadline_ms: bytes
     signature: bytes
     expected_instance: bytes
@@ -45,6 +49,10 @@
         """Return the request headers that a host sets itself."""
         return frozenset({self.deadline_ms, self.expected_instance})
 
+    def identifying(self) -> frozenset[bytes]:
+        """Return the request headers that say which organisation sends a request."""
+        return frozenset({self.authorization, self.tenant})
+
 
 class ReadinessQuery(NamedTuple):
     """Asks whether this host accepts requests of callers."""
--- a/dogwoodtack/platform/headers.py
+++ b/dogwoodtack/platform/headers.py
@@ -6,6 +6,8 @@
 
 HEADERS = HeaderNames(
     request_id=b"x-dogwoodtack-request-id",
+    authorization=b"authorization",
+    tenant=b"x-dogwoodtack-tenant",
     deadline_ms=b"x-dogwoodtack-deadline-ms",
     signature=b"x-dogwoodtack-response-signature",
     expected_instance=b"x-dogwoodtack-expected-instance",
--- a/dogwoodtack/platform/settings.py
+++ b/dogwoodtack/platform/settings.py
@@ -18,6 +18,7 @@
 SETTINGS_VARIABLE = "DOGWOODTACK_SETTINGS"
 # The one bound that is the operator's to choose; the others state the platform's rules.
 MAX_PAUSE_BOUND = "maxPauseS"
+STRICT_REVOCATION_BOUND = "strictRevocation"
 
 
 def load_entry_settings(path: str | None = None) -> EntrySettings:
@@ -94,15 +95,20 @@
 def _bounds(entries: list[str]) -> Bounds:
     values: dict[str, float] = {}
     max_pause_s = Bounds().max_pause_s
+    strict_revocation = Bounds().strict_revocation
     for entry in entries:
         name, sep, value = entry.partition("=")
         if name.strip() == MAX_PAUSE_BOUND:
             max_pause_s = _positive(MAX_PAUSE_BOUND, value)
             continue
+        if name.strip() == STRICT_REVOCATION_BOUND:
+            # Whatever else it says may be meant to be strict.
+            strict_revocation = value.strip().lower() != "false"
+            continue
         try:
             values[name.strip()] = float(value)
         except ValueError:
-            # Some bounds are booleans, none of which is used here.
+            # Other bounds are booleans, none of which is used here.
             continue
     defaults = Bounds()
     return Bounds(
@@ -114,9 +120,16 @@
             slack=values.get("budgetSlack", defaults.retries.slack),
         ),
         max_pause_s=max_pause_s,
+        strict_revocation=strict_revocation,
+        revoke_s=_time_or_default(values.get("revokeS"), defaults.revoke_s),
     )
 
 
+def _time_or_default(value: float | None, default: float) -> float:
+    """Return a time in seconds, or the default if it is none."""
+    return value if value is not None and 0.0 < value < math.inf else default
+
+
 def _positive(name: str, text: str) -> float:
     value = float(text)
     if not 0.0 < value < math.inf:
--- a/dogwoodtack/platform/tests/test_wire.py
+++ b/dogwoodtack/platform/tests/test_wire.py
@@ -241,6 +241,26 @@
         found = decode_entry_settings({**SETTINGS, "bounds": ["maxPauseS = 12.5"]})
         self.assertEqual(found.bounds.max_pause_s, 12.5)
 
+    @params(
+        # bounds, whether revocation is strict, seconds
+        ([], False, 5.0),
+        (["strictRevocation=false", "revokeS=5"], False, 5.0),
+        (["strictRevocation=true", "revokeS=2.5"], True, 2.5),
+        ([" strictRevocation = False ", " revokeS = 3"], False, 3.0),
+        (["strictRevocation=yes"], True, 5.0),
+        (["strictRevocation="], True, 5.0),
+        (["revokeS=soon"], False, 5.0),
+        (["revokeS=0"], False, 5.0),
+        (["revokeS=nan"], False, 5.0),
+        (["revokeS=inf"], False, 5.0),
+    )
+    def test_revocation(self, bounds, is_strict, seconds):
+        """A host with an odd bound went on with keys that had been removed."""
+        found = decode_entry_settings({**SETTINGS, "bounds": bounds}).bounds
+        self.assertEqual(
+            (found.strict_revocation, found.revoke_s), (is_strict, seconds)
+        )
+
     @params(
         ("node", None),
         ("listen.front", "nowhere"),
