Keep at most 4 MB of request bodies at an instance, over all hosts

Change: placement/body_load.py counts bodies of 16 kB and more, of this host and as peers and other zones report them in the new message field bodies (kB by instance). The placer leaves out instances without room; a body that exceeds the bound alone goes only where no other is. Other zones' reports are 250 ms old, so their hosts keep to 1 MB together. The bound holds only where the configuration has uploads. New gauge instance_body_kb.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -209,6 +209,8 @@
         self._now = deps.reactor.clock.monotonic
         self._arrived_at = self._now()
         self._body = bytearray()
+        # Known once it is complete, and kept when the body has been freed.
+        self._body_bytes = 0
         self._route: Route | None = None
         self._config_version = 0
         self._repeats: RepeatPermission | None = None
@@ -278,6 +280,7 @@
             self._send_error(ErrorKind.NO_ROUTE)
             return
         self._route = route
+        self._body_bytes = len(self._body)
         self._repeats = RepeatPermission(
             self._head.method,
             route,
@@ -368,6 +371,7 @@
             abandon_at=self._deadline - service_time_s / 2,
             arrived_at=self._arrived_at,
             on_decision=on_decision,
+            body_bytes=self._body_bytes,
         )
 
     def _request_placement(self) -> None:
@@ -467,10 +471,10 @@
             or self._reject_quarantined()
             or self._reject_unfinishable()
         ):
-            self._deps.placer.release(placed.id)
+            self._deps.placer.release(placed.id, self._body_bytes)
             return
         if self.is_done or self._now() >= self._deadline - MIN_ATTEMPT_S:
-            self._deps.placer.release(placed.id)
+            self._deps.placer.release(placed.id, self._body_bytes)
             if not self.is_done and not self._in_flight:
                 self._abandon(ErrorKind.DEADLINE_PASSED)
             return
@@ -815,7 +819,7 @@
         if instance is None:
             return
         placer = self._deps.placer
-        placer.release(instance.id)
+        placer.release(instance.id, self._body_bytes)
         now = self._now()
         observation = None
         if outcome is AttemptOutcome.MISDIRECTED:
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -24,6 +24,7 @@
     CallerLimits,
     Configuration,
     Route,
+    RouteKind,
     RouteTable,
     TrafficSplitter,
     kind_changes,
@@ -269,6 +270,9 @@
             )
         self._routes = configuration.routes
         self._route_table = RouteTable(configuration.routes)
+        self.placer.bodies.is_bounded = any(
+            route.kind is RouteKind.UPLOAD for route in configuration.routes
+        )
         self.fleet.send_heartbeat()
 
     def _on_instances(self, changes: list[InstanceChange]) -> None:
@@ -356,6 +360,7 @@
             "directory_connections": self.directory.connections,
             "response_buffer_bytes": self.buffers.total_bytes,
             "request_buffer_bytes": self.request_buffers.total_bytes,
+            "instance_body_kb": sum(self.placer.bodies.own.values()),
             "instance_paths_lost": float(self.paths.is_cut_off),
             "instances_unreached": self.paths.unreached,
             "path_probes": self.paths.pending_probes,
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -38,6 +38,7 @@
 REQUESTS = 12
 SPAN_S = 2.0
 MAX_ATTEMPTS = 2
+MAX_BODY_BYTES = 30_000
 # Statuses with which a host says that a request has not run and will not.
 REJECTION_STATUSES = (408, 429, 503)
 # What an instance does with a request, and whether it runs it then.
@@ -336,11 +337,13 @@
         head = RequestHead(out.method.decode(), out.target.decode(), out.headers)
         return self.start(head, on_response, is_handed_over)
 
-    def start(self, head, on_response, is_handed_over=False):
+    def start(self, head, on_response, is_handed_over=False, body=b""):
         conn = FakeCallerConn(on_response)
         exchange = Exchange(
-            self._deps, conn, head, 1000, lambda ended: None, is_handed_over
+            self._deps, conn, head, MAX_BODY_BYTES, lambda ended: None, is_handed_over
         )
+        if body:
+            exchange.on_body(body)
         exchange.on_body_end()
         return exchange
 
@@ -398,6 +401,23 @@
                     if method == "POST":
                         self.assertLessEqual(world.runs[request_id], 1)
 
+    @params("ok", "error", "cut", "silent", "shed")
+    def test_body_counts_at_its_instance_while_it_is_there(self, behaviour):
+        """Bodies at instances were not known, and those that held many ended."""
+        world = World(1)
+        world.behaviours = [behaviour]
+        host = world.hosts[0]
+        exchange = host.start(
+            request_head("POST", "/book/"),
+            lambda status, headers, body: None,
+            body=b"x" * 20_000,
+        )
+        sizes_kb = list(host.placer.bodies.own.values())
+        self.assertEqual(sizes_kb, [20])
+        world.reactor.run_for(3.0)
+        self.assertTrue(exchange.is_done)
+        self.assertEqual(host.placer.bodies.own, {})
+
     @params(
         # method, whether the store is reached, runs, confirmations
         ("GET", True, 2, 0),
@@ -606,6 +626,7 @@
         ]
         self.assertEqual(set(observations), {None})
         self.assertFalse(any(host.placer.occupancy.own.values()))
+        self.assertEqual(host.placer.bodies.own, {})
 
     @params(
         ("evidence", "record"),
@@ -669,6 +690,7 @@
             world.reactor.run_for(1.2)
         self.assertEqual(responses, [status])
         self.assertFalse(any(host.placer.occupancy.own.values()))
+        self.assertEqual(host.placer.bodies.own, {})
 
 
 if __name__ == "__main__":
--- a/dogwoodtack/fleet/fleet.py
+++ b/dogwoodtack/fleet/fleet.py
@@ -145,12 +145,14 @@
             self._peer_table.reaches_instances,
             self._placer.leaving(),
             self._quarantine.reports(now),
+            body_kb=self._placer.bodies.own,
         )
 
     def _run_heartbeat(self) -> None:
         self._reactor.call_later(self._heartbeat_interval_s(), self._run_heartbeat)
         now = self._reactor.clock.monotonic()
         self._placer.occupancy.drop_stale(now)
+        self._placer.bodies.drop_stale(now)
         self.count_competing_hosts()
         self.send_heartbeat()
         self._placer.dispatch_queued(now)
@@ -196,6 +198,7 @@
             hosts=hosts,
             leaving=self._placer.leaving(),
             crash_reports=self._quarantine.reports(now, only_news=hosts is None),
+            body_kb=self._placer.bodies.own_zone_loads(),
         )
         self._datagrams.send(
             report, self._gateways.addresses(self._peer_table.known_hosts(), now)
@@ -268,6 +271,11 @@
             reports,
             self._placer.rate_limits.reports(self._reactor.clock.monotonic(), ids),
             self._placer.notices.leaving(instances),
+            body_kb={
+                name: size_kb
+                for name, size_kb in self._placer.bodies.own.items()
+                if name in ids
+            },
         )
         local_name = self._peer_table.local_host.name
         peers = [
@@ -292,6 +300,10 @@
             self._placer.occupancy.set_peer_count(
                 message.host_name, report.instance_id, report.in_flight, now
             )
+            size_kb = message.body_kb.get(report.instance_id, 0)
+            self._placer.bodies.set_peer_kb(
+                message.host_name, report.instance_id, size_kb, now
+            )
             if report.observation is not None:
                 self._placer.health.add_peer_report(
                     report.instance_id, report.observation, now
@@ -340,6 +352,7 @@
         self._placer.apply_zone_report(
             report.zone, report.in_flight, report.unhealthy_percent, now
         )
+        self._placer.bodies.set_zone_loads(report.zone, report.body_kb, now)
         self._apply_notices(None, report, now)
         self._apply_crash_reports(report.crash_reports, report.zone, now)
         if report.hosts is not None:
@@ -373,6 +386,7 @@
         self._placer.occupancy.set_peer_counts(
             heartbeat.host.name, heartbeat.in_flight, now
         )
+        self._placer.bodies.set_peer_loads(heartbeat.host.name, heartbeat.body_kb, now)
         self._apply_notices(heartbeat.host.name, heartbeat, now)
         self._apply_crash_reports(heartbeat.crash_reports, heartbeat.host.name, now)
         self._on_heartbeat(heartbeat)
--- a/dogwoodtack/fleet/records.py
+++ b/dogwoodtack/fleet/records.py
@@ -72,6 +72,7 @@
         leaving: instances that have said that they leave, with their start times in
             Unix milliseconds.
         crash_reports: what the sender knows of requests that crash instances.
+        body_kb: bodies of the sender's requests in kB, per instance.
     """
 
     host: HostRecord
@@ -85,6 +86,7 @@
     reaches_instances: bool
     leaving: dict[str, int]
     crash_reports: tuple[CrashReport, ...] = ()
+    body_kb: dict[str, int] = {}
 
 
 class InstanceReport(NamedTuple):
@@ -110,12 +112,14 @@
         instances: the sender's requests, by instance.
         rate_limits: what the sender knows of rate limits of these instances.
         leaving: those of them that have said that they leave, with their start times.
+        body_kb: the sender's bodies in kB at those of them that have any.
     """
 
     host_name: str
     instances: list[InstanceReport]
     rate_limits: list[RateLimitReport]
     leaving: dict[str, int]
+    body_kb: dict[str, int] = {}
 
 
 class ServingHost(NamedTuple):
@@ -158,6 +162,7 @@
         hosts: the zone's serving hosts; None in most reports.
         leaving: instances that have said that they leave, with their start times.
         crash_reports: what the zone knows of requests that crash instances.
+        body_kb: bodies of the zone's requests in kB, per instance.
     """
 
     zone: str
@@ -169,6 +174,7 @@
     hosts: ZoneHosts | None
     leaving: dict[str, int]
     crash_reports: tuple[CrashReport, ...] = ()
+    body_kb: dict[str, int] = {}
 
 
 Message = Heartbeat | PeerReport | ZoneReport
@@ -219,7 +225,7 @@
         for report in message.instances
     ]
     fields = {"news": message.host_name, "of": reports}
-    return fields | _notice_fields(message)
+    return fields | _notice_fields(message) | _body_fields(message)
 
 
 @_message_fields.register
@@ -234,7 +240,11 @@
         "next": message.interval_s,
         "load": message.in_flight,
         "paths": message.reaches_instances,
-    } | (_notice_fields(message) | _crash_fields(message.crash_reports))
+    } | (
+        _notice_fields(message)
+        | _crash_fields(message.crash_reports)
+        | _body_fields(message)
+    )
 
 
 @_message_fields.register
@@ -249,6 +259,7 @@
         _notice_fields(message)
         | _zone_hosts_fields(message.hosts)
         | _crash_fields(message.crash_reports)
+        | _body_fields(message)
     )
 
 
@@ -273,6 +284,11 @@
     return {"crashes": crash_reports_to_json(reports)} if reports else {}
 
 
+def _body_fields(message: Message) -> dict[str, Any]:
+    """Return the field of the bodies at instances, which is left out without any."""
+    return {"bodies": message.body_kb} if message.body_kb else {}
+
+
 def encode_message(message: Message) -> bytes:
     """Return the payload of the datagram that carries a message."""
     return json.dumps(_message_fields(message), separators=(",", ":")).encode()
@@ -304,6 +320,7 @@
         reports,
         _decode_rate_limits(fields),
         _decode_leaving(fields),
+        _decode_body_kb(fields),
     )
 
 
@@ -324,6 +341,7 @@
         bool(fields.get("paths", True)),
         _decode_leaving(fields),
         _decode_crash_reports(fields),
+        _decode_body_kb(fields),
     )
 
 
@@ -338,6 +356,7 @@
         _decode_zone_hosts(fields),
         _decode_leaving(fields),
         _decode_crash_reports(fields),
+        _decode_body_kb(fields),
     )
 
 
@@ -371,5 +390,17 @@
     return crash_reports_from_json(fields.get("crashes", []))
 
 
+def _decode_body_kb(fields: dict[str, Any]) -> dict[str, int]:
+    """Return the bodies in a message; earlier builds send none.
+
+    Raises:
+        ValueError: a size is negative, and would hide the bodies of others.
+    """
+    sizes = _decode_counts(fields.get("bodies", {}))
+    if any(size_kb < 0 for size_kb in sizes.values()):
+        raise ValueError("a body has a negative size")
+    return sizes
+
+
 def _decode_counts(fields: dict[str, Any]) -> dict[str, int]:
     return {str(name): int(count) for name, count in fields.items()}
--- a/dogwoodtack/fleet/tests/test_records.py
+++ b/dogwoodtack/fleet/tests/test_records.py
@@ -48,11 +48,14 @@
                 ],
                 [],
                 {"i-1": 1796346000000},
+                {"i-1": 360},
             ),
         ),
         (make_zone_report(in_flight={"i-1": 3}, unhealthy_percent={"i-1": 85}),),
         (make_zone_report(is_forwarded=True, hosts=ZONE_HOSTS),),
         (make_zone_report(leaving={"i-1": 0}),),
+        (make_zone_report(body_kb={"i-1": 4000}),),
+        (make_heartbeat(make_host("h-1"))._replace(body_kb={"i-1": 61}),),
         (make_zone_report(crash_reports=CRASH_REPORTS),),
         (make_heartbeat(make_host("h-1"))._replace(crash_reports=CRASH_REPORTS),),
         (
@@ -81,6 +84,9 @@
         b'{"news":"h","of":[],"limits":[["i",1.2,0.1]]}',
         b'{"news":"h","of":[],"leaving":{"i":"soon"}}',
         b'{"news":"h","of":[],"limits":[["i","much",0.1,1]]}',
+        b'{"news":"h","of":[],"bodies":{"i":-1}}',
+        b'{"news":"h","of":[],"bodies":{"i":"x"}}',
+        b'{"news":"h","of":[],"bodies":[1]}',
         b'{"beat":{"name":"h"},"ready":true}',
         b'{"zone":"a","from":"10.0.0.1:2","load":{},"sick":{},"on":0,"serving":[]}',
         b'{"zone":"a","from":"nowhere","load":{},"sick":{},"on":0}',
@@ -130,6 +136,17 @@
         found = decode_message(json.dumps(heartbeat).encode())
         self.assertEqual(found.position, StorePosition(0, 5))
 
+    @params(
+        (make_heartbeat(make_host("h-1")),),
+        (make_zone_report(),),
+        (PeerReport("h-1", [InstanceReport("i-1", 2, None)], [], {}),),
+    )
+    def test_fields_of_hosts_of_the_previous_build(self, message):
+        """Neither do they send bodies, nor do hosts without any."""
+        fields = json.loads(encode_message(message))
+        self.assertNotIn("bodies", fields)
+        self.assertEqual(decode_message(json.dumps(fields).encode()).body_kb, {})
+
     def test_message_type_is_kept(self):
         found = decode_message(encode_message(make_heartbeat(make_host("h-1"))))
         self.assertIsInstance(found, Heartbeat)
--- a/dogwoodtack/placement/__init__.py
+++ b/dogwoodtack/placement/__init__.py
@@ -3,6 +3,7 @@
 The code does no input or output; callers pass in the time and the random numbers.
 """
 
+from .body_load import BodyLoad
 from .health_estimate import HealthEstimate, Observation
 from .health_tracker import PATH_FAILURES, HealthTracker
 from .instances import (
@@ -35,6 +36,7 @@
     "PATH_FAILURES",
     "AttemptContext",
     "AttemptOutcome",
+    "BodyLoad",
     "Candidate",
     "Capacity",
     "EntryVersion",
--- a/dogwoodtack/placement/occupancy.py
+++ b/dogwoodtack/placement/occupancy.py
@@ -17,13 +17,13 @@
         self._reported_at: dict[str, float] = {}
         self._other_zone_counts: dict[str, dict[str, int]] = {}
 
-    def increment(self, instance_id: str) -> None:
+    def increment(self, instance_id: str, count: int = 1) -> None:
         """Count a request of this host that was assigned to an instance."""
-        self.own[instance_id] += 1
+        self.own[instance_id] += count
 
-    def decrement(self, instance_id: str) -> None:
+    def decrement(self, instance_id: str, count: int = 1) -> None:
         """Stop counting a request of this host that has ended."""
-        self.own[instance_id] -= 1
+        self.own[instance_id] -= count
         if self.own[instance_id] <= 0:
             del self.own[instance_id]
 
@@ -64,12 +64,21 @@
         """Return whether there is a recent report from another zone's hosts."""
         return zone in self._other_zone_counts
 
-    def total_for(self, instance_id: str) -> int:
-        """Return how many requests are in flight on an instance."""
+    @property
+    def reporting_zones(self) -> set[str]:
+        """Return the other zones of which there is a recent report."""
+        return set(self._other_zone_counts)
+
+    def own_zone_total_for(self, instance_id: str) -> int:
+        """Return how many requests of this zone are in flight on an instance."""
         others = sum(
             counts.get(instance_id, 0) for counts in self._peer_counts.values()
         )
+        return self.own.get(instance_id, 0) + others
+
+    def total_for(self, instance_id: str) -> int:
+        """Return how many requests are in flight on an instance."""
         zones = sum(
             counts.get(instance_id, 0) for counts in self._other_zone_counts.values()
         )
-        return self.own.get(instance_id, 0) + others + zones
+        return self.own_zone_total_for(instance_id) + zones
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from ..fairness import UsageLedger
+from .body_load import BodyLoad, counted_kb
 from .health_tracker import HealthTracker
 from .instances import Instance, InstanceRegistry
 from .notices import InstanceNotices
@@ -84,6 +85,7 @@
     Attributes:
         registry: the known instances.
         occupancy: requests in flight on them.
+        bodies: bytes of these requests' bodies.
         health: health estimates of them.
         rate_limits: rate limits that they name.
         notices: which of them leave or are paused.
@@ -102,6 +104,7 @@
     ) -> None:
         self.registry = registry
         self.occupancy = Occupancy()
+        self.bodies = BodyLoad(zone)
         self.health = HealthTracker()
         self.rate_limits = RateLimits(zone)
         self.notices = InstanceNotices()
@@ -227,7 +230,9 @@
         At large sites most instances are in other zones; they need not be looked at
         when no instance there could be better.
         """
-        candidates = self.candidates(req.service, now, only_local=True)
+        candidates = self._with_room(
+            self.candidates(req.service, now, only_local=True), req
+        )
         found = select_candidate(candidates, req.requirements, self._rng)
         if (
             found is not None
@@ -243,9 +248,8 @@
         """
         if len(self._queues.get(req.service, ())):
             return False
-        found = select_candidate(
-            self.candidates(req.service, now), req.requirements, self._rng
-        )
+        candidates = self._with_room(self.candidates(req.service, now), req)
+        found = select_candidate(candidates, req.requirements, self._rng)
         if found is None:
             return False
         self._assign(req, found.instance, now)
@@ -254,6 +258,7 @@
     def _select(
         self, candidates: list[Candidate], req: PlacementRequest, now: float
     ) -> Candidate | None:
+        candidates = self._with_room(candidates, req)
         if self._waits_for_local(req, now):
             candidates = [one for one in candidates if one.is_local]
         found = select_candidate(candidates, req.requirements, self._rng)
@@ -263,6 +268,21 @@
             )
         return found
 
+    def _with_room(
+        self, candidates: list[Candidate], req: PlacementRequest
+    ) -> list[Candidate]:
+        """Return the candidates that have room for a request's body."""
+        if not self.bodies.bounds(req.body_bytes):
+            return candidates
+        has_local = any(one.is_local for one in candidates)
+        return [
+            one
+            for one in candidates
+            if self.bodies.has_room(
+                one.instance, req.body_bytes, one.is_local or not has_local
+            )
+        ]
+
     def _waits_for_local(self, req: PlacementRequest, now: float) -> bool:
         """Return whether a request with a large response waits for a local slot."""
         local_wait_s = LOCAL_WAIT_SHARE * max(0.0, req.start_by - req.arrived_at)
@@ -295,7 +315,10 @@
             # On an unhealthy instance the request uses no healthy slot, and a failure
             # only costs a retry; some of these requests succeed.
             found = select_candidate(
-                candidates, req.requirements, self._rng, allow_unhealthy=True
+                self._with_room(candidates, req),
+                req.requirements,
+                self._rng,
+                allow_unhealthy=True,
             )
         if found is None:
             req.on_decision(rejection)
@@ -321,6 +344,7 @@
 
     def _assign(self, req: PlacementRequest, instance: Instance, now: float) -> None:
         self.occupancy.increment(instance.id)
+        self.bodies.add(instance.id, req.body_bytes)
         self.rate_limits.record_send(instance.id, now)
         req.on_decision(instance)
 
@@ -359,7 +383,7 @@
                 )
             return
         # If one request finds no slot, others with the same needs find none either.
-        unplaceable: set[tuple[SelectionMode, frozenset[str], bool, bool]] = set()
+        unplaceable: set[tuple[SelectionMode, frozenset[str], bool, bool, int]] = set()
         for queued in queue.in_order(now):
             req = queued.payload
             needs = (
@@ -367,6 +391,7 @@
                 req.requirements.exclude,
                 self._waits_for_local(req, now),
                 self._is_last_chance(req, now),
+                counted_kb(req.body_bytes),
             )
             if needs in unplaceable:
                 continue
@@ -387,9 +412,10 @@
         for instance_id in instance_ids:
             self.notices.forget(instance_id)
 
-    def release(self, instance_id: str) -> None:
-        """Release the slot of a request of this host that has ended."""
+    def release(self, instance_id: str, body_bytes: int = 0) -> None:
+        """Release the slot and the body of a request of this host that has ended."""
         self.occupancy.decrement(instance_id)
+        self.bodies.remove(instance_id, body_bytes)
 
     def record_service_time(self, service: str, seconds: float) -> None:
         """Update the mean service time with the time one request held its slot."""
