--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -216,6 +216,8 @@
         self._now = deps.reactor.clock.monotonic
         self._arrived_at = self._now()
         self._body = bytearray()
+        # Known once it is complete, and kept when the body has been freed.
+        self._body_bytes = 0
         self._route: Route | None = None
         self._organisation: Organisation | None = None
         self._requires_keys = False
@@ -349,6 +351,7 @@
         self._route = route
         if not self._check_access(route):
             return
+        self._body_bytes = len(self._body)
         self._repeats = RepeatPermission(
             self._head.method,
             route,
@@ -447,6 +450,7 @@
             on_decision=on_decision,
             organisation="" if organisation is None else organisation.name,
             organisation_priority=0 if organisation is None else organisation.priority,
+            body_bytes=self._body_bytes,
         )
 
     def _request_placement(self) -> None:
@@ -546,10 +550,10 @@
             or self._reject_quarantined()
             or self._reject_unfinishable()
         ):
-            self._deps.placer.release(placed.id)
+            self._deps.placer.release(placed.id, self._body_bytes)
             return
         if self.is_done or self._now() >= self._deadline - MIN_ATTEMPT_S:
-            self._deps.placer.release(placed.id)
+            self._deps.placer.release(placed.id, self._body_bytes)
             if not self.is_done and not self._in_flight:
                 self._abandon(ErrorKind.DEADLINE_PASSED)
             return
@@ -929,7 +933,7 @@
         if instance is None:
             return
         placer = self._deps.placer
-        placer.release(instance.id)
+        placer.release(instance.id, self._body_bytes)
         now = self._now()
         observation = None
         if outcome is AttemptOutcome.MISDIRECTED:
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -25,6 +25,7 @@
     CallerLimits,
     Configuration,
     Route,
+    RouteKind,
     RouteTable,
     TrafficSplitter,
     kind_changes,
@@ -275,6 +276,9 @@
         self._set_organisations(configuration)
         self._routes = configuration.routes
         self._route_table = RouteTable(configuration.routes)
+        self.placer.bodies.is_bounded = any(
+            route.kind is RouteKind.UPLOAD for route in configuration.routes
+        )
         self.fleet.send_heartbeat()
 
     def _set_organisations(self, configuration: Configuration) -> None:
@@ -397,6 +401,7 @@
             "directory_connections": self.directory.connections,
             "response_buffer_bytes": self.buffers.total_bytes,
             "request_buffer_bytes": self.request_buffers.total_bytes,
+            "instance_body_kb": sum(self.placer.bodies.own.values()),
             "instance_paths_lost": float(self.paths.is_cut_off),
             "instances_unreached": self.paths.unreached,
             "path_probes": self.paths.pending_probes,
