--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -28,6 +28,7 @@
 NOT_EXECUTED_HEADER = "X-Dogwoodtack-Not-Executed"
 RATE_LIMIT_HEADER = "Server-Limit"
 LEAVING_HEADER = "Server-Leaving"
+SENDER_HEADERS = ("authorization", "x-dogwoodtack-tenant")
 PAGE_SIZE = 50
 SIGNED_HEAD = (
     f"HTTP/1.1 200 OK\r\n{REQUEST_ID_HEADER}: REQUEST-ID\r\n"
@@ -316,12 +317,21 @@
 
 
 class ExecutedRequest(NamedTuple):
-    """One request that an instance executed."""
+    """One request that an instance executed.
+
+    Attributes:
+        request_id: its id.
+        method: HTTP method.
+        path: path and query.
+        body: the complete body.
+        sender: the headers that say whose request it is, in whatever spelling.
+    """
 
     request_id: str
     method: str
     path: str
     body: bytes
+    sender: tuple[tuple[str, str], ...] = ()
 
 
 class Arrival(NamedTuple):
@@ -472,7 +482,14 @@
                 now = time.monotonic()
                 instance.pauses.append(AskedPause(now, request_id, retry_after))
             return
-        instance.ran.append(ExecutedRequest(request_id, self.command, self.path, body))
+        sender = tuple(
+            (name, value)
+            for name, value in self.headers.items()
+            if name.lower().replace("_", "-") in SENDER_HEADERS
+        )
+        instance.ran.append(
+            ExecutedRequest(request_id, self.command, self.path, body, sender)
+        )
         time.sleep(instance.delay_s)
         if self.path in instance.lethal_targets:
             self.close_connection = True
