--- a/dogwoodtack/access/tests/test_access.py
+++ b/dogwoodtack/access/tests/test_access.py
@@ -1,6 +1,8 @@
 """Tests of keys, rules, contacts with the store and counters of organisations."""
 
 import hashlib
+import itertools
+import random
 import unittest
 
 from nose2.tools import params
@@ -131,6 +133,83 @@
         self.assertAlmostEqual(contacts.age_s(version, 10.0), expected)
 
 
+class Network:
+    """Hosts that read versions from a store or from each other over unsure links.
+
+    Steps of 0.1 s; links are cut and healed at random, and heartbeats get lost.
+    """
+
+    hosts = 5
+
+    def __init__(self, seed, cut_rate):
+        self.rng = random.Random(seed)
+        self.cut_rate = cut_rate
+        self.now = 0.0
+        self.written = [(0.0, 1)]
+        self.versions = [1] * self.hosts
+        self.store_seen_at = [0.0] * self.hosts
+        self.contacts = [StoreContacts() for _ in range(self.hosts)]
+        self.cuts = set()
+
+    def step(self):
+        self.now += 0.1
+        if self.rng.random() < 0.05:
+            self.written.append((self.now, self.written[-1][1] + 1))
+        pairs = [(a, b) for a in range(self.hosts) for b in (*range(a), "store")]
+        for pair in pairs:
+            if self.rng.random() < 0.02:
+                self.cuts.discard(pair)
+                if self.rng.random() < self.cut_rate:
+                    self.cuts.add(pair)
+        for host in range(self.hosts):
+            if (host, "store") not in self.cuts:
+                self.versions[host] = self.written[-1][1]
+                self.store_seen_at[host] = self.now
+        for sender, receiver in itertools.permutations(range(self.hosts), 2):
+            pair = max(sender, receiver), min(sender, receiver)
+            if pair not in self.cuts and self.rng.random() < 0.25:
+                self.on_heartbeat(sender, receiver)
+
+    def on_heartbeat(self, sender, receiver):
+        age_s = self.now - self.store_seen_at[sender]
+        version = self.versions[sender]
+        self.contacts[receiver].on_heartbeat(version, age_s, self.now)
+        # At times a relay fails that a heartbeat has led to.
+        if version > self.versions[receiver] and self.rng.random() < 0.7:
+            self.versions[receiver] = version
+
+    def age_s(self, host):
+        contact_s = self.contacts[host].age_s(self.versions[host], self.now)
+        return min(contact_s, self.now - self.store_seen_at[host])
+
+    def newest_at(self, at):
+        return max(version for written_at, version in self.written if written_at <= at)
+
+
+class RevocationReplayTest(unittest.TestCase):
+    @params(*itertools.product(range(10), (0.1, 0.5, 0.9)))
+    def test_keys_are_never_older_than_their_age(self, seed, cut_rate):
+        """A strict host served a key that had been removed more than revokeS before."""
+        network = Network(seed, cut_rate)
+        for _ in range(600):
+            network.step()
+            for host in range(network.hosts):
+                at = network.now - network.age_s(host)
+                self.assertGreaterEqual(
+                    network.versions[host], network.newest_at(at + 1e-6)
+                )
+
+    def test_one_host_with_contact_is_enough_for_all(self):
+        """Hosts that only hear peers rejected valid keys."""
+        network = Network(1, 0.0)
+        network.cuts = {(host, "store") for host in range(1, network.hosts)}
+        network.rng.random = lambda: 0.2
+        for _ in range(100):
+            network.step()
+            ages_s = [network.age_s(host) for host in range(network.hosts)]
+            self.assertLess(max(ages_s), 0.3)
+
+
 class CountsTest(unittest.TestCase):
     def test_largest_organisations_have_their_own(self):
         """Each of thousands of organisations made a time series of its own."""
--- a/dogwoodtack/entry/explain.py
+++ b/dogwoodtack/entry/explain.py
@@ -10,7 +10,8 @@
 UNHEALTHY_THRESHOLD = 0.45
 
 CAUSE_BY_REASON = {
-    "cut-off": "The host had no configuration yet; nothing was sent.",
+    "cut-off": "The host had no configuration yet, or none recent enough; "
+    "nothing was sent.",
     "overloaded": "No slot would have been free in time; nothing was sent.",
     "quarantined": "Instances had crashed under this request; nothing was sent.",
     "deadline-passed": "The deadline passed before an instance was free.",
--- a/dogwoodtack/entry/tests/test_explain_and_idle_limit.py
+++ b/dogwoodtack/entry/tests/test_explain_and_idle_limit.py
@@ -29,6 +29,8 @@
             "was retried",
         ),
         ({"reason": "overloaded", "status": 503, "detail": "ahead 3"}, "(ahead 3)"),
+        ({"reason": "unauthorized", "status": 401, "detail": "no key"}, "(no key)"),
+        ({"reason": "unauthorized", "status": 401}, "The key is not valid"),
         ({"reason": "backend-timeout", "status": 504}, "the request may have run"),
         ({"reason": "odd", "status": 500}, "responded with odd"),
     )
