Give callers shares of the memory only with organisations or uploads

Change: RequestBuffers.bounds_callers, set with each configuration; new gauge request_buffer_callers.

--- a/dogwoodtack/entry/buffers.py
+++ b/dogwoodtack/entry/buffers.py
@@ -70,10 +70,14 @@
 
     Args:
         limit_bytes: most bytes of all bodies together.
+
+    Attributes:
+        bounds_callers: whether callers have shares, too.
     """
 
     def __init__(self, limit_bytes: int) -> None:
         self._limit_bytes = limit_bytes
+        self.bounds_callers = False
         self._reservations: dict[object, _Reservation] = {}
         self._held: Counter[str] = Counter()
         self._total_bytes = 0
@@ -126,6 +130,10 @@
         ):
             self._callers.popitem(last=False)
 
+    def _has_shares(self) -> bool:
+        """Return whether a caller has to leave room for others."""
+        return self.bounds_callers and len(self._callers) > 1
+
     def _is_in_share(self, held: int, size: int, others: int) -> bool:
         """Return whether a caller may hold so many bytes more.
 
@@ -134,7 +142,7 @@
             size: bytes of the new one.
             others: bytes of all bodies apart from the new one.
         """
-        if not held or len(self._callers) == 1:
+        if not held or not self._has_shares():
             return True
         left = self._limit_bytes - others - size
         half_share = self._limit_bytes // (2 * len(self._held) + 1)
@@ -142,7 +150,7 @@
 
     def _fits_beyond(self, held: int, size: int, known: _Reservation) -> bool:
         """Return whether a small caller's body has room beyond the limit."""
-        if len(self._callers) == 1:
+        if not self._has_shares():
             return False
         beyond = self._beyond_bytes - (known.size if known.is_beyond else 0)
         return (
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -25,6 +25,7 @@
     CallerLimits,
     Configuration,
     Route,
+    RouteKind,
     RouteTable,
     TrafficSplitter,
     kind_changes,
@@ -273,6 +274,10 @@
                 **change._asdict(),
             )
         self._set_organisations(configuration)
+        # Earlier deployments have neither and rely on one bound for all callers.
+        self.request_buffers.bounds_callers = self.access.requires_keys or any(
+            route.kind is RouteKind.UPLOAD for route in configuration.routes
+        )
         self._routes = configuration.routes
         self._route_table = RouteTable(configuration.routes)
         self.fleet.send_heartbeat()
@@ -397,6 +402,7 @@
             "directory_connections": self.directory.connections,
             "response_buffer_bytes": self.buffers.total_bytes,
             "request_buffer_bytes": self.request_buffers.total_bytes,
+            "request_buffer_callers": self.request_buffers.callers,
             "instance_paths_lost": float(self.paths.is_cut_off),
             "instances_unreached": self.paths.unreached,
             "path_probes": self.paths.pending_probes,
--- a/dogwoodtack/entry/tests/test_access.py
+++ b/dogwoodtack/entry/tests/test_access.py
@@ -226,6 +226,7 @@
     def test_share_of_an_organisation(self):
         """One organisation's uploads took the memory of all."""
         site = Site()
+        site.hosts[0]._deps.request_buffers.bounds_callers = True
         sized = (b"content-length", b"300000")
         other = (b"authorization", b"Bearer k2")
         city = self.begin(site, [other, (b"content-length", b"10000")])
