--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -274,6 +274,10 @@
                 **change._asdict(),
             )
         self._set_organisations(configuration)
+        # Earlier deployments have neither and rely on one bound for all callers.
+        self.request_buffers.bounds_callers = self.access.requires_keys or any(
+            route.kind is RouteKind.UPLOAD for route in configuration.routes
+        )
         self._routes = configuration.routes
         self._route_table = RouteTable(configuration.routes)
         self.placer.bodies.is_bounded = any(
@@ -402,6 +406,7 @@
             "response_buffer_bytes": self.buffers.total_bytes,
             "request_buffer_bytes": self.request_buffers.total_bytes,
             "instance_body_kb": sum(self.placer.bodies.own.values()),
+            "request_buffer_callers": self.request_buffers.callers,
             "instance_paths_lost": float(self.paths.is_cut_off),
             "instances_unreached": self.paths.unreached,
             "path_probes": self.paths.pending_probes,
