Order and bound the wait queue by organisations' work and kinds of request

With organisations, and at services that uploads reach, the number of requests ahead said little about the wait: one organisation's burst and long uploads filled the queue that everyone shared.

Order by organisation's priority, route's priority and the organisation's recent work, with each queued request's expected work counted towards its organisation. Admit by the expected work ahead, reject at once what others have overtaken for good, spread Retry-After over the time that the rejected work takes, and put starved kinds first. Services without organisations and uploads keep their order and admission. FairQueue of dogwoodtackd uses UsageLedger.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -363,11 +363,12 @@
             requirements=requirements,
             priority=route.priority,
             start_by=self._deps.placer.start_by(
-                self._service, self._arrived_at, route.objective_s
+                self._service, self._arrived_at, route.objective_s, route.name
             ),
             abandon_at=self._deadline - service_time_s / 2,
             arrived_at=self._arrived_at,
             on_decision=on_decision,
+            route=route.name,
         )
 
     def _request_placement(self) -> None:
@@ -850,7 +851,9 @@
         if instance is None:
             return
         if result.outcome is AttemptOutcome.ANSWERED:
-            self._deps.placer.record_service_time(self._service, spent_s)
+            self._deps.placer.record_service_time(
+                self._service, spent_s, self._route.name
+            )
             if result.head.status in SUCCESS_STATUSES:
                 self._deps.quarantine.on_success(self._digest, now)
             known = self._deps.response_kb.get(self._route.name, 1.0)
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -13,6 +13,7 @@
 from ..calls import Client
 from ..clock import SystemClock
 from ..errors import SettingsError
+from ..fairness import fair_services
 from ..feed import Feed, FeedCallbacks, RelayClient, Source, handle_relay_request
 from ..fleet import Fleet, HostRecord, PeerTable
 from ..logs import LineSink, log_event
@@ -269,6 +270,7 @@
             )
         self._routes = configuration.routes
         self._route_table = RouteTable(configuration.routes)
+        self.placer.fair_services = fair_services(configuration)
         self.fleet.send_heartbeat()
 
     def _on_instances(self, changes: list[InstanceChange]) -> None:
@@ -375,8 +377,18 @@
             "store_calls": self._store_client.calls_made,
             "failed_callbacks": self.reactor.failed_callbacks,
             "log_lines_dropped": self._sink.dropped,
+            **self._priority_gauges(),
         }
 
+    def _priority_gauges(self) -> dict[str, float]:
+        """Return the lengths of the queues and the rejections, by priority."""
+        waiting = self.placer.lengths_by_priority()
+        rejected = self.placer.rejections
+        gauges = {f"waiting_priority_{one}": waiting[one] for one in rejected | waiting}
+        for priority, count in rejected.items():
+            gauges[f"rejected_priority_{priority}"] = count
+        return gauges
+
     def _flush_logs(self) -> None:
         """Write log lines that were held back because their reader was slow."""
         self.reactor.call_later(LOG_FLUSH_S, self._flush_logs)
--- a/dogwoodtack/fleet/tests/zones.py
+++ b/dogwoodtack/fleet/tests/zones.py
@@ -297,7 +297,15 @@
 
 
 class World:
-    """All hosts and instances of a replay."""
+    """All hosts and instances of a replay.
+
+    Attributes:
+        host_class: class of its hosts.
+        server_class: class of its instances.
+    """
+
+    host_class = Host
+    server_class = Server
 
     def __init__(self, load, seed):
         self.load = load
@@ -308,13 +316,13 @@
         self._events = []
         zones = self.zones = "abcdefgh"[: len(load.instances)]
         servers = [
-            Server(self, zone, number, self.rng.random() < load.faulty_ratio)
+            self.server_class(self, zone, number, self.rng.random() < load.faulty_ratio)
             for zone, count in zip(zones, load.instances)
             for number in range(count)
         ]
         self.servers = {one.name: one for one in servers}
         self.hosts = [
-            Host(self, zone, number, self._make_registry())
+            self.host_class(self, zone, number, self._make_registry())
             for zone in zones
             for number in range(load.hosts)
         ]
--- a/dogwoodtack/limits/fair_queue.py
+++ b/dogwoodtack/limits/fair_queue.py
@@ -1,33 +1,15 @@
 """Weighted fair queueing among customers."""
 
-import math
 from collections import deque
-from typing import NamedTuple
 
+from ..fairness import UsageLedger
 from .waiter import Waiter
 
 __all__ = ["FairQueue"]
 
-USAGE_DECAY_S = 5.0
 NEGLIGIBLE_USAGE = 0.01
 
 
-class _Usage(NamedTuple):
-    """A customer's recent grants divided by its weight, as of a time.
-
-    Attributes:
-        amount: grants divided by the weight, decayed until `at`.
-        at: monotonic time in seconds.
-    """
-
-    amount: float
-    at: float
-
-    def decayed(self, now: float) -> float:
-        """Return the amount, decayed exponentially until now."""
-        return self.amount * math.exp((self.at - now) / USAGE_DECAY_S)
-
-
 class FairQueue:
     """Serve the customer with the least recent usage, first in, first out within it.
 
@@ -38,7 +20,7 @@
 
     def __init__(self) -> None:
         self._queues: dict[str, deque[Waiter]] = {}
-        self._usages: dict[str, _Usage] = {}
+        self._usages = UsageLedger()
         self._count = 0
 
     def __len__(self) -> int:
@@ -46,29 +28,20 @@
 
     def usage(self, customer: str, now: float) -> float:
         """Return a customer's recent grants divided by its weight."""
-        usage = self._usages.get(customer)
-        return usage.decayed(now) if usage is not None else 0.0
+        return self._usages.usage_s(customer, now)
 
     def is_over_share(self, customer: str, now: float) -> bool:
         """Return whether a customer's usage is above the average."""
-        if not self._usages:
+        if not len(self._usages):
             return False
-        usages = [usage.decayed(now) for usage in self._usages.values()]
-        return self.usage(customer, now) > sum(usages) / len(usages) + NEGLIGIBLE_USAGE
+        mean = self._usages.total_usage_s(now) / len(self._usages)
+        return self.usage(customer, now) > mean + NEGLIGIBLE_USAGE
 
     def record_grant(self, customer: str, weight: float, now: float) -> None:
         """Record that a customer was granted a slot."""
-        amount = self.usage(customer, now) + 1.0 / weight
-        self._usages[customer] = _Usage(amount, now)
+        self._usages.record(customer, 1.0 / weight, now)
         if len(self._usages) > 2 * (len(self._queues) + 1):
-            self._discard_negligible(now)
-
-    def _discard_negligible(self, now: float) -> None:
-        self._usages = {
-            name: usage
-            for name, usage in self._usages.items()
-            if usage.decayed(now) > NEGLIGIBLE_USAGE
-        }
+            self._usages.discard_negligible(NEGLIGIBLE_USAGE, now)
 
     def push(self, waiter: Waiter) -> None:
         """Add a waiter to its customer's queue."""
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from collections import Counter
 from collections.abc import Callable, Collection
 from typing import NamedTuple
 
@@ -12,6 +13,7 @@
 from .occupancy import Occupancy
 from .rate_limits import RateLimits
 from .retry_budget import RetryBudget, RetryRules
+from .returns import RETRY_JITTER_S
 from .selection import (
     Candidate,
     Requirements,
@@ -19,13 +21,7 @@
     reserved_slots,
     select_candidate,
 )
-from .wait_queue import (
-    RETRY_JITTER_S,
-    Capacity,
-    QueuedRequest,
-    Rejection,
-    WaitQueue,
-)
+from .wait_queue import Capacity, QueuedRequest, Rejection, WaitQueue
 
 __all__ = ["PlacementRequest", "Placer"]
 
@@ -62,6 +58,7 @@
         organisation_priority: that organisation's priority, which goes before
             `priority`; 0 is the highest.
         body_bytes: size of its body.
+        route: name of its route, by which its work is estimated; empty if unknown.
     """
 
     service: str
@@ -74,6 +71,7 @@
     organisation: str = ""
     organisation_priority: int = 0
     body_bytes: int = 0
+    route: str = ""
 
 
 class Placer:
@@ -88,6 +86,8 @@
         rate_limits: rate limits that they name.
         notices: which of them leave or are paused.
         usage: recent work of each organisation.
+        fair_services: services whose queues are ordered and bounded by work.
+        rejections: rejected requests since the start, by priority.
         competing_hosts: hosts that use the same slots, at least 1.
         retry_budget_hosts: hosts that share the slack of the retry budget, 0 if this
             host has no part in it.
@@ -106,6 +106,8 @@
         self.rate_limits = RateLimits(zone)
         self.notices = InstanceNotices()
         self.usage = UsageLedger()
+        self.fair_services: frozenset[str] = frozenset()
+        self.rejections: Counter[int] = Counter()
         self.competing_hosts = 1
         self.retry_budget_hosts = 1
         self._zone = zone
@@ -114,6 +116,7 @@
         self._queues: dict[str, WaitQueue] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._service_times_s: dict[str, float] = {}
+        self._route_times_s: dict[tuple[str, str], float] = {}
         self._sequence = itertools.count()
 
     def budget(self, service: str) -> RetryBudget:
@@ -126,13 +129,22 @@
         """Return the mean time that a request of a service holds a slot, in seconds."""
         return self._service_times_s.get(service, INITIAL_SERVICE_TIME_S)
 
-    def start_by(self, service: str, arrived_at: float, objective_s: float) -> float:
+    def expected_work_s(self, service: str, route: str) -> float:
+        """Return how long a request of a route holds a slot, in seconds.
+
+        It is the service's mean unless the service is shared fairly.
+        """
+        mean_s = self.service_time_s(service)
+        if service not in self.fair_services:
+            return mean_s
+        return self._route_times_s.get((service, route), mean_s)
+
+    def start_by(
+        self, service: str, arrived_at: float, objective_s: float, route: str = ""
+    ) -> float:
         """Return the latest start at which a request meets its latency objective."""
-        return (
-            arrived_at
-            + objective_s
-            - PLANNED_SERVICE_TIMES * self.service_time_s(service)
-        )
+        work_s = self.expected_work_s(service, route)
+        return arrived_at + objective_s - PLANNED_SERVICE_TIMES * work_s
 
     def candidates(
         self, service: str, now: float, only_local: bool = False
@@ -182,13 +194,15 @@
         Returns:
             The queued request, or None if `on_decision` was called.
         """
+        if req.service in self.fair_services:
+            self._queue(req.service).served.on_arrival(req.route, now)
         local = self._select_local(req, now)
         if local is not None:
             self._assign(req, local.instance, now)
             return None
         candidates = self.candidates(req.service, now)
         if not candidates:
-            req.on_decision(self._rejection_without_candidates(req.service, now))
+            self._reject(req, self._rejection_without_candidates(req.service, now))
             return None
         found = self._select(candidates, req, now)
         if found is not None:
@@ -279,16 +293,12 @@
     def _enqueue(
         self, req: PlacementRequest, candidates: list[Candidate], now: float
     ) -> QueuedRequest | None:
-        queue = self._queues.setdefault(req.service, WaitQueue())
-        queued = QueuedRequest(
-            next(self._sequence), req.priority, req.start_by, req.abandon_at, req
-        )
-        slots = self._healthy_slots(req.service, candidates)
-        capacity = Capacity(
-            slots, self.competing_hosts, self.service_time_s(req.service)
-        )
+        queue = self._queue(req.service)
+        queued = self._queued_request(req)
+        capacity = self._capacity(req.service, candidates)
         rejection = queue.admit(queued, capacity, now, self._rng.random())
         if rejection is None:
+            self._reject_unmeetable(queue, capacity, now)
             return queued
         found = None
         if req.requirements.mode is SelectionMode.EXPLORATORY:
@@ -298,11 +308,51 @@
                 candidates, req.requirements, self._rng, allow_unhealthy=True
             )
         if found is None:
-            req.on_decision(rejection)
+            self._reject(req, rejection)
         else:
             self._assign(req, found.instance, now)
         return None
 
+    def _queue(self, service: str) -> WaitQueue:
+        """Return a service's queue, ordered as the service is shared at present."""
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = self._queues[service] = WaitQueue()
+        queue.usage = self.usage if service in self.fair_services else None
+        return queue
+
+    def _queued_request(self, req: PlacementRequest) -> QueuedRequest:
+        queued = QueuedRequest(
+            next(self._sequence), req.priority, req.start_by, req.abandon_at, req
+        )
+        if req.service not in self.fair_services:
+            return queued
+        return queued._replace(
+            organisation=req.organisation,
+            organisation_priority=req.organisation_priority,
+            kind=req.route,
+            work_s=self.expected_work_s(req.service, req.route),
+        )
+
+    def _capacity(self, service: str, candidates: list[Candidate]) -> Capacity:
+        slots = self._healthy_slots(service, candidates)
+        return Capacity(slots, self.competing_hosts, self.service_time_s(service))
+
+    def _reject_unmeetable(
+        self, queue: WaitQueue, capacity: Capacity, now: float
+    ) -> None:
+        """Reject at once what can't start in time since others came before it."""
+        if queue.usage is None:
+            return
+        for queued, rejection in queue.reject_unmeetable(
+            capacity, now, self._rng.random
+        ):
+            self._reject(queued.payload, rejection)
+
+    def _reject(self, req: PlacementRequest, rejection: Rejection) -> None:
+        self.rejections[req.priority] += 1
+        req.on_decision(rejection)
+
     def _healthy_slots(self, service: str, candidates: list[Candidate]) -> float:
         """Return the slots, weighted by health, that this zone's hosts can count on.
 
@@ -322,6 +372,10 @@
     def _assign(self, req: PlacementRequest, instance: Instance, now: float) -> None:
         self.occupancy.increment(instance.id)
         self.rate_limits.record_send(instance.id, now)
+        if req.service in self.fair_services:
+            self._queue(req.service).served.on_grant(req.route, now)
+            work_s = self.expected_work_s(req.service, req.route)
+            self.usage.record(req.organisation, work_s, now)
         req.on_decision(instance)
 
     def cancel(self, queued: QueuedRequest) -> None:
@@ -334,8 +388,8 @@
         """Reject all queued requests."""
         for service, queue in self._queues.items():
             for queued in queue.remove_all():
-                queued.payload.on_decision(
-                    Rejection(self.service_time_s(service), detail)
+                self._reject(
+                    queued.payload, Rejection(self.service_time_s(service), detail)
                 )
 
     def dispatch_queued(self, now: float) -> None:
@@ -345,8 +399,8 @@
                 continue
             for queued in queue.remove_expired(now):
                 detail = f"waited {now - queued.payload.arrived_at:.2f} s"
-                queued.payload.on_decision(
-                    Rejection(self.service_time_s(service), detail)
+                self._reject(
+                    queued.payload, Rejection(self.service_time_s(service), detail)
                 )
             self._dispatch_queue(service, queue, now)
 
@@ -354,8 +408,8 @@
         candidates = self.candidates(service, now)
         if not candidates:
             for queued in queue.remove_all():
-                queued.payload.on_decision(
-                    self._rejection_without_candidates(service, now)
+                self._reject(
+                    queued.payload, self._rejection_without_candidates(service, now)
                 )
             return
         # If one request finds no slot, others with the same needs find none either.
@@ -381,6 +435,10 @@
         """Return the number of queued requests by service."""
         return {service: len(queue) for service, queue in self._queues.items()}
 
+    def lengths_by_priority(self) -> Counter[int]:
+        """Return the number of queued requests of all services, by priority."""
+        return sum((queue.lengths() for queue in self._queues.values()), Counter())
+
     def forget(self, instance_ids: Collection[str]) -> None:
         """Drop what is known of instances that are gone, except what they asked for."""
         self.health.forget(instance_ids)
@@ -391,9 +449,22 @@
         """Release the slot of a request of this host that has ended."""
         self.occupancy.decrement(instance_id)
 
-    def record_service_time(self, service: str, seconds: float) -> None:
-        """Update the mean service time with the time one request held its slot."""
+    def record_service_time(
+        self, service: str, seconds: float, route: str = ""
+    ) -> None:
+        """Update the means with the time that one request held its slot.
+
+        Args:
+            service: name of the service.
+            seconds: how long the slot was held.
+            route: name of the request's route, empty if unknown.
+        """
         known = self._service_times_s.get(service, INITIAL_SERVICE_TIME_S)
+        if route:
+            route_s = self._route_times_s.get((service, route), known)
+            self._route_times_s[service, route] = route_s + SERVICE_TIME_EWMA_WEIGHT * (
+                seconds - route_s
+            )
         self._service_times_s[service] = known + SERVICE_TIME_EWMA_WEIGHT * (
             seconds - known
         )
