Spread load evenly over a service with hardly any idempotent requests

Cause: non-idempotent requests go to the instance with the most requests in flight, so that idempotent ones test the others. A service without idempotent requests has most of its instances idle and the others full.

Change: placement/balancing.py decides the mode of each service (bound `balancing`, default auto: under 15 in 100 idempotent requests at this host and its peers, or no idempotent route from the start) and the cost of an instance in even mode: its load, a risk that fades until the instance counts as sound, and how long it was unused. What failed or was shed counts as load for a service time. Heartbeats carry the recent requests by service (`mixes`). Log line balancing-changed, gauge even_services.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -392,6 +392,9 @@
         if not self._is_counted:
             self._is_counted = True
             self._deps.placer.budget(self._service).record_request(self._now())
+            self._deps.placer.balancing.record_request(
+                self._service, self._repeats.is_idempotent, self._now()
+            )
         request = self._placement_request(self._on_placement)
         self._queued_request = self._deps.placer.place(request, self._now())
 
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -27,6 +27,7 @@
     RouteTable,
     TrafficSplitter,
     kind_changes,
+    routed_services,
 )
 from .buffers import RequestBuffers, ResponseBuffers, request_buffer_bytes
 from .crash_records import CrashRecords
@@ -137,6 +138,7 @@
         )
         self.registry = InstanceRegistry()
         self.placer = Placer(self.registry, cfg.zone, self.rng, cfg.bounds.retries)
+        self.placer.balancing.setting = cfg.bounds.balancing
         self.quarantine = Quarantine()
         self.peer_table = PeerTable(self.local_host)
         events = FeedCallbacks(
@@ -269,6 +271,7 @@
             )
         self._routes = configuration.routes
         self._route_table = RouteTable(configuration.routes)
+        self.placer.balancing.on_routes(*routed_services(configuration.routes))
         self.fleet.send_heartbeat()
 
     def _on_instances(self, changes: list[InstanceChange]) -> None:
@@ -365,6 +368,7 @@
             "rate_limited_instances": self.placer.rate_limits.count(now),
             "paused_instances": self.placer.paused_count(now),
             "leaving_instances": len(self.placer.leaving()),
+            "even_services": self.placer.balancing.even_count(),
             "waiting": sum(self.placer.queue_lengths().values()),
             "configuration_version": version,
             "store_era": position.era,
@@ -383,6 +387,8 @@
         now = self.reactor.clock.monotonic()
         for instance_id in self.placer.notices.pop_ended_pauses(now):
             log_event("instance-pause-ended", instance=instance_id)
+        for change in self.placer.balancing.pop_changes():
+            log_event("balancing-changed", **change._asdict())
         self._sink.flush()
 
     # Settings and shutdown.
@@ -421,6 +427,7 @@
         ]
         log_event("reloaded", changed=",".join(changed))
         self.settings = self.settings._replace(bounds=settings.bounds)
+        self.placer.balancing.setting = settings.bounds.balancing
 
     @handler("signal", channel="*", priority=10)
     def _on_signal(self, event: Any, signo: int, stack: Any) -> None:
--- a/dogwoodtack/entry/settings.py
+++ b/dogwoodtack/entry/settings.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from ..misc import Address
-from ..placement import RetryRules
+from ..placement import BalancingSetting, RetryRules
 
 __all__ = ["Bounds", "EntrySettings"]
 
@@ -17,12 +17,14 @@
         retries: the retry budget shared by all hosts.
         max_pause_s: longest time in seconds for which an instance that asks for a
             pause gets no request.
+        balancing: how requests are spread over the instances of a service.
     """
 
     grace_s: float = 6.0
     max_answer_ttl_s: float = 5.0
     retries: RetryRules = RetryRules()
     max_pause_s: float = 300.0
+    balancing: BalancingSetting = BalancingSetting.AUTO
 
 
 class EntrySettings(NamedTuple):
--- a/dogwoodtack/fleet/fleet.py
+++ b/dogwoodtack/fleet/fleet.py
@@ -145,6 +145,7 @@
             self._peer_table.reaches_instances,
             self._placer.leaving(),
             self._quarantine.reports(now),
+            self._placer.balancing.own_mixes(now),
         )
 
     def _run_heartbeat(self) -> None:
@@ -373,6 +374,9 @@
         self._placer.occupancy.set_peer_counts(
             heartbeat.host.name, heartbeat.in_flight, now
         )
+        self._placer.balancing.on_peer_mixes(
+            heartbeat.host.name, heartbeat.request_mixes, now
+        )
         self._apply_notices(heartbeat.host.name, heartbeat, now)
         self._apply_crash_reports(heartbeat.crash_reports, heartbeat.host.name, now)
         self._on_heartbeat(heartbeat)
--- a/dogwoodtack/fleet/records.py
+++ b/dogwoodtack/fleet/records.py
@@ -1,6 +1,7 @@
 """Messages between entry hosts and their JSON encoding."""
 
 import json
+import math
 from functools import singledispatch
 from typing import Any, NamedTuple
 
@@ -8,7 +9,7 @@
 from ..jsontext import parse_json
 from ..logs import log_event
 from ..misc import Address, parse_address
-from ..placement import Observation, RateLimitReport, check_name
+from ..placement import Observation, RateLimitReport, RequestMix, check_name
 from ..position import StorePosition, decode_position
 from ..quarantine import CrashReport, crash_reports_from_json, crash_reports_to_json
 
@@ -72,6 +73,7 @@
         leaving: instances that have said that they leave, with their start times in
             Unix milliseconds.
         crash_reports: what the sender knows of requests that crash instances.
+        request_mixes: the sender's recent requests by service.
     """
 
     host: HostRecord
@@ -85,6 +87,7 @@
     reaches_instances: bool
     leaving: dict[str, int]
     crash_reports: tuple[CrashReport, ...] = ()
+    request_mixes: tuple[RequestMix, ...] = ()
 
 
 class InstanceReport(NamedTuple):
@@ -234,7 +237,11 @@
         "next": message.interval_s,
         "load": message.in_flight,
         "paths": message.reaches_instances,
-    } | (_notice_fields(message) | _crash_fields(message.crash_reports))
+    } | (
+        _notice_fields(message)
+        | _crash_fields(message.crash_reports)
+        | _mix_fields(message.request_mixes)
+    )
 
 
 @_message_fields.register
@@ -273,6 +280,10 @@
     return {"crashes": crash_reports_to_json(reports)} if reports else {}
 
 
+def _mix_fields(mixes: tuple[RequestMix, ...]) -> dict[str, Any]:
+    return {"mixes": [list(mix) for mix in mixes]} if mixes else {}
+
+
 def encode_message(message: Message) -> bytes:
     """Return the payload of the datagram that carries a message."""
     return json.dumps(_message_fields(message), separators=(",", ":")).encode()
@@ -324,6 +335,7 @@
         bool(fields.get("paths", True)),
         _decode_leaving(fields),
         _decode_crash_reports(fields),
+        _decode_request_mixes(fields),
     )
 
 
@@ -371,5 +383,16 @@
     return crash_reports_from_json(fields.get("crashes", []))
 
 
+def _decode_request_mixes(fields: dict[str, Any]) -> tuple[RequestMix, ...]:
+    """Return the mixes in a heartbeat; earlier builds send none."""
+    mixes = tuple(
+        RequestMix(str(service), float(requests), float(idempotent))
+        for service, requests, idempotent in fields.get("mixes", [])
+    )
+    if not all(0.0 <= mix.idempotent <= mix.requests < math.inf for mix in mixes):
+        raise ValueError("a mix has impossible counts")
+    return mixes
+
+
 def _decode_counts(fields: dict[str, Any]) -> dict[str, int]:
     return {str(name): int(count) for name, count in fields.items()}
--- /dev/null
+++ b/dogwoodtack/fleet/tests/test_even_load.py
@@ -0,0 +1,52 @@
+"""Replays of a service whose requests may all run once only."""
+
+import unittest
+
+from nose2.tools import params
+
+from dogwoodtack.fleet.tests.zones import Load, World
+from dogwoodtack.placement import BalancingSetting
+
+# 58 instances of 4 slots, 9 hosts; 8 in 100 instances fail at any time, for 5 s each,
+# and some shed their work; each zone's demand swings by half.
+PUBLISHER = Load(
+    instances=(20, 19, 19),
+    slots=4,
+    service_time_s=0.27,
+    objective_s=0.9,
+    abandon_after_s=4.0,
+    faulty_ratio=1.0,
+    failure_ratio=0.6,
+    unhealthy_span_s=(5.0, 5.0),
+    unhealthy_period_s=60.0,
+    shedding_ratio=0.05,
+    refuses_when_full=True,
+    swing=0.5,
+    zone_delay_s=0.0049,
+    non_idempotent_ratio=1.0,
+    balancing=BalancingSetting.EVEN,
+    duration_s=20.0,
+)
+SOUND_AFTER_S = 6.0
+MAX_IDLE_S = 2.0
+
+
+class PublisherTest(unittest.TestCase):
+    @params((202.0, 1), (202.0, 2), (290.0, 1), (290.0, 2))
+    def test_all_sound_instances_get_requests(self, per_s, seed):
+        """Packed load leaves most instances without a request and fills the others."""
+        world = World(PUBLISHER._replace(requests_per_s=(per_s / 3,) * 3), seed)
+        count = world.run()
+        idle = [
+            (one.name, span)
+            for one in world.servers.values()
+            for span in one.idle_spans(MAX_IDLE_S, SOUND_AFTER_S)
+        ]
+        self.assertEqual(idle, [])
+        self.assertLess(count["refused"], 0.01 * count["attempts"])
+        self.assertLess(count["failed"], 0.02 * count["requests"])
+        self.assertGreater(count["on_time"], 0.975 * count["requests"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/dogwoodtack/fleet/tests/test_records.py
+++ b/dogwoodtack/fleet/tests/test_records.py
@@ -19,7 +19,7 @@
 )
 from dogwoodtack.fleet.tests.test_peers import make_heartbeat, make_host
 from dogwoodtack.misc import Address
-from dogwoodtack.placement import Observation, RateLimitReport
+from dogwoodtack.placement import Observation, RateLimitReport, RequestMix
 from dogwoodtack.position import StorePosition
 from dogwoodtack.quarantine import Crash, CrashReport
 
@@ -30,6 +30,8 @@
     CrashReport("d", True, (Crash("i-1/7", 0.25, True), Crash("i-2/0", 3.0, False))),
 )
 
+MIXES = (RequestMix("s-1", 40.5, 9.7), RequestMix("s-2", 1.0, 0.0))
+
 
 def make_zone_report(**fields):
     report = ZoneReport("a", Address("10.0.0.1", 2), {}, {}, False, [], None, {})
@@ -55,6 +57,7 @@
         (make_zone_report(leaving={"i-1": 0}),),
         (make_zone_report(crash_reports=CRASH_REPORTS),),
         (make_heartbeat(make_host("h-1"))._replace(crash_reports=CRASH_REPORTS),),
+        (make_heartbeat(make_host("h-1"))._replace(request_mixes=MIXES),),
         (
             PeerReport(
                 "h-1",
@@ -88,6 +91,12 @@
     def test_invalid_datagram_is_dropped(self, data):
         self.assertIsNone(decode_message(data))
 
+    @params([["s", 1.0]], [["s", 1.0, 2.0]], [["s", math.inf, 1.0]], [["s", 1, -1]], 7)
+    def test_heartbeat_with_impossible_mixes_is_dropped(self, rows):
+        """A share above 1 or not a number would change how requests are spread."""
+        beat = json.loads(encode_message(make_heartbeat(make_host("h-1"))))
+        self.assertIsNone(decode_message(json.dumps({**beat, "mixes": rows}).encode()))
+
     @params(
         ("name", 7),
         ("name", "h\n"),
--- a/dogwoodtack/fleet/tests/zones.py
+++ b/dogwoodtack/fleet/tests/zones.py
@@ -7,6 +7,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections import Counter
 from typing import NamedTuple
@@ -28,18 +29,17 @@
     RetryRules,
     SelectionMode,
 )
+from dogwoodtack.placement.balancing import BalancingSetting
 from dogwoodtack.position import StorePosition
 
 START = 100.0
 SERVICE = "s"
 IN_ZONE_DELAY_S = 0.0002
-CROSS_ZONE_DELAY_S = 0.0005
 DISPATCH_INTERVAL_S = 0.1
 FAILURE_TIME_S = 0.002
-FAILURE_RATIO = 0.8
-NON_IDEMPOTENT_RATIO = 0.67
-UNHEALTHY_SPAN_S = (2.0, 5.0)
-UNHEALTHY_PERIOD_S = 9.0
+SHED_RATIO = 0.55
+MAX_ATTEMPTS = 4
+SWING_PERIOD_S = 20.0
 
 
 class Load(NamedTuple):
@@ -59,6 +59,15 @@
         rate_limit_per_s: limit that some instances name; None if none does.
         limited_ratio: share of the instances that name it.
         lost_ratio: share of the messages between hosts that are lost.
+        non_idempotent_ratio: share of the requests that aren't idempotent.
+        failure_ratio: share of its requests that an unhealthy instance fails.
+        unhealthy_span_s: shortest and longest time for which one is unhealthy.
+        unhealthy_period_s: time in which each faulty instance becomes so once or twice.
+        shedding_ratio: share of the instances that shed work though a slot is free.
+        refuses_when_full: whether instances refuse what they have no slot for.
+        swing: by which share the demand of a zone rises and falls.
+        zone_delay_s: delay of messages between zones.
+        balancing: the hosts' setting.
     """
 
     instances: tuple[int, ...] = (9, 7, 6)
@@ -74,6 +83,15 @@
     rate_limit_per_s: float | None = None
     limited_ratio: float = 0.4
     lost_ratio: float = 0.0
+    non_idempotent_ratio: float = 0.67
+    failure_ratio: float = 0.8
+    unhealthy_span_s: tuple[float, float] = (2.0, 5.0)
+    unhealthy_period_s: float = 9.0
+    shedding_ratio: float = 0.0
+    refuses_when_full: bool = False
+    swing: float = 0.0
+    zone_delay_s: float = 0.0005
+    balancing: BalancingSetting = BalancingSetting.AUTO
 
 
 class Server:
@@ -88,27 +106,37 @@
         self.is_unhealthy = False
         self.unhealthy_s = 0.0
         self.arrivals = []
+        self.unhealthy_spans = []
+        self.is_shedding = False
         self.rate_limit_per_s = None
         if is_faulty:
             world.at(
-                START + world.rng.uniform(0.0, UNHEALTHY_PERIOD_S),
+                START + world.rng.uniform(0.0, world.load.unhealthy_period_s),
                 self.become_unhealthy,
             )
 
     def become_unhealthy(self):
         self.is_unhealthy = True
-        span_s = self.world.rng.uniform(*UNHEALTHY_SPAN_S)
+        span_s = self.world.rng.uniform(*self.world.load.unhealthy_span_s)
+        self.unhealthy_spans.append((self.world.now, self.world.now + span_s))
         remaining_s = START + self.world.load.duration_s - self.world.now
         self.unhealthy_s += max(0.0, min(span_s, remaining_s))
         self.world.at(self.world.now + span_s, self.become_healthy)
 
     def become_healthy(self):
         self.is_unhealthy = False
-        pause_s = self.world.rng.uniform(0.5, 1.5) * UNHEALTHY_PERIOD_S / 2
+        period_s = self.world.load.unhealthy_period_s
+        pause_s = self.world.rng.uniform(0.5, 1.5) * period_s / 2
         self.world.at(self.world.now + pause_s, self.become_unhealthy)
 
     def receive(self, on_end):
         self.arrivals.append(self.world.now)
+        is_full = self.busy >= self.world.load.slots
+        is_refused = self.world.load.refuses_when_full and is_full
+        if is_refused or (self.is_shedding and self.world.rng.random() < SHED_RATIO):
+            self.world.count["refused"] += is_refused
+            self.world.at(self.world.now + FAILURE_TIME_S, on_end, Observation.SHED)
+            return
         self.accept(on_end)
 
     def accept(self, on_end):
@@ -120,7 +148,7 @@
 
     def run(self, on_end):
         rng = self.world.rng
-        is_failing = self.is_unhealthy and rng.random() < FAILURE_RATIO
+        is_failing = self.is_unhealthy and rng.random() < self.world.load.failure_ratio
         service_time_s = self.world.load.service_time_s * rng.uniform(0.4, 1.6)
         self.world.at(
             self.world.now + (FAILURE_TIME_S if is_failing else service_time_s),
@@ -133,7 +161,17 @@
         self.busy -= 1
         if self.queue:
             self.accept(self.queue.pop(0))
-        on_end(is_failing)
+        on_end(Observation.ERROR if is_failing else Observation.SUCCESS)
+
+    def idle_spans(self, min_s, sound_after_s):
+        """Return the spans without a request while it was sound the whole time."""
+        end = START + self.world.load.duration_s
+        times = [START] + [at for at in self.arrivals if at < end] + [end]
+        gaps = [gap for gap in itertools.pairwise(times) if gap[1] - gap[0] >= min_s]
+        for begin, until in self.unhealthy_spans:
+            parts = ((max(a, until + sound_after_s), b) for a, b in gaps)
+            gaps = [(a, min(b, begin)) for a, b in gaps] + list(parts)
+        return [gap for gap in gaps if gap[1] - gap[0] >= min_s]
 
 
 class Host:
@@ -151,6 +189,7 @@
             [f"h-{zone}{number}" for number in range(world.load.hosts)],
             world.zones,
         )
+        self.placer.balancing.setting = world.load.balancing
         self.batch = ReportBatch()
 
     def request(self, arrived_at, requirements, attempts_left):
@@ -182,39 +221,41 @@
         self.report(found.id, None)
         started_at = self.world.now
 
-        def on_end(is_failing):
+        def on_end(observation):
             self.on_end(
                 found.id,
                 started_at,
                 arrived_at,
                 requirements,
                 attempts_left,
-                is_failing,
+                observation,
             )
 
         server.receive(on_end)
 
     def on_end(
-        self, name, started_at, arrived_at, requirements, attempts_left, is_failing
+        self, name, started_at, arrived_at, requirements, attempts_left, observation
     ):
         world = self.world
         now = world.now
-        observation = Observation.ERROR if is_failing else Observation.SUCCESS
         self.placer.release(name)
         self.placer.health.observe(name, observation, now)
         per_s = world.servers[name].rate_limit_per_s
         self.placer.rate_limits.on_response(name, per_s, started_at, now)
         self.report(name, observation)
-        if not is_failing:
+        is_shed = observation is Observation.SHED
+        if observation is Observation.SUCCESS:
             self.placer.record_service_time(SERVICE, now - started_at)
             is_on_time = now - arrived_at <= world.load.objective_s
             world.count["on_time" if is_on_time else "late"] += 1
-        elif attempts_left > 1:
+        elif is_shed and len(requirements.exclude) + 1 >= MAX_ATTEMPTS:
+            world.count["given_up"] += 1
+        elif is_shed or attempts_left > 1:
             exclude = requirements.exclude | {name}
             self.request(
                 arrived_at,
                 Requirements(SelectionMode.CAUTIOUS, exclude=exclude),
-                attempts_left - 1,
+                attempts_left - (not is_shed),
             )
         else:
             world.count["failed"] += 1
@@ -280,7 +321,10 @@
         for host in self.world.hosts:
             if host.zone != self.zone and not self.world.is_lost():
                 self.world.at(
-                    now + CROSS_ZONE_DELAY_S, host.on_zone_report, self.zone, *summary
+                    now + self.world.load.zone_delay_s,
+                    host.on_zone_report,
+                    self.zone,
+                    *summary,
                 )
         self.world.at(now + ZONE_REPORT_INTERVAL_S, self.report_zone)
 
@@ -313,6 +357,9 @@
             for number in range(count)
         ]
         self.servers = {one.name: one for one in servers}
+        if load.shedding_ratio:
+            for one in servers[:: round(1 / load.shedding_ratio)]:
+                one.is_shedding = True
         self.hosts = [
             Host(self, zone, number, self._make_registry())
             for zone in zones
@@ -361,15 +408,28 @@
         for part in range(3):
             factor = self.load.peak_factor if part == 1 else 1.0
             for _ in range(round(requests_per_s * factor * third)):
-                when = START + third * (part + self.rng.random())
+                when = START + third * (part + self._share_of_third(hosts[0].zone))
                 self.at(when, self._on_arrival, self.rng.choice(hosts), when)
 
+    def _share_of_third(self, zone):
+        """Return when in a third of the replay a request arrives, 0 to 1."""
+        swing, third = self.load.swing, self.load.duration_s / 3
+        phase = self.zones.index(zone) / len(self.zones)
+        while swing:
+            share = self.rng.random()
+            turn = share * third / SWING_PERIOD_S + phase
+            level = 1.0 + swing * math.sin(2.0 * math.pi * turn)
+            if self.rng.random() * (1.0 + swing) < level:
+                return share
+        return self.rng.random()
+
     def _on_arrival(self, host, when):
-        is_non_idempotent = self.rng.random() < NON_IDEMPOTENT_RATIO
+        is_non_idempotent = self.rng.random() < self.load.non_idempotent_ratio
         requirements = Requirements(
             SelectionMode.CAUTIOUS if is_non_idempotent else SelectionMode.EXPLORATORY
         )
         self.count["requests"] += 1
+        host.placer.balancing.record_request(SERVICE, not is_non_idempotent, when)
         host.request(when, requirements, 1 if is_non_idempotent else 2)
 
     def at(self, when, fn, *args):
--- a/dogwoodtack/placement/__init__.py
+++ b/dogwoodtack/placement/__init__.py
@@ -3,6 +3,7 @@
 The code does no input or output; callers pass in the time and the random numbers.
 """
 
+from .balancing import BalancingSetting, RequestMix
 from .health_estimate import HealthEstimate, Observation
 from .health_tracker import PATH_FAILURES, HealthTracker
 from .instances import (
@@ -35,6 +36,7 @@
     "PATH_FAILURES",
     "AttemptContext",
     "AttemptOutcome",
+    "BalancingSetting",
     "Candidate",
     "Capacity",
     "EntryVersion",
@@ -56,6 +58,7 @@
     "RateLimits",
     "Reachability",
     "Rejection",
+    "RequestMix",
     "Requirements",
     "RetryBudget",
     "RetryRules",
--- a/dogwoodtack/placement/health_estimate.py
+++ b/dogwoodtack/placement/health_estimate.py
@@ -62,6 +62,10 @@
 }
 
 
+# A shed request has not run, so it is no failure.
+NO_FAILURES = frozenset({Observation.SUCCESS, Observation.SHED})
+
+
 class HealthEstimate:
     """Unhealthy probability of an instance, or of the network path to it."""
 
@@ -71,6 +75,7 @@
         "_unhealthy_probability",
         "seen_at",
         "last_succeeded",
+        "last_failed",
     )
 
     def __init__(self, now: float, prior: float = PRIOR) -> None:
@@ -79,6 +84,7 @@
         self._updated_at = now
         self.seen_at = -math.inf
         self.last_succeeded = False
+        self.last_failed = False
 
     def unhealthy_probability(self, now: float) -> float:
         """Return the probability that the instance is unhealthy at a time."""
@@ -98,6 +104,7 @@
         self._updated_at = max(now, self._updated_at)
         self.seen_at = self._updated_at
         self.last_succeeded = observation is Observation.SUCCESS
+        self.last_failed = observation not in NO_FAILURES
         return self._unhealthy_probability
 
     def _update_baseline(self, mean_probability: float, now: float) -> None:
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from ..fairness import UsageLedger
+from .balancing import Balancing, BalancingModes, RecentSends
 from .health_tracker import HealthTracker
 from .instances import Instance, InstanceRegistry
 from .notices import InstanceNotices
@@ -88,6 +89,7 @@
         rate_limits: rate limits that they name.
         notices: which of them leave or are paused.
         usage: recent work of each organisation.
+        balancing: how each service's requests are spread.
         competing_hosts: hosts that use the same slots, at least 1.
         retry_budget_hosts: hosts that share the slack of the retry budget, 0 if this
             host has no part in it.
@@ -106,6 +108,7 @@
         self.rate_limits = RateLimits(zone)
         self.notices = InstanceNotices()
         self.usage = UsageLedger()
+        self.balancing = BalancingModes()
         self.competing_hosts = 1
         self.retry_budget_hosts = 1
         self._zone = zone
@@ -115,6 +118,7 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._service_times_s: dict[str, float] = {}
         self._sequence = itertools.count()
+        self._recent_sends = RecentSends()
 
     def budget(self, service: str) -> RetryBudget:
         """Return a service's retry budget."""
@@ -145,6 +149,7 @@
             only_local: whether to leave out instances of other zones.
         """
         found = []
+        is_even = self.balancing.mode(service) is Balancing.EVEN
         service_zones = self.registry.zones_of(service)
         for instance in self.registry.for_service(service):
             is_local = instance.zone == self._zone
@@ -172,10 +177,18 @@
                     estimate.last_succeeded,
                     reserved_slots(instance.slots) if zone_has_hosts else 0,
                     allowance,
+                    estimate.last_failed,
+                    self._ended_early(instance, now) if is_even else 0,
                 )
             )
         return found
 
+    def _ended_early(self, instance: Instance, now: float) -> int:
+        """Return how many own requests ended in less than the mean service time."""
+        since = now - self.service_time_s(instance.service)
+        sent = self._recent_sends.count(instance.id, since)
+        return max(0, sent - self.occupancy.own.get(instance.id, 0))
+
     def place(self, req: PlacementRequest, now: float) -> QueuedRequest | None:
         """Place, queue or reject a request.
 
@@ -228,7 +241,7 @@
         when no instance there could be better.
         """
         candidates = self.candidates(req.service, now, only_local=True)
-        found = select_candidate(candidates, req.requirements, self._rng)
+        found = self._choose(candidates, req)
         if (
             found is not None
             and found.unhealthy_probability <= LOCAL_MAX_UNHEALTHY_PROBABILITY
@@ -243,9 +256,7 @@
         """
         if len(self._queues.get(req.service, ())):
             return False
-        found = select_candidate(
-            self.candidates(req.service, now), req.requirements, self._rng
-        )
+        found = self._choose(self.candidates(req.service, now), req)
         if found is None:
             return False
         self._assign(req, found.instance, now)
@@ -256,13 +267,25 @@
     ) -> Candidate | None:
         if self._waits_for_local(req, now):
             candidates = [one for one in candidates if one.is_local]
-        found = select_candidate(candidates, req.requirements, self._rng)
+        found = self._choose(candidates, req)
         if found is None and self._is_last_chance(req, now):
-            found = select_candidate(
-                candidates, req.requirements, self._rng, allow_unhealthy=True
-            )
+            found = self._choose(candidates, req, allow_unhealthy=True)
         return found
 
+    def _choose(
+        self,
+        candidates: list[Candidate],
+        req: PlacementRequest,
+        allow_unhealthy: bool = False,
+    ) -> Candidate | None:
+        return select_candidate(
+            candidates,
+            req.requirements,
+            self._rng,
+            allow_unhealthy,
+            self.balancing.mode(req.service),
+        )
+
     def _waits_for_local(self, req: PlacementRequest, now: float) -> bool:
         """Return whether a request with a large response waits for a local slot."""
         local_wait_s = LOCAL_WAIT_SHARE * max(0.0, req.start_by - req.arrived_at)
@@ -294,9 +317,7 @@
         if req.requirements.mode is SelectionMode.EXPLORATORY:
             # On an unhealthy instance the request uses no healthy slot, and a failure
             # only costs a retry; some of these requests succeed.
-            found = select_candidate(
-                candidates, req.requirements, self._rng, allow_unhealthy=True
-            )
+            found = self._choose(candidates, req, allow_unhealthy=True)
         if found is None:
             req.on_decision(rejection)
         else:
@@ -322,6 +343,7 @@
     def _assign(self, req: PlacementRequest, instance: Instance, now: float) -> None:
         self.occupancy.increment(instance.id)
         self.rate_limits.record_send(instance.id, now)
+        self._recent_sends.record(instance.id, now, self.service_time_s(req.service))
         req.on_decision(instance)
 
     def cancel(self, queued: QueuedRequest) -> None:
@@ -386,6 +408,7 @@
         self.health.forget(instance_ids)
         for instance_id in instance_ids:
             self.notices.forget(instance_id)
+            self._recent_sends.forget(instance_id)
 
     def release(self, instance_id: str) -> None:
         """Release the slot of a request of this host that has ended."""
--- a/dogwoodtack/placement/selection.py
+++ b/dogwoodtack/placement/selection.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from .balancing import Balancing, InstanceUse, even_cost, may_be_retested
 from .instances import Instance
 from .rate_limits import RateAllowance
 
@@ -93,6 +94,9 @@
         last_succeeded: whether its last observation was a success.
         reserved_slots: slots that are reserved for its own zone's hosts.
         rate_allowance: what this host may send there; None if it is not limited.
+        last_failed: whether its last observation was a failure.
+        ended_early: this host's requests there that ended within less than the mean
+            service time since they were sent.
     """
 
     instance: Instance
@@ -103,6 +107,21 @@
     last_succeeded: bool = False
     reserved_slots: int = 0
     rate_allowance: RateAllowance | None = None
+    last_failed: bool = False
+    ended_early: int = 0
+
+    @property
+    def use(self) -> InstanceUse:
+        """Return what an even choice knows of it."""
+        return InstanceUse(
+            self.in_flight + self.ended_early,
+            self.instance.slots,
+            self.instance.warmup_s > 0,
+            self.unhealthy_probability,
+            self.last_failed,
+            self.since_seen_s,
+            self.is_local,
+        )
 
     @property
     def may_have_recovered(self) -> bool:
@@ -146,6 +165,7 @@
     requirements: Requirements,
     rng: random.Random,
     allow_unhealthy: bool = False,
+    balancing: Balancing = Balancing.PACKED,
 ) -> Candidate | None:
     """Return the candidate with the least expected cost, or None if none is eligible.
 
@@ -159,6 +179,7 @@
         requirements: what the request requires.
         rng: breaks ties.
         allow_unhealthy: whether to select an unhealthy instance rather than none.
+        balancing: how cautious requests are spread over the instances.
     """
     eligible = [
         candidate
@@ -167,29 +188,36 @@
     ]
     if not allow_unhealthy:
         is_exploratory = requirements.mode is SelectionMode.EXPLORATORY
+        is_even = balancing is Balancing.EVEN
         eligible = [
             candidate
             for candidate in eligible
             if candidate.unhealthy_probability <= MAX_UNHEALTHY_PROBABILITY
             or (is_exploratory and candidate.may_have_recovered)
+            or (is_even and may_be_retested(candidate.use))
         ]
     if not eligible:
         return None
     return min(
         eligible,
-        key=lambda candidate: _expected_cost(candidate, requirements)
+        key=lambda candidate: _expected_cost(candidate, requirements, balancing)
         + TIE_BREAK_COST * rng.random(),
     )
 
 
-def _expected_cost(candidate: Candidate, requirements: Requirements) -> float:
+def _expected_cost(
+    candidate: Candidate, requirements: Requirements, balancing: Balancing
+) -> float:
     cost = 0.0
-    if candidate.instance.warmup_s > 0:
-        cost += WARMUP_COST
     if not candidate.is_local:
         cost += CROSS_ZONE_COST + CROSS_ZONE_COST_PER_KB * requirements.response_kb
+    is_cautious = requirements.mode is SelectionMode.CAUTIOUS
+    if is_cautious and balancing is Balancing.EVEN:
+        return cost + even_cost(candidate.use)
+    if candidate.instance.warmup_s > 0:
+        cost += WARMUP_COST
     load = candidate.in_flight / max(1, candidate.instance.slots)
-    if requirements.mode is SelectionMode.CAUTIOUS:
+    if is_cautious:
         return cost + candidate.unhealthy_probability - PACKING_BONUS * load
     cost += FULL_LOAD_COST * load
     bonus = (
--- a/dogwoodtack/platform/settings.py
+++ b/dogwoodtack/platform/settings.py
@@ -9,15 +9,16 @@
 from ..entry import Bounds, EntrySettings
 from ..errors import SettingsError
 from ..misc import Address, parse_address
-from ..placement import RetryRules
+from ..placement import BalancingSetting, RetryRules
 
 __all__ = ["SETTINGS_VARIABLE", "load_entry_settings", "decode_entry_settings"]
 
 # Of a host at the target size.
 DEFAULT_MEMORY_MB = 256.0
 SETTINGS_VARIABLE = "DOGWOODTACK_SETTINGS"
-# The one bound that is the operator's to choose; the others state the platform's rules.
+# The bounds that are the operator's to choose; the others state the platform's rules.
 MAX_PAUSE_BOUND = "maxPauseS"
+BALANCING_BOUND = "balancing"
 
 
 def load_entry_settings(path: str | None = None) -> EntrySettings:
@@ -94,11 +95,15 @@
 def _bounds(entries: list[str]) -> Bounds:
     values: dict[str, float] = {}
     max_pause_s = Bounds().max_pause_s
+    balancing = Bounds().balancing
     for entry in entries:
         name, sep, value = entry.partition("=")
         if name.strip() == MAX_PAUSE_BOUND:
             max_pause_s = _positive(MAX_PAUSE_BOUND, value)
             continue
+        if name.strip() == BALANCING_BOUND:
+            balancing = BalancingSetting(value.strip())
+            continue
         try:
             values[name.strip()] = float(value)
         except ValueError:
@@ -114,6 +119,7 @@
             slack=values.get("budgetSlack", defaults.retries.slack),
         ),
         max_pause_s=max_pause_s,
+        balancing=balancing,
     )
 
 
--- a/dogwoodtack/platform/tests/test_wire.py
+++ b/dogwoodtack/platform/tests/test_wire.py
@@ -242,6 +242,16 @@
         self.assertEqual(found.bounds.max_pause_s, 12.5)
 
     @params(
+        ([], "auto"),
+        (["balancing = even"], "even"),
+        (["balancing=packed", "graceS=7.5"], "packed"),
+    )
+    def test_balancing(self, bounds, expected):
+        found = decode_entry_settings({**SETTINGS, "bounds": bounds})
+        self.assertEqual(found.bounds.balancing, expected)
+
+    @params(
+        ("bounds", ["balancing=fair"]),
         ("node", None),
         ("listen.front", "nowhere"),
         ("listen.directory", None),
--- a/dogwoodtack/routing/__init__.py
+++ b/dogwoodtack/routing/__init__.py
@@ -11,6 +11,7 @@
     ServiceRules,
     WeightedService,
     kind_changes,
+    routed_services,
 )
 from .splits import TrafficSplitter
 
@@ -26,4 +27,5 @@
     "TrafficSplitter",
     "WeightedService",
     "kind_changes",
+    "routed_services",
 ]
--- a/dogwoodtack/routing/routes.py
+++ b/dogwoodtack/routing/routes.py
@@ -1,6 +1,7 @@
 """Routes, services and limits of a configuration version, and route matching."""
 
 import enum
+from collections.abc import Iterable
 from typing import NamedTuple
 
 __all__ = [
@@ -14,6 +15,7 @@
     "ServiceRules",
     "WeightedService",
     "kind_changes",
+    "routed_services",
 ]
 
 
@@ -187,3 +189,17 @@
         if old.is_idempotent != new.is_idempotent:
             found.append(KindChange(host, prefix, old, new))
     return found
+
+
+def routed_services(routes: Iterable[Route]) -> tuple[set[str], set[str]]:
+    """Return the services that requests are routed to, and the idempotent ones' part.
+
+    A service with weight 0 gets no requests.
+    """
+    shares = [
+        (share.service, route.kind.is_idempotent)
+        for route in routes
+        for share in route.weighted_services
+        if share.weight > 0
+    ]
+    return {name for name, _ in shares}, {name for name, safe in shares if safe}
