--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -30,6 +30,7 @@
     RouteTable,
     TrafficSplitter,
     kind_changes,
+    routed_services,
 )
 from .buffers import RequestBuffers, ResponseBuffers, request_buffer_bytes
 from .crash_records import CrashRecords
@@ -140,6 +141,7 @@
         )
         self.registry = InstanceRegistry()
         self.placer = Placer(self.registry, cfg.zone, self.rng, cfg.bounds.retries)
+        self.placer.balancing.setting = cfg.bounds.balancing
         self.quarantine = Quarantine()
         self.peer_table = PeerTable(self.local_host)
         self.access = AccessControl(self._are_keys_confirmed)
@@ -285,6 +287,7 @@
             route.kind is RouteKind.UPLOAD for route in configuration.routes
         )
         self.placer.fair_services = fair_services(configuration)
+        self.placer.balancing.on_routes(*routed_services(configuration.routes))
         self.fleet.send_heartbeat()
 
     def _set_organisations(self, configuration: Configuration) -> None:
@@ -418,6 +421,7 @@
             "rate_limited_instances": self.placer.rate_limits.count(now),
             "paused_instances": self.placer.paused_count(now),
             "leaving_instances": len(self.placer.leaving()),
+            "even_services": self.placer.balancing.even_count(),
             "waiting": sum(self.placer.queue_lengths().values()),
             "configuration_version": version,
             "store_era": position.era,
@@ -449,6 +453,8 @@
         now = self.reactor.clock.monotonic()
         for instance_id in self.placer.notices.pop_ended_pauses(now):
             log_event("instance-pause-ended", instance=instance_id)
+        for change in self.placer.balancing.pop_changes():
+            log_event("balancing-changed", **change._asdict())
         self._sink.flush()
 
     # Settings and shutdown.
@@ -487,6 +493,7 @@
         ]
         log_event("reloaded", changed=",".join(changed))
         self.settings = self.settings._replace(bounds=settings.bounds)
+        self.placer.balancing.setting = settings.bounds.balancing
 
     @handler("signal", channel="*", priority=10)
     def _on_signal(self, event: Any, signo: int, stack: Any) -> None:
--- a/dogwoodtack/entry/settings.py
+++ b/dogwoodtack/entry/settings.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from ..misc import Address
-from ..placement import RetryRules
+from ..placement import BalancingSetting, RetryRules
 
 __all__ = ["Bounds", "EntrySettings"]
 
@@ -20,6 +20,7 @@
         strict_revocation: whether keys are valid only while the host hears from the
             store, or from a peer that does.
         revoke_s: for how many seconds they stay valid without.
+        balancing: how requests are spread over the instances of a service.
     """
 
     grace_s: float = 6.0
@@ -28,6 +29,7 @@
     max_pause_s: float = 300.0
     strict_revocation: bool = False
     revoke_s: float = 5.0
+    balancing: BalancingSetting = BalancingSetting.AUTO
 
 
 class EntrySettings(NamedTuple):
--- a/dogwoodtack/fleet/fleet.py
+++ b/dogwoodtack/fleet/fleet.py
@@ -145,6 +145,7 @@
             self._peer_table.reaches_instances,
             self._placer.leaving(),
             self._quarantine.reports(now),
+            self._placer.balancing.own_mixes(now),
             body_kb=self._placer.bodies.own,
         )
 
@@ -387,6 +388,9 @@
             heartbeat.host.name, heartbeat.in_flight, now
         )
         self._placer.bodies.set_peer_loads(heartbeat.host.name, heartbeat.body_kb, now)
+        self._placer.balancing.on_peer_mixes(
+            heartbeat.host.name, heartbeat.request_mixes, now
+        )
         self._apply_notices(heartbeat.host.name, heartbeat, now)
         self._apply_crash_reports(heartbeat.crash_reports, heartbeat.host.name, now)
         self._on_heartbeat(heartbeat)
--- a/dogwoodtack/fleet/records.py
+++ b/dogwoodtack/fleet/records.py
@@ -1,6 +1,7 @@
 """Messages between entry hosts and their JSON encoding."""
 
 import json
+import math
 from functools import singledispatch
 from typing import Any, NamedTuple
 
@@ -8,7 +9,7 @@
 from ..jsontext import parse_json
 from ..logs import log_event
 from ..misc import Address, parse_address
-from ..placement import Observation, RateLimitReport, check_name
+from ..placement import Observation, RateLimitReport, RequestMix, check_name
 from ..position import StorePosition, decode_position
 from ..quarantine import CrashReport, crash_reports_from_json, crash_reports_to_json
 
@@ -72,6 +73,7 @@
         leaving: instances that have said that they leave, with their start times in
             Unix milliseconds.
         crash_reports: what the sender knows of requests that crash instances.
+        request_mixes: the sender's recent requests by service.
         body_kb: bodies of the sender's requests in kB, per instance.
     """
 
@@ -86,6 +88,7 @@
     reaches_instances: bool
     leaving: dict[str, int]
     crash_reports: tuple[CrashReport, ...] = ()
+    request_mixes: tuple[RequestMix, ...] = ()
     body_kb: dict[str, int] = {}
 
 
@@ -244,6 +247,7 @@
         _notice_fields(message)
         | _crash_fields(message.crash_reports)
         | _body_fields(message)
+        | _mix_fields(message.request_mixes)
     )
 
 
@@ -289,6 +293,10 @@
     return {"bodies": message.body_kb} if message.body_kb else {}
 
 
+def _mix_fields(mixes: tuple[RequestMix, ...]) -> dict[str, Any]:
+    return {"mixes": [list(mix) for mix in mixes]} if mixes else {}
+
+
 def encode_message(message: Message) -> bytes:
     """Return the payload of the datagram that carries a message."""
     return json.dumps(_message_fields(message), separators=(",", ":")).encode()
@@ -341,6 +349,7 @@
         bool(fields.get("paths", True)),
         _decode_leaving(fields),
         _decode_crash_reports(fields),
+        _decode_request_mixes(fields),
         _decode_body_kb(fields),
     )
 
@@ -402,5 +411,16 @@
     return sizes
 
 
+def _decode_request_mixes(fields: dict[str, Any]) -> tuple[RequestMix, ...]:
+    """Return the mixes in a heartbeat; earlier builds send none."""
+    mixes = tuple(
+        RequestMix(str(service), float(requests), float(idempotent))
+        for service, requests, idempotent in fields.get("mixes", [])
+    )
+    if not all(0.0 <= mix.idempotent <= mix.requests < math.inf for mix in mixes):
+        raise ValueError("a mix has impossible counts")
+    return mixes
+
+
 def _decode_counts(fields: dict[str, Any]) -> dict[str, int]:
     return {str(name): int(count) for name, count in fields.items()}
--- a/dogwoodtack/placement/__init__.py
+++ b/dogwoodtack/placement/__init__.py
@@ -3,6 +3,7 @@
 The code does no input or output; callers pass in the time and the random numbers.
 """
 
+from .balancing import BalancingSetting, RequestMix
 from .body_load import BodyLoad
 from .health_estimate import HealthEstimate, Observation
 from .health_tracker import PATH_FAILURES, HealthTracker
@@ -36,6 +37,7 @@
     "PATH_FAILURES",
     "AttemptContext",
     "AttemptOutcome",
+    "BalancingSetting",
     "BodyLoad",
     "Candidate",
     "Capacity",
@@ -58,6 +60,7 @@
     "RateLimits",
     "Reachability",
     "Rejection",
+    "RequestMix",
     "Requirements",
     "RetryBudget",
     "RetryRules",
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from ..fairness import UsageLedger
+from .balancing import Balancing, BalancingModes, RecentSends
 from .body_load import BodyLoad, counted_kb
 from .health_tracker import HealthTracker
 from .instances import Instance, InstanceRegistry
@@ -90,6 +91,7 @@
         usage: recent work of each organisation.
         fair_services: services whose queues are ordered and bounded by work.
         rejections: rejected requests since the start, by priority.
+        balancing: how each service's requests are spread.
         competing_hosts: hosts that use the same slots, at least 1.
         retry_budget_hosts: hosts that share the slack of the retry budget, 0 if this
             host has no part in it.
@@ -111,6 +113,7 @@
         self.usage = UsageLedger()
         self.fair_services: frozenset[str] = frozenset()
         self.rejections: Counter[int] = Counter()
+        self.balancing = BalancingModes()
         self.competing_hosts = 1
         self.retry_budget_hosts = 1
         self._zone = zone
@@ -121,6 +124,7 @@
         self._service_times_s: dict[str, float] = {}
         self._route_times_s: dict[tuple[str, str], float] = {}
         self._sequence = itertools.count()
+        self._recent_sends = RecentSends()
 
     def budget(self, service: str) -> RetryBudget:
         """Return a service's retry budget."""
@@ -160,6 +164,7 @@
             only_local: whether to leave out instances of other zones.
         """
         found = []
+        is_even = self.balancing.mode(service) is Balancing.EVEN
         service_zones = self.registry.zones_of(service)
         for instance in self.registry.for_service(service):
             is_local = instance.zone == self._zone
@@ -187,10 +192,18 @@
                     estimate.last_succeeded,
                     reserved_slots(instance.slots) if zone_has_hosts else 0,
                     allowance,
+                    estimate.last_failed,
+                    self._ended_early(instance, now) if is_even else 0,
                 )
             )
         return found
 
+    def _ended_early(self, instance: Instance, now: float) -> int:
+        """Return how many own requests ended in less than the mean service time."""
+        since = now - self.service_time_s(instance.service)
+        sent = self._recent_sends.count(instance.id, since)
+        return max(0, sent - self.occupancy.own.get(instance.id, 0))
+
     def place(self, req: PlacementRequest, now: float) -> QueuedRequest | None:
         """Place, queue or reject a request.
 
@@ -244,10 +257,8 @@
         At large sites most instances are in other zones; they need not be looked at
         when no instance there could be better.
         """
-        candidates = self._with_room(
-            self.candidates(req.service, now, only_local=True), req
-        )
-        found = select_candidate(candidates, req.requirements, self._rng)
+        candidates = self.candidates(req.service, now, only_local=True)
+        found = self._choose(candidates, req)
         if (
             found is not None
             and found.unhealthy_probability <= LOCAL_MAX_UNHEALTHY_PROBABILITY
@@ -262,8 +273,7 @@
         """
         if len(self._queues.get(req.service, ())):
             return False
-        candidates = self._with_room(self.candidates(req.service, now), req)
-        found = select_candidate(candidates, req.requirements, self._rng)
+        found = self._choose(self.candidates(req.service, now), req)
         if found is None:
             return False
         self._assign(req, found.instance, now)
@@ -272,14 +282,11 @@
     def _select(
         self, candidates: list[Candidate], req: PlacementRequest, now: float
     ) -> Candidate | None:
-        candidates = self._with_room(candidates, req)
         if self._waits_for_local(req, now):
             candidates = [one for one in candidates if one.is_local]
-        found = select_candidate(candidates, req.requirements, self._rng)
+        found = self._choose(candidates, req)
         if found is None and self._is_last_chance(req, now):
-            found = select_candidate(
-                candidates, req.requirements, self._rng, allow_unhealthy=True
-            )
+            found = self._choose(candidates, req, allow_unhealthy=True)
         return found
 
     def _with_room(
@@ -297,6 +304,20 @@
             )
         ]
 
+    def _choose(
+        self,
+        candidates: list[Candidate],
+        req: PlacementRequest,
+        allow_unhealthy: bool = False,
+    ) -> Candidate | None:
+        return select_candidate(
+            self._with_room(candidates, req),
+            req.requirements,
+            self._rng,
+            allow_unhealthy,
+            self.balancing.mode(req.service),
+        )
+
     def _waits_for_local(self, req: PlacementRequest, now: float) -> bool:
         """Return whether a request with a large response waits for a local slot."""
         local_wait_s = LOCAL_WAIT_SHARE * max(0.0, req.start_by - req.arrived_at)
@@ -324,12 +345,7 @@
         if req.requirements.mode is SelectionMode.EXPLORATORY:
             # On an unhealthy instance the request uses no healthy slot, and a failure
             # only costs a retry; some of these requests succeed.
-            found = select_candidate(
-                self._with_room(candidates, req),
-                req.requirements,
-                self._rng,
-                allow_unhealthy=True,
-            )
+            found = self._choose(candidates, req, allow_unhealthy=True)
         if found is None:
             self._reject(req, rejection)
         else:
@@ -400,6 +416,7 @@
             self._queue(req.service).served.on_grant(req.route, now)
             work_s = self.expected_work_s(req.service, req.route)
             self.usage.record(req.organisation, work_s, now)
+        self._recent_sends.record(instance.id, now, self.service_time_s(req.service))
         req.on_decision(instance)
 
     def cancel(self, queued: QueuedRequest) -> None:
@@ -469,6 +486,7 @@
         self.health.forget(instance_ids)
         for instance_id in instance_ids:
             self.notices.forget(instance_id)
+            self._recent_sends.forget(instance_id)
 
     def release(self, instance_id: str, body_bytes: int = 0) -> None:
         """Release the slot and the body of a request of this host that has ended."""
--- a/dogwoodtack/platform/settings.py
+++ b/dogwoodtack/platform/settings.py
@@ -9,16 +9,17 @@
 from ..entry import Bounds, EntrySettings
 from ..errors import SettingsError
 from ..misc import Address, parse_address
-from ..placement import RetryRules
+from ..placement import BalancingSetting, RetryRules
 
 __all__ = ["SETTINGS_VARIABLE", "load_entry_settings", "decode_entry_settings"]
 
 # Of a host at the target size.
 DEFAULT_MEMORY_MB = 256.0
 SETTINGS_VARIABLE = "DOGWOODTACK_SETTINGS"
-# The one bound that is the operator's to choose; the others state the platform's rules.
+# The bounds that are the operator's to choose; the others state the platform's rules.
 MAX_PAUSE_BOUND = "maxPauseS"
 STRICT_REVOCATION_BOUND = "strictRevocation"
+BALANCING_BOUND = "balancing"
 
 
 def load_entry_settings(path: str | None = None) -> EntrySettings:
@@ -96,6 +97,7 @@
     values: dict[str, float] = {}
     max_pause_s = Bounds().max_pause_s
     strict_revocation = Bounds().strict_revocation
+    balancing = Bounds().balancing
     for entry in entries:
         name, sep, value = entry.partition("=")
         if name.strip() == MAX_PAUSE_BOUND:
@@ -105,6 +107,9 @@
             # Whatever else it says may be meant to be strict.
             strict_revocation = value.strip().lower() != "false"
             continue
+        if name.strip() == BALANCING_BOUND:
+            balancing = BalancingSetting(value.strip())
+            continue
         try:
             values[name.strip()] = float(value)
         except ValueError:
@@ -122,6 +127,7 @@
         max_pause_s=max_pause_s,
         strict_revocation=strict_revocation,
         revoke_s=_time_or_default(values.get("revokeS"), defaults.revoke_s),
+        balancing=balancing,
     )
 
 
--- a/dogwoodtack/routing/__init__.py
+++ b/dogwoodtack/routing/__init__.py
@@ -12,6 +12,7 @@
     ServiceRules,
     WeightedService,
     kind_changes,
+    routed_services,
 )
 from .splits import TrafficSplitter
 
@@ -28,4 +29,5 @@
     "WeightedService",
     "digest_key",
     "kind_changes",
+    "routed_services",
 ]
