Take no status below 200 or from 600 on for an answer

Cause: a connection accepted any three digits from 200 on as a status, so that 600, 700 and 999 of an instance in trouble reached callers as answers, in both programs. Change: misc.is_final_status; a response with another status is malformed, and so is a series of more than 8 interim responses that takes longer than 1 s. A stored response with such a status from another node is not replayed. Statuses 000 to 099 and non-digits were rejected already.

--- a/dogwoodtack/backends/connection.py
+++ b/dogwoodtack/backends/connection.py
@@ -17,7 +17,7 @@
 
 from ..errors import ErrorKind, WireError
 from ..logs import log_event
-from ..misc import Address
+from ..misc import Address, is_final_status
 from ..reactor import Reactor
 from ..stream import Stream
 
@@ -36,6 +36,10 @@
 MAX_RESPONSE_HEAD_BYTES = 65536
 # Bounds what is read while the response to the request has not begun.
 MAX_INFORMATIONAL_HEADS = 32
+# No sound back end sends more than these.  A series that takes longer is given up while
+# there is time for another back end, rather than at the request's deadline.
+USUAL_INFORMATIONAL_HEADS = 8
+MAX_INFORMATIONAL_S = 1.0
 MAX_SKIPPED_BYTES = 32 * 1024 * 1024
 # Requests with an id that a connection carries; bounds the memory of the ids.
 MAX_REQUEST_IDS = 128
@@ -159,6 +163,7 @@
         self._is_unexpected = False
         self._has_carried_response = False
         self._informational_heads = 0
+        self._informational_since = 0.0
         self._skipped_bytes = 0
         self._eof_received = False
         self._written_before_bytes = 0
@@ -345,8 +350,15 @@
             self._fail(ErrorKind.BACKEND_MALFORMED, "another request's endless answer")
 
     def _check_informational(self, event: h11.InformationalResponse) -> None:
+        now = self._clock.monotonic()
+        if not self._informational_heads:
+            self._informational_since = now
         self._informational_heads += 1
-        if self._informational_heads > MAX_INFORMATIONAL_HEADS:
+        is_long = (
+            self._informational_heads > USUAL_INFORMATIONAL_HEADS
+            and now - self._informational_since > MAX_INFORMATIONAL_S
+        )
+        if is_long or self._informational_heads > MAX_INFORMATIONAL_HEADS:
             self._fail(ErrorKind.BACKEND_MALFORMED, "too many informational heads")
         if event.status_code == 101:
             self._fail(ErrorKind.BACKEND_MALFORMED, "unasked protocol switch")
@@ -355,6 +367,8 @@
         headers = [(bytes(name), bytes(value)) for name, value in event.headers]
         head = ResponseHead(event.status_code, headers)
         error = self._framing_error(head)
+        if not is_final_status(head.status):
+            error = f"status {head.status} is none"
         if self._has_carried_response and _holds_status_line(event):
             log_event(
                 "response-heads-joined",
--- a/dogwoodtack/backends/tests/test_response_rules.py
+++ b/dogwoodtack/backends/tests/test_response_rules.py
@@ -123,6 +123,97 @@
 BARE_NEWLINES = OWN.replace(b"\r\n", b"\n")
 
 
+INTERIM = (
+    b"HTTP/1.1 100 Go\r\n\r\n",
+    b"HTTP/1.1 102 Wait\r\nX-Id: mine\r\n\r\n",
+    HINTS,
+)
+
+
+class StatusLineTest(unittest.TestCase):
+    """An instance in trouble writes statuses that HTTP does not have."""
+
+    def setUp(self):
+        near, far = socket.socketpair(socket.AF_UNIX)
+        near.setblocking(False)
+        self.reactor = FakeReactor()
+        self.conn = BackendConnection(
+            self.reactor, _SocketWithoutOptions(near), ADDRESS
+        )
+        self.addCleanup(far.close)
+        self.addCleanup(self.conn.close)
+
+    def outcome(self, data, rules, is_first=True):
+        """Return the outcome of a request that gets some bytes in response."""
+        owner = Owner()
+        for one, received in ((Owner(), OWN), (owner, data))[is_first:]:
+            self.conn.send_request(OUT, one, b"", rules)
+            self.conn.end_body()
+            self.conn.on_bytes(received)
+        return owner.outcome
+
+    @params(
+        *itertools.product(
+            (
+                # Numbers that are no status.
+                b"000",
+                b"007",
+                b"099",
+                b"600",
+                b"700",
+                b"999",
+                # What is no number of three digits.
+                b"2x0",
+                b"abc",
+                b"\xb2\xb0\xb0",
+                b"+20",
+                b"2.0",
+                b"20",
+                b"2000",
+                b"",
+            ),
+            (ResponseRules(), ENTRY_RULES),
+            (True, False),
+        )
+    )
+    def test_status_that_is_none(self, status, rules, is_first):
+        """Statuses from 600 on reached callers as answers."""
+        data = OWN.replace(b"200", status, 1)
+        self.assertEqual(self.outcome(data, rules, is_first), "backend-malformed")
+        self.assertFalse(self.conn.is_open)
+
+    @params(b"200", b"299", b"404", b"499", b"500", b"599")
+    def test_status_at_the_ends_of_its_range(self, status):
+        data = OWN.replace(b"200", status, 1)
+        for rules in (ResponseRules(), ENTRY_RULES):
+            self.assertEqual(self.outcome(data, rules), "complete")
+
+    @params(*itertools.product(INTERIM, (ResponseRules(), ENTRY_RULES)))
+    def test_endless_interim_responses(self, interim, rules):
+        self.assertEqual(self.outcome(interim * 1000, rules), "backend-malformed")
+        self.assertFalse(self.conn.is_open)
+
+    @params(
+        # interim responses, seconds between them, outcome
+        (8, 5.0, "complete"),
+        (20, 0.05, "complete"),
+        (20, 0.1, "backend-malformed"),
+        (10, 0.2, "backend-malformed"),
+        (33, 0.001, "backend-malformed"),
+    )
+    def test_interim_responses_that_come_slowly(self, count, pause_s, outcome):
+        """The request waited for its deadline, too late for another instance."""
+        owner = Owner()
+        self.conn.send_request(OUT, owner, b"", ENTRY_RULES)
+        self.conn.end_body()
+        for _ in range(count):
+            self.conn.on_bytes(INTERIM[0])
+            self.reactor.clock.now += pause_s
+        if self.conn.is_open:
+            self.conn.on_bytes(OWN)
+        self.assertEqual(owner.outcome, outcome)
+
+
 class UnsentBodyTest(unittest.TestCase):
     """A response to an earlier request comes while a body is being sent."""
 
--- a/dogwoodtack/frontend/tests/test_responses.py
+++ b/dogwoodtack/frontend/tests/test_responses.py
@@ -123,6 +123,13 @@
         ("not HTTP", b"SSH-2.0-OpenSSH\r\n\r\n"),
         ("switch", b"HTTP/1.1 101 Switch\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"),
         ("crossed", OK.replace(b"\r\n\r\n", b"\r\nX-Request-Id: other\r\n\r\n")),
+        ("status 000", OK.replace(b"200", b"000")),
+        ("status 099", OK.replace(b"200", b"099")),
+        ("status 600", OK.replace(b"200", b"600")),
+        ("status 700", OK.replace(b"200", b"700")),
+        ("status 999", OK.replace(b"200", b"999")),
+        ("no number", OK.replace(b"200", b"2x0")),
+        ("endless interim", b"HTTP/1.1 103 Hints\r\nLink: a\r\n\r\n" * 1000),
         ("long head", b"HTTP/1.1 200 OK\r\nX: " + b"y" * 200_000 + b"\r\n\r\n"),
     )
     def test_malformed_response_is_not_forwarded(self, _name, data):
@@ -133,6 +140,16 @@
             self.assertEqual(self.outcome(peer), (502, "unknown"))
             self.assertNotIn(b"rack 7", peer.data)
 
+    @params(b"099", b"600", b"700", b"999", b"2x0")
+    def test_idempotent_request_is_retried_after_a_status_that_is_none(self, status):
+        harness = self.start(backends=2)
+        for number in range(4):
+            for backend in harness.backends:
+                backend.replies = [Reply(OK)]
+            odd = Reply(OK.replace(b"200", status))
+            harness.backends[number % 2].replies.insert(0, odd)
+            self.assertEqual(self.outcome(harness.send(GET)), (200, "ran"))
+
     @params(
         (GET, b"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 103 Hints\r\n\r\n" + OK, 200, b"done"),
         (GET.replace(b"GET", b"HEAD"), OK[:-11], 200, b"\r\n\r\n"),
--- a/dogwoodtack/keys/tests/test_sender.py
+++ b/dogwoodtack/keys/tests/test_sender.py
@@ -17,6 +17,10 @@
 UNREACHABLE = SettleReply(SettleStatus.UNREACHABLE)
 
 
+# As an owner of the previous build kept it.
+ODD_ANSWER = {"status": 700, "headers": [], "body": ""}
+
+
 def reply(body, status=200):
     return Reply(status, [], body)
 
@@ -46,6 +50,7 @@
         ([reply(None)], UNREACHABLE),
         ([reply({"word": "granted", "answer": None, "successor": ""})], UNREACHABLE),
         ([reply({**reply_to_json(VOIDED), "answer": {"status": 200}})], UNREACHABLE),
+        ([reply({**reply_to_json(VOIDED), "answer": ODD_ANSWER})], UNREACHABLE),
     )
     def test_reply(self, replies, expected):
         peers = Peers(replies)
--- a/dogwoodtack/keys/wire.py
+++ b/dogwoodtack/keys/wire.py
@@ -6,6 +6,7 @@
 from typing import Any, TypedDict
 
 from ..errors import ErrorKind, RequestError
+from ..misc import is_final_status
 from .messages import SettleReply, SettleRequest, SettleStatus, StoredResponse
 
 __all__ = [
@@ -111,4 +112,8 @@
         for name, text in value["headers"]
     ]
     body = base64.b64decode(value["body"], validate=True)
-    return StoredResponse(int(value["status"]), headers, body)
+    status = int(value["status"])
+    if not is_final_status(status):
+        # A node of an earlier build may have taken it for a response.
+        raise ValueError(f"status {status} is none")
+    return StoredResponse(status, headers, body)
--- a/dogwoodtack/misc.py
+++ b/dogwoodtack/misc.py
@@ -9,6 +9,7 @@
 __all__ = [
     "Address",
     "check_address",
+    "is_final_status",
     "is_safe_method",
     "new_token",
     "parse_address",
@@ -20,6 +21,8 @@
 # A caller that uses one of these asks for no change (RFC 9110, section 9.2.1).
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
 TOKEN_BYTES = 16
+# HTTP has no other statuses (RFC 9110, section 15); lower ones are interim.
+FINAL_STATUSES = range(200, 600)
 MAX_PORT = 65535
 MAX_SHOWN_CHARS = 80
 # Whole numbers of this length fit any arithmetic, also with floating point numbers.
@@ -31,6 +34,11 @@
     return method in SAFE_METHODS
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a number is a status that ends a request in HTTP."""
+    return status in FINAL_STATUSES
+
+
 class Address(NamedTuple):
     """IP address and port."""
 
