--- a/dogwoodtack/platform/source.py
+++ b/dogwoodtack/platform/source.py
@@ -129,8 +129,8 @@
             if _name(item) != CONFIGURATION_NAME:
                 continue
             spec = item.get("spec")
-            digest = hashlib.sha256(json.dumps(spec).encode()).digest()
-            if self._configuration is not None and digest == self._digest:
+            digest = _digest(spec)
+            if self._configuration is not None and digest and digest == self._digest:
                 return ConfigurationUpdate(self._configuration, position)
             try:
                 self._configuration = decode_configuration(spec)
@@ -206,6 +206,14 @@
     return name if isinstance(name, str) else ""
 
 
+def _digest(spec: Any) -> bytes:
+    """Return a digest of an object, empty if it is nested too deeply for one."""
+    try:
+        return hashlib.sha256(json.dumps(spec).encode()).digest()
+    except RecursionError:
+        return b""
+
+
 def _decode_change(
     item: Any, is_deleted: bool, position: StorePosition
 ) -> InstanceChange | None:
--- a/dogwoodtack/platform/tests/test_store.py
+++ b/dogwoodtack/platform/tests/test_store.py
@@ -1,8 +1,10 @@
 """Tests of the store's answers: positions, eras and unusable headers."""
 
+import functools
 import math
 import unittest
 from functools import partial
+from unittest import mock
 
 from loguru import logger
 from nose2.tools import params
@@ -14,7 +16,7 @@
 from dogwoodtack.platform.era import EraReader
 from dogwoodtack.platform.objects import ObjectStore
 from dogwoodtack.platform.source import PlatformSource
-from dogwoodtack.platform.tests.test_wire import ENTRY
+from dogwoodtack.platform.tests.test_wire import CONFIG, ENTRY, with_field
 from dogwoodtack.position import StorePosition
 
 KNOWN_ERA = 4
@@ -41,6 +43,39 @@
         on_reply(self.replies.pop(0), None)
 
 
+class ConfigurationSourceTest(unittest.TestCase):
+    """The object of the configuration is read again and again."""
+
+    def setUp(self):
+        self.client = ScriptedClient()
+        store = ObjectStore(self.client, Address("10.0.0.1", 1), 1.0)
+        self.source = PlatformSource(store)
+
+    def read(self, spec):
+        item = {"metadata": {"name": "main", "revision": 8}, "spec": spec}
+        self.client.add({"items": [item], "currentRev": 8}, KNOWN_ERA)
+        found = []
+        self.source.read_configuration(lambda update, exc: found.append(update))
+        return found[0].configuration
+
+    def test_unchanged_object_is_decoded_and_logged_once(self):
+        """A part that can't be decoded was logged at each confirmation of a request."""
+        odd = with_field(CONFIG, "routes.r-1.kind", "odd")
+        with mock.patch("dogwoodtack.platform.part_reader.log_event") as log:
+            first = self.read(odd)
+            self.assertIs(self.read(odd), first)
+            self.assertEqual(log.call_count, 1)
+            self.assertIsNot(self.read(CONFIG), first)
+
+    def test_object_that_is_nested_deeply_is_decoded(self):
+        deep = functools.reduce(lambda value, _: [value], range(5000), 1)
+        self.assertEqual(self.read({**CONFIG, "later": deep}).version, 12)
+
+    def test_unusable_version_does_not_bring_back_the_last_one(self):
+        self.assertEqual(self.read(CONFIG).version, 12)
+        self.assertIsNone(self.read({**CONFIG, "version": None}))
+
+
 class EraReaderTest(unittest.TestCase):
     def setUp(self):
         self.lines = []
