Let hosts of the previous build read every relayed route, and accept more names and keys

Change: the relay's list has one service without a name in place of none; names of organisations and keys may be any printable text.

--- a/dogwoodtack/feed/relay.py
+++ b/dogwoodtack/feed/relay.py
@@ -39,6 +39,8 @@
 # Kinds of routes that those know, and the index of the kind among the members.
 EARLIER_KINDS = frozenset({RouteKind.SAFE, RouteKind.UNSAFE, RouteKind.DOWNLOAD})
 KIND_MEMBER = Route._fields.index("kind")
+# Stands for no services; no instance has an empty name of its service.
+NO_SERVICES = (WeightedService("", 1.0),)
 # Beside the configuration, the keys of what hosts of earlier builds don't read.
 ORGANISATIONS_KEY = "organisations"
 ANONYMOUS_KEY = "anonymous"
@@ -200,10 +202,13 @@
 
 
 def _earlier_route(route: Route) -> Route:
-    """Return a route whose kind hosts of earlier builds know.
+    """Return a route as hosts of earlier builds can use it.
 
-    One kind that they can't decode would also hide all instances from them.
+    One kind that they can't decode would also hide all instances from them, and they
+    answer 500 to the requests of a route without services.
     """
+    if not route.weighted_services:
+        route = route._replace(weighted_services=NO_SERVICES)
     if route.kind in EARLIER_KINDS:
         return route
     kind = RouteKind.SAFE if route.kind.is_idempotent else RouteKind.UNSAFE
@@ -238,6 +243,8 @@
 def _decode_route(fields: list[Any]) -> Route:
     route = Route(*fields[:ROUTE_MEMBERS])
     services = tuple(WeightedService(*part) for part in route.weighted_services)
+    if services == NO_SERVICES:
+        services = ()
     return route._replace(kind=_decode_kind(route.kind), weighted_services=services)
 
 
--- a/dogwoodtack/platform/wire.py
+++ b/dogwoodtack/platform/wire.py
@@ -41,6 +41,7 @@
 # Priority of what has none that can be read.
 LEAST_URGENT = 99
 MAX_HOST_CHARS = 255
+REPLACEMENT_CHARACTER = "\ufffd"
 # Callers can't send longer keys and paths: headers are limited to 16 kB by default.
 MAX_TOKEN_CHARS = 8191
 KINDS = frozenset(RouteKind)
@@ -206,7 +207,7 @@
     uses = Counter(digest for known in digests for digest in known)
     decoded = []
     for name, part, known in zip(value, parts, digests, strict=True):
-        if not _is_header_text(name):
+        if not _is_name(name) or name != name.strip():
             part.report("")
             continue
         own = tuple(digest for digest in known if uses[digest] == 1)
@@ -233,23 +234,30 @@
 def _decode_keys(part: PartReader) -> tuple[str, ...]:
     """Return the digests of an organisation's readable keys, each once."""
     keys = part.items("apiKeys")
-    readable = [key for key in keys if _is_header_text(key)]
+    readable = [key for key in keys if _is_key(key)]
     if len(readable) < len(keys):
         part.report("apiKeys")
     return tuple(dict.fromkeys(digest_key(key) for key in readable))
 
 
-def _is_header_text(value: Any) -> bool:
-    """Return whether a text can be a header's value or a token in it."""
+def _is_key(value: Any) -> bool:
+    """Return whether a caller can send a key, as one token of a header.
+
+    The bytes of a text with a replacement character could not be read, so that others
+    would match them.
+    """
     return (
         isinstance(value, str)
         and 0 < len(value) <= MAX_TOKEN_CHARS
-        and all("!" <= char <= "~" for char in value)
+        and value.isprintable()
+        and " " not in value
+        and REPLACEMENT_CHARACTER not in value
     )
 
 
 def _is_host(value: str) -> bool:
-    return _is_header_text(value) and len(value) <= MAX_HOST_CHARS
+    is_text = all("!" <= char <= "~" for char in value)
+    return 0 < len(value) <= MAX_HOST_CHARS and is_text
 
 
 def _is_path(value: str) -> bool:
@@ -258,7 +266,7 @@
 
 
 def _is_name(value: Any) -> bool:
-    """Return whether instances can have a service's name."""
+    """Return whether a text can name something in headers and log lines."""
     try:
         check_name(value)
     except ValueError:
