--- a/dogwoodtack/feed/feed.py
+++ b/dogwoodtack/feed/feed.py
@@ -218,7 +218,7 @@
         return self.configuration is None and self._vain_tries >= EAGER_TRIES
 
     def _record_try(self) -> None:
-        """Count a call of either loop that has left the configuration unknown."""
+        """Count a call for the configuration that has left it unknown."""
         if self.configuration is None:
             self._vain_tries += 1
 
