--- a/dogwoodtack/placement/rate_limits.py
+++ b/dogwoodtack/placement/rate_limits.py
@@ -12,6 +12,7 @@
 from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
+from ..quotas import TokenBucket
 from .instances import Instance
 
 __all__ = ["RateAllowance", "RateLimitReport", "RateLimits"]
@@ -68,9 +69,7 @@
         "per_s",
         "seen_at",
         "sent",
-        "_zone_per_s",
-        "_tokens",
-        "_updated_at",
+        "_bucket",
         "_peer_sent",
     )
 
@@ -78,10 +77,9 @@
         self.per_s = per_s
         self.seen_at = seen_at
         self.sent = 0
-        self._zone_per_s = per_s or 0.0
         # Requests sent before the limit was known are still at the instance.
-        self._tokens = 0.0
-        self._updated_at = now
+        self._bucket = TokenBucket(0.0, MIN_BURST, 0.0, now)
+        self.set_zone_rate(per_s or 0.0, now)
         self._peer_sent: dict[str, int] = {}
 
     def is_expired(self, now: float) -> bool:
@@ -91,19 +89,16 @@
 
     def set_zone_rate(self, per_s: float, now: float) -> None:
         """Set the zone's share of the limit, in requests per second."""
-        self._refill(now)
-        self._zone_per_s = per_s
+        burst = max(MIN_BURST, BURST_S * per_s)
+        self._bucket.set_rate(per_s, burst, MIN_BURST + MAX_DEBT_S * per_s, now)
 
     def has_token(self, now: float) -> bool:
         """Return whether the zone may send one more request."""
-        self._refill(now)
-        return self._tokens >= 1.0
+        return self._bucket.tokens(now) >= 1.0
 
     def charge(self, requests: int, now: float) -> None:
         """Take a number of sends from the bucket, which may go into debt."""
-        self._refill(now)
-        lowest = -MIN_BURST - MAX_DEBT_S * self._zone_per_s
-        self._tokens = max(lowest, self._tokens - requests)
+        self._bucket.charge(requests, now)
 
     def charge_peer(self, host: str, sent: int, is_new: bool, now: float) -> None:
         """Charge what a peer has sent since its last report.
@@ -124,12 +119,6 @@
         else:
             self.charge(sent - known, now)
 
-    def _refill(self, now: float) -> None:
-        elapsed_s = max(0.0, now - self._updated_at)
-        burst = max(MIN_BURST, BURST_S * self._zone_per_s)
-        self._tokens = min(burst, self._tokens + elapsed_s * self._zone_per_s)
-        self._updated_at = max(now, self._updated_at)
-
 
 class RateLimits:
     """The rate limits of instances, and this host's part in keeping to them.
