Keep one rate limit of an organisation at all hosts

Cause: organisations have limits that all hosts together have to keep.

Change: messages between hosts carry organisations' totals (orgs, run) and zone reports the zone's hosts (hosts); the fleet applies them and the share that it hears to the quotas and the usage ledger. Requests above a limit get 429, and what ran nowhere is refunded when the request ends.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -27,7 +27,7 @@
 )
 from ..quarantine import Quarantine, request_digest
 from ..reactor import Reactor, Timer
-from ..routing import Route, TrafficSplitter
+from ..routing import Organisation, Route, TrafficSplitter
 from .attempt import (
     SUCCESS_STATUSES,
     Attempt,
@@ -42,6 +42,7 @@
 from .idle_limit import IdleLimit
 from .notices import NoticeReader
 from .paths import PathMonitor
+from .rate_limiter import RateLimiter
 from .recent_ids import RecentIds
 from .repeats import RepeatPermission
 from .replies import send_error
@@ -122,6 +123,7 @@
         paths: whether this host reaches the instances.
         crashes: finds out which instances have crashed.
         quarantine: the requests that are sent to no instance, as they crash them.
+        rate_limiter: limits the rates of organisations.
         header_names: header names on the wire.
         notices: reads what responses say about their instances.
         evidence: records what attempts show of their instances.
@@ -148,6 +150,7 @@
     paths: PathMonitor
     crashes: CrashMonitor
     quarantine: Quarantine
+    rate_limiter: RateLimiter
     header_names: HeaderNames
     notices: NoticeReader
     evidence: Evidence
@@ -211,6 +214,9 @@
         self._body = bytearray()
         self._route: Route | None = None
         self._config_version = 0
+        self._organisation: Organisation | None = None
+        # Whether its organisation's rate limit is charged with it.
+        self._is_charged = False
         self._repeats: RepeatPermission | None = None
         self._service = ""
         self._req: OutgoingRequest | None = None
@@ -278,6 +284,8 @@
             self._send_error(ErrorKind.NO_ROUTE)
             return
         self._route = route
+        if self._reject_over_limit():
+            return
         self._repeats = RepeatPermission(
             self._head.method,
             route,
@@ -311,6 +319,31 @@
         )
         self._request_placement()
 
+    def _reject_over_limit(self) -> bool:
+        """End a request above its organisation's rate limit; return whether it is.
+
+        A request that was handed over is charged at the host that it came to.
+        """
+        if self._organisation is None or self._is_handed_over:
+            return False
+        retry_after_s = self._deps.rate_limiter.try_admit(self._organisation)
+        if retry_after_s is not None:
+            self._send_error(ErrorKind.RATE_LIMITED, retry_after_s)
+            return True
+        self._is_charged = True
+        self._deps.fleet.report_usage()
+        return False
+
+    def _refund_unless_run(self) -> None:
+        """Return the allowance of a request that ends and has run nowhere.
+
+        This is so wherever it ends: it was rejected, its caller has gone, or its
+        instances or the host that took it over say that they have not run it.
+        """
+        if self._is_charged and not self._may_have_run:
+            self._deps.rate_limiter.refund(self._organisation)
+        self._is_charged = False
+
     @_isolated
     def _on_deadline(self) -> None:
         """Respond, whatever the request still waits for."""
@@ -954,6 +987,7 @@
 
     def _close(self, reason: str, status: int) -> None:
         self.is_done = True
+        self._refund_unless_run()
         self._on_done(self)
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -19,6 +19,7 @@
 from ..misc import Address
 from ..placement import InstanceChange, InstanceRegistry, Placer
 from ..quarantine import Quarantine
+from ..quotas import Quotas
 from ..reactor import Reactor
 from ..routing import (
     CallerLimits,
@@ -40,6 +41,7 @@
 from .idle_limit import IdleLimit
 from .notices import NoticeReader
 from .paths import PathMonitor
+from .rate_limiter import RateLimiter
 from .recent_ids import RecentIds
 from .request_log import RequestLog
 from .responder import Responder, SimpleResponse
@@ -138,6 +140,7 @@
         self.registry = InstanceRegistry()
         self.placer = Placer(self.registry, cfg.zone, self.rng, cfg.bounds.retries)
         self.quarantine = Quarantine()
+        self.quotas = Quotas(self.rng, cfg.bounds.quotas)
         self.peer_table = PeerTable(self.local_host)
         events = FeedCallbacks(
             self._on_configuration,
@@ -161,6 +164,7 @@
             self.quarantine,
             self.feed.sync_status,
             self.feed.on_heartbeat,
+            self.quotas,
         )
         self.host_records = HostRecords(
             self.reactor,
@@ -203,6 +207,7 @@
             paths=self.paths,
             crashes=self.crashes,
             quarantine=self.quarantine,
+            rate_limiter=RateLimiter(self.reactor.clock, self.quotas),
             header_names=self._adapter.header_names,
             notices=NoticeReader(
                 self._adapter.header_names, lambda: self.settings.bounds.max_pause_s
@@ -269,8 +274,16 @@
             )
         self._routes = configuration.routes
         self._route_table = RouteTable(configuration.routes)
+        self._set_rate_limits(configuration)
         self.fleet.send_heartbeat()
 
+    def _set_rate_limits(self, configuration: Configuration) -> None:
+        """Set the limits, and before that which part of them this host has."""
+        self.fleet.update_reach()
+        self.quotas.bounds = self.settings.bounds.quotas
+        now = self.reactor.clock.monotonic()
+        self.quotas.set_limits(configuration.organisations, now)
+
     def _on_instances(self, changes: list[InstanceChange]) -> None:
         removed = [change.id for change in changes if change.instance is None]
         self.placer.forget(removed)
@@ -363,6 +376,11 @@
             "requests_cut_by_crashes": self.crashes.crashes,
             "quarantined_requests": self.quarantine.count(now),
             "rate_limited_instances": self.placer.rate_limits.count(now),
+            "limited_organisations": self.quotas.limited_count,
+            "organisation_requests_admitted": self.quotas.admitted,
+            "organisation_requests_refused": self.quotas.refused,
+            "organisation_requests_refunded": self.quotas.refunded,
+            "rate_limit_reach": self.quotas.reach,
             "paused_instances": self.placer.paused_count(now),
             "leaving_instances": len(self.placer.leaving()),
             "waiting": sum(self.placer.queue_lengths().values()),
--- a/dogwoodtack/entry/replies.py
+++ b/dogwoodtack/entry/replies.py
@@ -11,6 +11,7 @@
 # Statuses 408, 429 and 503 guarantee that the request did not and will not run.
 STATUS_BY_KIND = {
     ErrorKind.OVERLOADED: 503,
+    ErrorKind.RATE_LIMITED: 429,
     ErrorKind.NO_INSTANCE: 503,
     ErrorKind.QUARANTINED: 503,
     ErrorKind.CUT_OFF: 503,
--- a/dogwoodtack/entry/settings.py
+++ b/dogwoodtack/entry/settings.py
@@ -4,6 +4,7 @@
 
 from ..misc import Address
 from ..placement import RetryRules
+from ..quotas import QuotaBounds
 
 __all__ = ["Bounds", "EntrySettings"]
 
@@ -17,12 +18,14 @@
         retries: the retry budget shared by all hosts.
         max_pause_s: longest time in seconds for which an instance that asks for a
             pause gets no request.
+        quotas: by how much all hosts together may exceed an organisation's limit.
     """
 
     grace_s: float = 6.0
     max_answer_ttl_s: float = 5.0
     retries: RetryRules = RetryRules()
     max_pause_s: float = 300.0
+    quotas: QuotaBounds = QuotaBounds()
 
 
 class EntrySettings(NamedTuple):
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -17,6 +17,7 @@
 from dogwoodtack.entry.grace import GracePeriod
 from dogwoodtack.entry.idle_limit import IdleLimit
 from dogwoodtack.entry.notices import NoticeReader
+from dogwoodtack.entry.rate_limiter import RateLimiter
 from dogwoodtack.entry.recent_ids import RecentIds
 from dogwoodtack.errors import ErrorKind, WireError
 from dogwoodtack.frontend.conn import RequestHead
@@ -29,6 +30,7 @@
 )
 from dogwoodtack.platform.headers import HEADERS
 from dogwoodtack.quarantine import Quarantine
+from dogwoodtack.quotas import Quotas
 from dogwoodtack.routing import Route, RouteKind, TrafficSplitter, WeightedService
 from lab.virtual import VirtualLoop
 
@@ -281,6 +283,7 @@
         self.placer = Placer(registry, "a", rng, RetryRules(2.0, 10.0, 500.0))
         idle_limit = IdleLimit()
         self.grace = GracePeriod(clock)
+        self.quotas = Quotas(rng)
         self.request_log = mock.Mock()
         fleet = mock.Mock()
         fleet.handover_hosts = self.handover_hosts
@@ -295,6 +298,7 @@
             paths=self.paths,
             crashes=FakeCrashes(world),
             quarantine=world.quarantine,
+            rate_limiter=RateLimiter(clock, self.quotas),
             header_names=HEADERS,
             notices=NoticeReader(HEADERS, lambda: 300.0, clock.monotonic),
             evidence=Evidence(clock, self.placer, self.paths, idle_limit),
--- a/dogwoodtack/errors.py
+++ b/dogwoodtack/errors.py
@@ -58,6 +58,7 @@
     KEY_ANSWER_LOST = "key-answer-lost"
     OWNER_UNREACHABLE = "owner-unreachable"
     OVERLOADED = "overloaded"
+    RATE_LIMITED = "rate-limited"
     QUARANTINED = "quarantined"
     NO_INSTANCE = "no-instance"
     DRAINING = "draining"
@@ -141,6 +142,9 @@
         504, _UNKNOWN, 5, "The entry host that owns this key cannot be asked."
     ),
     ErrorKind.OVERLOADED: Answer(503, _NOT_RUN, 1, "The service is at its limit."),
+    ErrorKind.RATE_LIMITED: Answer(
+        429, _NOT_RUN, 1, "The organisation is over its rate limit."
+    ),
     ErrorKind.QUARANTINED: Answer(
         503, _NOT_RUN, None, "Back ends crashed while they ran this request."
     ),
--- a/dogwoodtack/fleet/fleet.py
+++ b/dogwoodtack/fleet/fleet.py
@@ -1,5 +1,7 @@
 """Exchange of heartbeats and reports with the other entry hosts."""
 
+import random
+import uuid
 from collections.abc import Callable, Collection
 from functools import singledispatchmethod
 
@@ -8,6 +10,7 @@
 from ..placement import Observation, Placer
 from ..position import START_POSITION, StorePosition
 from ..quarantine import CrashReport, Quarantine
+from ..quotas import Quotas
 from ..reactor import Reactor
 from .datagrams import Datagrams
 from .gateways import ZoneGateways
@@ -23,6 +26,7 @@
     ZoneReport,
 )
 from .report_batch import ReportBatch
+from .usage_exchange import UsageExchange
 
 __all__ = ["Fleet", "GetSyncStatus"]
 
@@ -35,6 +39,11 @@
 # Reports of successes wait this long for others to share a datagram; reports of
 # failures are sent at once.
 REPORT_DELAY_S = 0.01
+# Hosts that fall silent are noticed this much later; they count as silent from 0.6 s
+# on.
+REACH_INTERVAL_S = 0.1
+# While no organisation has a limit, nothing depends on it.
+IDLE_REACH_INTERVAL_S = 1.0
 
 # Returns the configuration's version, the store position of the instances, and the
 # seconds since the store last responded.
@@ -51,6 +60,8 @@
         quarantine: receives what other hosts report of requests that crash instances.
         get_sync_status: returns what the local host's heartbeats announce.
         on_heartbeat: called with each heartbeat of a host in the local zone.
+        quotas: receives what other hosts admit of organisations, and the share of the
+            fleet that is heard.
     """
 
     def __init__(
@@ -61,6 +72,7 @@
         quarantine: Quarantine,
         get_sync_status: GetSyncStatus,
         on_heartbeat: Callable[[Heartbeat], None],
+        quotas: Quotas | None = None,
     ) -> None:
         self._reactor = reactor
         self._peer_table = peer_table
@@ -68,6 +80,8 @@
         self._quarantine = quarantine
         self._get_sync_status = get_sync_status
         self._on_heartbeat = on_heartbeat
+        self._quotas = Quotas(random.Random()) if quotas is None else quotas
+        self._usage = UsageExchange(self._quotas, placer.usage, uuid.uuid4().hex)
         self._batch = ReportBatch()
         self._is_crash_report_due = False
         self._handovers = 0
@@ -80,6 +94,7 @@
         """Begin to send heartbeats and, while this is the gateway, zone reports."""
         self._run_heartbeat()
         self._run_zone_report()
+        self._run_reach()
 
     def introduce(self, addresses: list[Address]) -> None:
         """Send a heartbeat to hosts that may not know the local host."""
@@ -145,6 +160,7 @@
             self._peer_table.reaches_instances,
             self._placer.leaving(),
             self._quarantine.reports(now),
+            self._usage.report(now),
         )
 
     def _run_heartbeat(self) -> None:
@@ -174,6 +190,18 @@
             self._peer_table.zones,
         )
 
+    def update_reach(self) -> None:
+        """Set which share of organisations' limits this host uses with its peers."""
+        now = self._reactor.clock.monotonic()
+        self._quotas.set_reach(self._peer_table.reach.share(now), now)
+
+    def _run_reach(self) -> None:
+        has_limits = self._quotas.has_limits
+        wait_s = REACH_INTERVAL_S if has_limits else IDLE_REACH_INTERVAL_S
+        self._reactor.call_later(wait_s, self._run_reach)
+        if has_limits:
+            self.update_reach()
+
     def _run_zone_report(self) -> None:
         """Send a report to the other zones if the local host is the gateway."""
         is_gateway = self.is_zone_gateway()
@@ -184,6 +212,7 @@
         now = self._reactor.clock.monotonic()
         local_host = self._peer_table.local_host
         hosts = self._reported_hosts()
+        usage = self._usage.zone_report(now)
         # Without paths a host's estimates are out of date.
         reaches_instances = self._peer_table.reaches_instances
         report = ZoneReport(
@@ -196,6 +225,8 @@
             hosts=hosts,
             leaving=self._placer.leaving(),
             crash_reports=self._quarantine.reports(now, only_news=hosts is None),
+            usage=usage,
+            host_counts=self._peer_table.reach.local_counts(now) if usage.run else None,
         )
         self._datagrams.send(
             report, self._gateways.addresses(self._peer_table.known_hosts(), now)
@@ -245,7 +276,12 @@
         is_urgent = self._batch.add(InstanceReport(instance_id, count, observation))
         if is_urgent or self._has_notice(instance_id):
             self._flush_batch()
-        elif not self._batch.is_due:
+        else:
+            self.report_usage()
+
+    def report_usage(self) -> None:
+        """Report to the zone's serving hosts soon what organisations have used."""
+        if not self._batch.is_due:
             self._batch.is_due = True
             self._reactor.call_later(REPORT_DELAY_S, self._flush_batch)
 
@@ -259,7 +295,8 @@
 
     def _flush_batch(self) -> None:
         reports = self._batch.pop_all()
-        if not reports:
+        usage = self._usage.changes(self._reactor.clock.monotonic())
+        if not reports and not usage.totals:
             return
         ids = {one.instance_id for one in reports}
         instances = [one for one in map(self._placer.registry.get, ids) if one]
@@ -268,6 +305,7 @@
             reports,
             self._placer.rate_limits.reports(self._reactor.clock.monotonic(), ids),
             self._placer.notices.leaving(instances),
+            usage,
         )
         local_name = self._peer_table.local_host.name
         peers = [
@@ -297,6 +335,8 @@
                     report.instance_id, report.observation, now
                 )
         self._apply_notices(message.host_name, message, now)
+        self._peer_table.reach.on_report(message.host_name, now)
+        self._usage.on_host_report(message.host_name, message.usage, False, now)
 
     def _apply_notices(
         self, host_name: str | None, message: Message, now: float
@@ -342,6 +382,8 @@
         )
         self._apply_notices(None, report, now)
         self._apply_crash_reports(report.crash_reports, report.zone, now)
+        self._peer_table.reach.on_zone_report(report.zone, report.host_counts, now)
+        self._usage.on_zone_report(report.zone, report.usage, now)
         if report.hosts is not None:
             self._peer_table.on_zone_hosts(report.zone, report.hosts, now)
         if report.is_forwarded:
@@ -350,7 +392,10 @@
         local_host = self._peer_table.local_host
         # All hosts of the zone need to know who serves elsewhere, as none of them may
         # soon, and what instances have crashed under, as each may get such a request.
-        is_for_all = report.hosts is not None or report.crash_reports
+        # Nor may a host that begins to serve take limits of organisations for unused.
+        is_for_all = (
+            report.hosts is not None or report.crash_reports or report.usage.run
+        )
         hosts = self._zone_hosts() if is_for_all else self.serving_hosts()
         peers = [host.peer_address for host in hosts if host != local_host]
         self._datagrams.send(report._replace(is_forwarded=True), peers)
@@ -375,4 +420,5 @@
         )
         self._apply_notices(heartbeat.host.name, heartbeat, now)
         self._apply_crash_reports(heartbeat.crash_reports, heartbeat.host.name, now)
+        self._usage.on_host_report(heartbeat.host.name, heartbeat.usage, True, now)
         self._on_heartbeat(heartbeat)
--- a/dogwoodtack/fleet/peers.py
+++ b/dogwoodtack/fleet/peers.py
@@ -5,6 +5,7 @@
 import math
 from typing import NamedTuple
 
+from .reach import FleetReach
 from .records import Heartbeat, HostRecord, ServingHost, ZoneHosts
 
 __all__ = ["MAX_STORE_AGE_S", "Peer", "PeerTable"]
@@ -52,10 +53,12 @@
     Attributes:
         local_host: this host.
         zones: the zones that have hosts.
+        reach: which share of the fleet is heard.
     """
 
     def __init__(self, local_host: HostRecord) -> None:
         self.local_host = local_host
+        self.reach = FleetReach(local_host.zone)
         self._is_ready = False
         self._reaches_instances = True
         self._known: dict[str, HostRecord] = {}
@@ -95,6 +98,7 @@
         if record.name != self.local_host.name:
             self._known[record.name] = record
             self.zones.add(record.zone)
+            self.reach.add_record(record.name, record.zone)
 
     def on_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Record a heartbeat from a host.
@@ -112,6 +116,9 @@
             if known is None or _standing(known.heartbeat) != _standing(heartbeat):
                 self._ready_list_at = -math.inf
             self._peers[heartbeat.host.name] = Peer(heartbeat, now)
+            self.reach.on_heartbeat(
+                heartbeat.host.name, heartbeat.interval_s, heartbeat.is_ready, now
+            )
 
     def known_hosts(self) -> list[HostRecord]:
         """Return the other hosts known so far, in all zones, alive or not."""
--- a/dogwoodtack/fleet/records.py
+++ b/dogwoodtack/fleet/records.py
@@ -11,12 +11,15 @@
 from ..placement import Observation, RateLimitReport, check_name
 from ..position import StorePosition, decode_position
 from ..quarantine import CrashReport, crash_reports_from_json, crash_reports_to_json
+from ..quotas import OrganisationTotal
+from .reach import HostCounts
 
 __all__ = [
     "Heartbeat",
     "ZoneReport",
     "HostRecord",
     "ServingHost",
+    "UsageReport",
     "ZoneHosts",
     "PeerReport",
     "InstanceReport",
@@ -27,6 +30,10 @@
 ]
 
 
+# Longest name of a sender's process that is accepted.
+MAX_RUN_CHARS = 32
+# Numbers up to it are exact in JSON and in floating point.
+MAX_TOTAL = 2**53
 # Of one full core with a fast link; no machine has more cores.
 MAX_CAPACITY = 10_000.0
 
@@ -56,6 +63,18 @@
         return self.peer_address
 
 
+class UsageReport(NamedTuple):
+    """What the sender has done for organisations, in totals since its process began.
+
+    Attributes:
+        run: the sender's process; empty if no organisation has a limit or any work.
+        totals: the totals; those of a zone report are the zone's sums.
+    """
+
+    run: str = ""
+    totals: tuple[OrganisationTotal, ...] = ()
+
+
 class Heartbeat(NamedTuple):
     """Periodic message from a host to the hosts of its zone.
 
@@ -72,6 +91,7 @@
         leaving: instances that have said that they leave, with their start times in
             Unix milliseconds.
         crash_reports: what the sender knows of requests that crash instances.
+        usage: all that the sender has done for organisations.
     """
 
     host: HostRecord
@@ -85,6 +105,7 @@
     reaches_instances: bool
     leaving: dict[str, int]
     crash_reports: tuple[CrashReport, ...] = ()
+    usage: UsageReport = UsageReport()
 
 
 class InstanceReport(NamedTuple):
@@ -110,12 +131,14 @@
         instances: the sender's requests, by instance.
         rate_limits: what the sender knows of rate limits of these instances.
         leaving: those of them that have said that they leave, with their start times.
+        usage: what the sender has done for organisations, where that has changed.
     """
 
     host_name: str
     instances: list[InstanceReport]
     rate_limits: list[RateLimitReport]
     leaving: dict[str, int]
+    usage: UsageReport = UsageReport()
 
 
 class ServingHost(NamedTuple):
@@ -158,6 +181,8 @@
         hosts: the zone's serving hosts; None in most reports.
         leaving: instances that have said that they leave, with their start times.
         crash_reports: what the zone knows of requests that crash instances.
+        usage: all that the zone has done for organisations.
+        host_counts: the zone's hosts; None if `usage` names no process.
     """
 
     zone: str
@@ -169,6 +194,8 @@
     hosts: ZoneHosts | None
     leaving: dict[str, int]
     crash_reports: tuple[CrashReport, ...] = ()
+    usage: UsageReport = UsageReport()
+    host_counts: HostCounts | None = None
 
 
 Message = Heartbeat | PeerReport | ZoneReport
@@ -219,7 +246,7 @@
         for report in message.instances
     ]
     fields = {"news": message.host_name, "of": reports}
-    return fields | _notice_fields(message)
+    return fields | _notice_fields(message) | _usage_fields(message.usage)
 
 
 @_message_fields.register
@@ -234,7 +261,11 @@
         "next": message.interval_s,
         "load": message.in_flight,
         "paths": message.reaches_instances,
-    } | (_notice_fields(message) | _crash_fields(message.crash_reports))
+    } | (
+        _notice_fields(message)
+        | _crash_fields(message.crash_reports)
+        | _usage_fields(message.usage)
+    )
 
 
 @_message_fields.register
@@ -249,6 +280,8 @@
         _notice_fields(message)
         | _zone_hosts_fields(message.hosts)
         | _crash_fields(message.crash_reports)
+        | _usage_fields(message.usage)
+        | _host_counts_fields(message.host_counts)
     )
 
 
@@ -273,6 +306,17 @@
     return {"crashes": crash_reports_to_json(reports)} if reports else {}
 
 
+def _usage_fields(usage: UsageReport) -> dict[str, Any]:
+    """Return the fields of organisations' totals; none without organisations."""
+    if not usage.run:
+        return {}
+    return {"run": usage.run, "orgs": [list(total) for total in usage.totals]}
+
+
+def _host_counts_fields(counts: HostCounts | None) -> dict[str, Any]:
+    return {} if counts is None else {"hosts": list(counts)}
+
+
 def encode_message(message: Message) -> bytes:
     """Return the payload of the datagram that carries a message."""
     return json.dumps(_message_fields(message), separators=(",", ":")).encode()
@@ -304,6 +348,7 @@
         reports,
         _decode_rate_limits(fields),
         _decode_leaving(fields),
+        _decode_usage(fields),
     )
 
 
@@ -324,6 +369,7 @@
         bool(fields.get("paths", True)),
         _decode_leaving(fields),
         _decode_crash_reports(fields),
+        _decode_usage(fields),
     )
 
 
@@ -338,6 +384,8 @@
         _decode_zone_hosts(fields),
         _decode_leaving(fields),
         _decode_crash_reports(fields),
+        _decode_usage(fields),
+        _decode_host_counts(fields),
     )
 
 
@@ -371,5 +419,34 @@
     return crash_reports_from_json(fields.get("crashes", []))
 
 
+def _decode_usage(fields: dict[str, Any]) -> UsageReport:
+    """Return the organisations' totals; hosts of earlier builds send none."""
+    run = str(fields.get("run", ""))
+    if len(run) > MAX_RUN_CHARS:
+        raise ValueError("run is too long")
+    totals = tuple(
+        OrganisationTotal(str(name), _decode_total(admitted), _decode_total(work_ms))
+        for name, admitted, work_ms in fields.get("orgs", [])
+    )
+    return UsageReport(run, totals)
+
+
+def _decode_total(value: Any) -> int:
+    total = int(value)
+    if not 0 <= total <= MAX_TOTAL:
+        raise ValueError("a total is out of range")
+    return total
+
+
+def _decode_host_counts(fields: dict[str, Any]) -> HostCounts | None:
+    """Return the zone's hosts; earlier builds send none."""
+    if "hosts" not in fields:
+        return None
+    known, silent = (_decode_total(count) for count in fields["hosts"])
+    if not silent < known:
+        raise ValueError("the sender is not silent itself")
+    return HostCounts(known, silent)
+
+
 def _decode_counts(fields: dict[str, Any]) -> dict[str, int]:
     return {str(name): int(count) for name, count in fields.items()}
--- a/dogwoodtack/platform/settings.py
+++ b/dogwoodtack/platform/settings.py
@@ -10,6 +10,7 @@
 from ..errors import SettingsError
 from ..misc import Address, parse_address
 from ..placement import RetryRules
+from ..quotas import QuotaBounds
 
 __all__ = ["SETTINGS_VARIABLE", "load_entry_settings", "decode_entry_settings"]
 
@@ -114,6 +115,11 @@
             slack=values.get("budgetSlack", defaults.retries.slack),
         ),
         max_pause_s=max_pause_s,
+        quotas=QuotaBounds(
+            window_s=values.get("quotaWindowS", defaults.quotas.window_s),
+            over=values.get("quotaOver", defaults.quotas.over),
+            slack=values.get("quotaSlack", defaults.quotas.slack),
+        ),
     )
 
 
--- a/dogwoodtack/quotas/quotas.py
+++ b/dogwoodtack/quotas/quotas.py
@@ -189,6 +189,11 @@
         """Return whether any organisation has a limit."""
         return bool(self._limits)
 
+    @property
+    def limited_count(self) -> int:
+        """Return how many organisations have a limit."""
+        return len(self._limits)
+
     @property
     def reach(self) -> float:
         """Return the share of each limit that this host uses with those it hears."""
@@ -411,10 +416,26 @@
             self._own_zone.add(name, grown, now)
 
     def drop_source(self, source: str, now: float) -> None:
-        """Forget a source that has ended, or whose zone another host reports for.
+        """Forget a source that has ended.
 
         What it has probably admitted since its last report stays charged.
         """
         known = self._sources.pop(source, None)
         if known is not None:
             self._settle(known, now)
+
+    def replace_source(self, source: str, successor: str, now: float) -> None:
+        """Let another process report for a zone.
+
+        The totals of the two can't be compared.  What the zone has probably admitted
+        meanwhile stays charged, and it is taken to go on as before.
+        """
+        known = self._sources.pop(source, None)
+        if known is None:
+            return
+        recent = known.recent
+        self._settle(known, now)
+        for name, requests in known.settled.items():
+            recent.add(name, requests, now)
+        found = self._sources[successor] = _Source(now, known.is_zone)
+        found.recent = recent
--- a/dogwoodtack/quotas/recent_counts.py
+++ b/dogwoodtack/quotas/recent_counts.py
@@ -21,7 +21,7 @@
     def __bool__(self) -> bool:
         return bool(self._counts)
 
-    def add(self, organisation: str, requests: int, now: float) -> None:
+    def add(self, organisation: str, requests: float, now: float) -> None:
         """Add requests."""
         self._counts[organisation] = self.count(organisation, now) + requests, now
 
--- a/dogwoodtack/quotas/tests/replay.py
+++ b/dogwoodtack/quotas/tests/replay.py
@@ -116,7 +116,7 @@
                 host.reach.on_zone_report(self.zone, counts, world.now)
                 before = host.gateways.get(self.zone, source)
                 if before != source:
-                    host.quotas.drop_source(before, world.now)
+                    host.quotas.replace_source(before, source, world.now)
                 host.gateways[self.zone] = source
                 host.quotas.on_usage(source, totals, world.now, True, True)
 
