--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -43,6 +43,7 @@
 from .idle_limit import IdleLimit
 from .notices import NoticeReader
 from .paths import PathMonitor
+from .rate_limiter import RateLimiter
 from .recent_ids import RecentIds
 from .repeats import RepeatPermission
 from .replies import send_error
@@ -127,6 +128,7 @@
         paths: whether this host reaches the instances.
         crashes: finds out which instances have crashed.
         quarantine: the requests that are sent to no instance, as they crash them.
+        rate_limiter: limits the rates of organisations.
         header_names: header names on the wire.
         notices: reads what responses say about their instances.
         evidence: records what attempts show of their instances.
@@ -154,6 +156,7 @@
     paths: PathMonitor
     crashes: CrashMonitor
     quarantine: Quarantine
+    rate_limiter: RateLimiter
     header_names: HeaderNames
     notices: NoticeReader
     evidence: Evidence
@@ -222,6 +225,8 @@
         self._organisation: Organisation | None = None
         self._requires_keys = False
         self._config_version = 0
+        # Whether its organisation's rate limit is charged with it.
+        self._is_charged = False
         self._repeats: RepeatPermission | None = None
         self._service = ""
         self._req: OutgoingRequest | None = None
@@ -352,6 +357,8 @@
         if not self._check_access(route):
             return
         self._body_bytes = len(self._body)
+        if self._reject_over_limit():
+            return
         self._repeats = RepeatPermission(
             self._head.method,
             route,
@@ -390,6 +397,31 @@
         )
         self._request_placement()
 
+    def _reject_over_limit(self) -> bool:
+        """End a request above its organisation's rate limit; return whether it is.
+
+        A request that was handed over is charged at the host that it came to.
+        """
+        if self._organisation is None or self._is_handed_over:
+            return False
+        retry_after_s = self._deps.rate_limiter.try_admit(self._organisation)
+        if retry_after_s is not None:
+            self._send_error(ErrorKind.RATE_LIMITED, retry_after_s)
+            return True
+        self._is_charged = True
+        self._deps.fleet.report_usage()
+        return False
+
+    def _refund_unless_run(self) -> None:
+        """Return the allowance of a request that ends and has run nowhere.
+
+        This is so wherever it ends: it was rejected, its caller has gone, or its
+        instances or the host that took it over say that they have not run it.
+        """
+        if self._is_charged and not self._may_have_run:
+            self._deps.rate_limiter.refund(self._organisation)
+        self._is_charged = False
+
     @_isolated
     def _on_deadline(self) -> None:
         """Respond, whatever the request still waits for."""
@@ -1079,6 +1111,7 @@
 
     def _close(self, reason: str, status: int) -> None:
         self.is_done = True
+        self._refund_unless_run()
         self._on_done(self)
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -21,6 +21,7 @@
 from ..misc import Address
 from ..placement import InstanceChange, InstanceRegistry, Placer
 from ..quarantine import Quarantine
+from ..quotas import Quotas
 from ..reactor import Reactor
 from ..routing import (
     CallerLimits,
@@ -44,6 +45,7 @@
 from .idle_limit import IdleLimit
 from .notices import NoticeReader
 from .paths import PathMonitor
+from .rate_limiter import RateLimiter
 from .recent_ids import RecentIds
 from .request_log import RequestLog
 from .responder import Responder, SimpleResponse
@@ -143,6 +145,7 @@
         self.placer = Placer(self.registry, cfg.zone, self.rng, cfg.bounds.retries)
         self.placer.balancing.setting = cfg.bounds.balancing
         self.quarantine = Quarantine()
+        self.quotas = Quotas(self.rng, cfg.bounds.quotas)
         self.peer_table = PeerTable(self.local_host)
         self.access = AccessControl(self._are_keys_confirmed)
         self.store_contacts = StoreContacts()
@@ -169,6 +172,7 @@
             self.quarantine,
             self.feed.sync_status,
             self._on_heartbeat,
+            self.quotas,
         )
         self.host_records = HostRecords(
             self.reactor,
@@ -211,6 +215,7 @@
             paths=self.paths,
             crashes=self.crashes,
             quarantine=self.quarantine,
+            rate_limiter=RateLimiter(self.reactor.clock, self.quotas),
             header_names=self._adapter.header_names,
             notices=NoticeReader(
                 self._adapter.header_names, lambda: self.settings.bounds.max_pause_s
@@ -288,6 +293,7 @@
         )
         self.placer.fair_services = fair_services(configuration)
         self.placer.balancing.on_routes(*routed_services(configuration.routes))
+        self._set_rate_limits(configuration)
         self.fleet.send_heartbeat()
 
     def _set_organisations(self, configuration: Configuration) -> None:
@@ -325,6 +331,13 @@
             event = "keys-confirmed" if is_confirmed else "keys-unconfirmed"
             log_event(event, level="WARNING", age_s=age_s, version=self.feed.version)
 
+    def _set_rate_limits(self, configuration: Configuration) -> None:
+        """Set the limits, and before that which part of them this host has."""
+        self.fleet.update_reach()
+        self.quotas.bounds = self.settings.bounds.quotas
+        now = self.reactor.clock.monotonic()
+        self.quotas.set_limits(configuration.organisations, now)
+
     def _on_instances(self, changes: list[InstanceChange]) -> None:
         removed = [change.id for change in changes if change.instance is None]
         self.placer.forget(removed)
@@ -419,6 +432,11 @@
             "requests_cut_by_crashes": self.crashes.crashes,
             "quarantined_requests": self.quarantine.count(now),
             "rate_limited_instances": self.placer.rate_limits.count(now),
+            "limited_organisations": self.quotas.limited_count,
+            "organisation_requests_admitted": self.quotas.admitted,
+            "organisation_requests_refused": self.quotas.refused,
+            "organisation_requests_refunded": self.quotas.refunded,
+            "rate_limit_reach": self.quotas.reach,
             "paused_instances": self.placer.paused_count(now),
             "leaving_instances": len(self.placer.leaving()),
             "even_services": self.placer.balancing.even_count(),
--- a/dogwoodtack/entry/settings.py
+++ b/dogwoodtack/entry/settings.py
@@ -4,6 +4,7 @@
 
 from ..misc import Address
 from ..placement import BalancingSetting, RetryRules
+from ..quotas import QuotaBounds
 
 __all__ = ["Bounds", "EntrySettings"]
 
@@ -21,6 +22,7 @@
             store, or from a peer that does.
         revoke_s: for how many seconds they stay valid without.
         balancing: how requests are spread over the instances of a service.
+        quotas: by how much all hosts together may exceed an organisation's limit.
     """
 
     grace_s: float = 6.0
@@ -30,6 +32,7 @@
     strict_revocation: bool = False
     revoke_s: float = 5.0
     balancing: BalancingSetting = BalancingSetting.AUTO
+    quotas: QuotaBounds = QuotaBounds()
 
 
 class EntrySettings(NamedTuple):
--- a/dogwoodtack/fleet/records.py
+++ b/dogwoodtack/fleet/records.py
@@ -12,12 +12,15 @@
 from ..placement import Observation, RateLimitReport, RequestMix, check_name
 from ..position import StorePosition, decode_position
 from ..quarantine import CrashReport, crash_reports_from_json, crash_reports_to_json
+from ..quotas import OrganisationTotal
+from .reach import HostCounts
 
 __all__ = [
     "Heartbeat",
     "ZoneReport",
     "HostRecord",
     "ServingHost",
+    "UsageReport",
     "ZoneHosts",
     "PeerReport",
     "InstanceReport",
@@ -28,6 +31,10 @@
 ]
 
 
+# Longest name of a sender's process that is accepted.
+MAX_RUN_CHARS = 32
+# Numbers up to it are exact in JSON and in floating point.
+MAX_TOTAL = 2**53
 # Of one full core with a fast link; no machine has more cores.
 MAX_CAPACITY = 10_000.0
 
@@ -57,6 +64,18 @@
         return self.peer_address
 
 
+class UsageReport(NamedTuple):
+    """What the sender has done for organisations, in totals since its process began.
+
+    Attributes:
+        run: the sender's process; empty if no organisation has a limit or any work.
+        totals: the totals; those of a zone report are the zone's sums.
+    """
+
+    run: str = ""
+    totals: tuple[OrganisationTotal, ...] = ()
+
+
 class Heartbeat(NamedTuple):
     """Periodic message from a host to the hosts of its zone.
 
@@ -73,6 +92,7 @@
         leaving: instances that have said that they leave, with their start times in
             Unix milliseconds.
         crash_reports: what the sender knows of requests that crash instances.
+        usage: all that the sender has done for organisations.
         request_mixes: the sender's recent requests by service.
         body_kb: bodies of the sender's requests in kB, per instance.
     """
@@ -88,6 +108,7 @@
     reaches_instances: bool
     leaving: dict[str, int]
     crash_reports: tuple[CrashReport, ...] = ()
+    usage: UsageReport = UsageReport()
     request_mixes: tuple[RequestMix, ...] = ()
     body_kb: dict[str, int] = {}
 
@@ -115,6 +136,7 @@
         instances: the sender's requests, by instance.
         rate_limits: what the sender knows of rate limits of these instances.
         leaving: those of them that have said that they leave, with their start times.
+        usage: what the sender has done for organisations, where that has changed.
         body_kb: the sender's bodies in kB at those of them that have any.
     """
 
@@ -122,6 +144,7 @@
     instances: list[InstanceReport]
     rate_limits: list[RateLimitReport]
     leaving: dict[str, int]
+    usage: UsageReport = UsageReport()
     body_kb: dict[str, int] = {}
 
 
@@ -165,6 +188,8 @@
         hosts: the zone's serving hosts; None in most reports.
         leaving: instances that have said that they leave, with their start times.
         crash_reports: what the zone knows of requests that crash instances.
+        usage: all that the zone has done for organisations.
+        host_counts: the zone's hosts; None if `usage` names no process.
         body_kb: bodies of the zone's requests in kB, per instance.
     """
 
@@ -177,6 +202,8 @@
     hosts: ZoneHosts | None
     leaving: dict[str, int]
     crash_reports: tuple[CrashReport, ...] = ()
+    usage: UsageReport = UsageReport()
+    host_counts: HostCounts | None = None
     body_kb: dict[str, int] = {}
 
 
@@ -228,7 +255,9 @@
         for report in message.instances
     ]
     fields = {"news": message.host_name, "of": reports}
-    return fields | _notice_fields(message) | _body_fields(message)
+    return fields | (
+        _notice_fields(message) | _usage_fields(message.usage) | _body_fields(message)
+    )
 
 
 @_message_fields.register
@@ -246,6 +275,7 @@
     } | (
         _notice_fields(message)
         | _crash_fields(message.crash_reports)
+        | _usage_fields(message.usage)
         | _body_fields(message)
         | _mix_fields(message.request_mixes)
     )
@@ -263,6 +293,8 @@
         _notice_fields(message)
         | _zone_hosts_fields(message.hosts)
         | _crash_fields(message.crash_reports)
+        | _usage_fields(message.usage)
+        | _host_counts_fields(message.host_counts)
         | _body_fields(message)
     )
 
@@ -288,6 +320,17 @@
     return {"crashes": crash_reports_to_json(reports)} if reports else {}
 
 
+def _usage_fields(usage: UsageReport) -> dict[str, Any]:
+    """Return the fields of organisations' totals; none without organisations."""
+    if not usage.run:
+        return {}
+    return {"run": usage.run, "orgs": [list(total) for total in usage.totals]}
+
+
+def _host_counts_fields(counts: HostCounts | None) -> dict[str, Any]:
+    return {} if counts is None else {"hosts": list(counts)}
+
+
 def _body_fields(message: Message) -> dict[str, Any]:
     """Return the field of the bodies at instances, which is left out without any."""
     return {"bodies": message.body_kb} if message.body_kb else {}
@@ -328,6 +371,7 @@
         reports,
         _decode_rate_limits(fields),
         _decode_leaving(fields),
+        _decode_usage(fields),
         _decode_body_kb(fields),
     )
 
@@ -349,6 +393,7 @@
         bool(fields.get("paths", True)),
         _decode_leaving(fields),
         _decode_crash_reports(fields),
+        _decode_usage(fields),
         _decode_request_mixes(fields),
         _decode_body_kb(fields),
     )
@@ -365,6 +410,8 @@
         _decode_zone_hosts(fields),
         _decode_leaving(fields),
         _decode_crash_reports(fields),
+        _decode_usage(fields),
+        _decode_host_counts(fields),
         _decode_body_kb(fields),
     )
 
@@ -399,6 +446,35 @@
     return crash_reports_from_json(fields.get("crashes", []))
 
 
+def _decode_usage(fields: dict[str, Any]) -> UsageReport:
+    """Return the organisations' totals; hosts of earlier builds send none."""
+    run = str(fields.get("run", ""))
+    if len(run) > MAX_RUN_CHARS:
+        raise ValueError("run is too long")
+    totals = tuple(
+        OrganisationTotal(str(name), _decode_total(admitted), _decode_total(work_ms))
+        for name, admitted, work_ms in fields.get("orgs", [])
+    )
+    return UsageReport(run, totals)
+
+
+def _decode_total(value: Any) -> int:
+    total = int(value)
+    if not 0 <= total <= MAX_TOTAL:
+        raise ValueError("a total is out of range")
+    return total
+
+
+def _decode_host_counts(fields: dict[str, Any]) -> HostCounts | None:
+    """Return the zone's hosts; earlier builds send none."""
+    if "hosts" not in fields:
+        return None
+    known, silent = (_decode_total(count) for count in fields["hosts"])
+    if not silent < known:
+        raise ValueError("the sender is not silent itself")
+    return HostCounts(known, silent)
+
+
 def _decode_body_kb(fields: dict[str, Any]) -> dict[str, int]:
     """Return the bodies in a message; earlier builds send none.
 
--- a/dogwoodtack/fleet/tests/test_records.py
+++ b/dogwoodtack/fleet/tests/test_records.py
@@ -50,7 +50,7 @@
                 ],
                 [],
                 {"i-1": 1796346000000},
-                {"i-1": 360},
+                body_kb={"i-1": 360},
             ),
         ),
         (make_zone_report(in_flight={"i-1": 3}, unhealthy_percent={"i-1": 85}),),
--- a/dogwoodtack/platform/settings.py
+++ b/dogwoodtack/platform/settings.py
@@ -10,6 +10,7 @@
 from ..errors import SettingsError
 from ..misc import Address, parse_address
 from ..placement import BalancingSetting, RetryRules
+from ..quotas import QuotaBounds
 
 __all__ = ["SETTINGS_VARIABLE", "load_entry_settings", "decode_entry_settings"]
 
@@ -128,6 +129,11 @@
         strict_revocation=strict_revocation,
         revoke_s=_time_or_default(values.get("revokeS"), defaults.revoke_s),
         balancing=balancing,
+        quotas=QuotaBounds(
+            window_s=values.get("quotaWindowS", defaults.quotas.window_s),
+            over=values.get("quotaOver", defaults.quotas.over),
+            slack=values.get("quotaSlack", defaults.quotas.slack),
+        ),
     )
 
 
