--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -31,7 +31,13 @@
 from dogwoodtack.platform.headers import HEADERS
 from dogwoodtack.quarantine import Quarantine
 from dogwoodtack.quotas import Quotas
-from dogwoodtack.routing import Route, RouteKind, TrafficSplitter, WeightedService
+from dogwoodtack.routing import (
+    Organisation,
+    Route,
+    RouteKind,
+    TrafficSplitter,
+    WeightedService,
+)
 from lab.virtual import VirtualLoop
 
 SEEDS = 400
@@ -42,6 +48,7 @@
 MAX_ATTEMPTS = 2
 # Statuses with which a host says that a request has not run and will not.
 REJECTION_STATUSES = (408, 429, 503)
+ORGANISATION = Organisation("org-1", (), 1, 5.0, 5.0)
 # What an instance does with a request, and whether it runs it then.
 BEHAVIOURS = {
     "ok": True,
@@ -677,3 +684,85 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class LimitedExchange(Exchange):
+    """A request whose key was found to be that of the organisation."""
+
+    def _reject_over_limit(self):
+        self._organisation = ORGANISATION
+        return super()._reject_over_limit()
+
+
+class RateLimitTest(unittest.TestCase):
+    def setUp(self):
+        patcher = mock.patch(f"{__name__}.Exchange", LimitedExchange)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def test_what_ran_is_charged_once_and_nothing_else(self):
+        """Refused and unsent requests used up the limit, or hand-overs paid twice."""
+        for seed in range(SEEDS):
+            world = World(seed)
+            world.run()
+            admitted = sum(host.quotas.admitted for host in world.hosts)
+            rejected = sum(
+                statuses[0] in REJECTION_STATUSES
+                for statuses in world.responses.values()
+            )
+            ran = sum(runs > 0 for runs in world.runs.values())
+            with self.subTest(seed=seed):
+                self.assertLessEqual(ran, admitted)
+                self.assertLessEqual(admitted, REQUESTS - rejected)
+
+    @params(
+        # behaviour of the instances, status, requests that stay charged
+        ("ok", 200, 1),
+        ("error", 500, 1),
+        ("cut", 502, 1),
+        ("silent", 504, 1),
+        ("shed", 503, 0),
+        ("misdirected", 503, 0),
+    )
+    def test_endings(self, behaviour, status, charged):
+        host, statuses = self.send(behaviour)
+        self.assertEqual((statuses, host.quotas.admitted), ([status], charged))
+
+    def send(self, behaviour, is_handed_over=False):
+        world = World(1)
+        world.behaviours = [behaviour]
+        world.crash_rate = 0.0
+        host = world.hosts[0]
+        statuses = []
+        host.start(
+            request_head("POST", "/book/"),
+            lambda status, headers, body: statuses.append(status),
+            is_handed_over,
+        )
+        world.reactor.run_for(3.0)
+        return host, statuses
+
+    def test_second_host_of_a_handover_charges_nothing(self):
+        host, statuses = self.send("ok", is_handed_over=True)
+        self.assertEqual((statuses, host.quotas.admitted), ([200], 0))
+
+    def test_caller_that_goes_while_its_request_is_queued_is_refunded(self):
+        host = World(1).hosts[0]
+        host.placer.place = mock.Mock(return_value=None)
+        exchange = host.start(request_head("POST", "/book/"), mock.Mock())
+        self.assertEqual(host.quotas.admitted, 1)
+        exchange.on_caller_gone()
+        self.assertEqual((host.quotas.admitted, host.quotas.refunded), (0, 1))
+
+    def test_response_above_the_limit(self):
+        host = World(1).hosts[0]
+        host.quotas.set_limits([ORGANISATION], 0.0)
+        answers = []
+        for _ in range(30):
+            host.start(
+                request_head("POST", "/book/"),
+                lambda status, headers, body: answers.append((status, dict(headers))),
+            )
+        status, headers = answers[-1]
+        self.assertEqual(status, 429)
+        self.assertGreater(float(headers[b"retry-after"]), 0.0)
--- a/dogwoodtack/fleet/reach.py
+++ b/dogwoodtack/fleet/reach.py
@@ -53,8 +53,10 @@
 
     def is_overdue(self, now: float) -> bool:
         """Return whether it should have been heard since it was."""
+        if not self.interval_s:
+            return True
         if self.interval_s <= SHORT_INTERVAL_S:
-            return now - self.seen_at > (SERVING_SILENCE_S if self.interval_s else 0.0)
+            return now - self.seen_at > SERVING_SILENCE_S
         return now - self.seen_at > MISSED_HEARTBEATS * self.interval_s
 
 
--- a/dogwoodtack/fleet/tests/test_records.py
+++ b/dogwoodtack/fleet/tests/test_records.py
@@ -8,8 +8,10 @@
 
 from dogwoodtack.fleet import Heartbeat, InstanceReport, PeerReport
 from dogwoodtack.fleet.gateways import ZoneGateways
+from dogwoodtack.fleet.reach import HostCounts
 from dogwoodtack.fleet.records import (
     ServingHost,
+    UsageReport,
     ZoneHosts,
     ZoneReport,
     decode_host,
@@ -22,10 +24,12 @@
 from dogwoodtack.placement import Observation, RateLimitReport
 from dogwoodtack.position import StorePosition
 from dogwoodtack.quarantine import Crash, CrashReport
+from dogwoodtack.quotas import OrganisationTotal
 
 ZONE_HOSTS = ZoneHosts(
     [ServingHost("h-1", Address("10.0.0.1", 1), Address("10.0.0.1", 2))], ["a", "b"]
 )
+USAGE = UsageReport("7f", (OrganisationTotal("org-1", 250, 81000),))
 CRASH_REPORTS = (
     CrashReport("d", True, (Crash("i-1/7", 0.25, True), Crash("i-2/0", 3.0, False))),
 )
@@ -53,6 +57,10 @@
         (make_zone_report(in_flight={"i-1": 3}, unhealthy_percent={"i-1": 85}),),
         (make_zone_report(is_forwarded=True, hosts=ZONE_HOSTS),),
         (make_zone_report(leaving={"i-1": 0}),),
+        (make_zone_report(usage=USAGE, host_counts=HostCounts(37, 2)),),
+        (make_heartbeat(make_host("h-1"))._replace(usage=USAGE),),
+        (PeerReport("h-1", [], [], {}, USAGE),),
+        (PeerReport("h-1", [], [], {}, UsageReport("7f")),),
         (make_zone_report(crash_reports=CRASH_REPORTS),),
         (make_heartbeat(make_host("h-1"))._replace(crash_reports=CRASH_REPORTS),),
         (
@@ -154,3 +162,37 @@
         gateways.on_report("b", gateway, 100.0)
         self.assertEqual(gateways.addresses([], 100.1), [gateway])
         self.assertEqual(gateways.addresses([], 102.0), [])
+
+
+class UsageFieldsTest(unittest.TestCase):
+    """Totals that are no numbers would be charged to limits for good."""
+
+    @params(
+        ({},),
+        ({"run": "7f"},),
+        ({"run": "7f", "orgs": [["o", 1, 2]], "hosts": [3, 0]},),
+    )
+    def test_usable(self, fields):
+        self.assertIsNotNone(self.decode(fields))
+
+    @params(
+        ({"run": "7" * 33},),
+        ({"run": "7f", "orgs": [["o", -1, 0]]},),
+        ({"run": "7f", "orgs": [["o", 1e300, 0]]},),
+        ({"run": "7f", "orgs": [["o", None, 0]]},),
+        ({"run": "7f", "orgs": [["o", 1]]},),
+        ({"run": "7f", "orgs": 3},),
+        ({"hosts": [0, 0]},),
+        ({"hosts": [3, 3]},),
+        ({"hosts": [3]},),
+    )
+    def test_unusable(self, fields):
+        self.assertIsNone(self.decode(fields))
+
+    def decode(self, fields):
+        report = json.loads(encode_message(make_zone_report()))
+        return decode_message(json.dumps(report | fields).encode())
+
+    def test_messages_without_organisations_are_as_before(self):
+        fields = json.loads(encode_message(make_zone_report()))
+        self.assertFalse({"run", "orgs", "hosts"} & fields.keys())
