Pass on reports between hosts that do not hear each other

Cause: two hosts or zones that did not hear each other, while others heard both, each had nearly the whole limit of an organisation.

Change: heartbeats and zone reports name whom the sender misses; hosts that hear them pass on their totals.

--- a/dogwoodtack/fleet/fleet.py
+++ b/dogwoodtack/fleet/fleet.py
@@ -81,7 +81,13 @@
         self._get_sync_status = get_sync_status
         self._on_heartbeat = on_heartbeat
         self._quotas = Quotas(random.Random()) if quotas is None else quotas
-        self._usage = UsageExchange(self._quotas, placer.usage, uuid.uuid4().hex)
+        self._usage = UsageExchange(
+            peer_table.local_host,
+            peer_table.reach,
+            self._quotas,
+            placer.usage,
+            uuid.uuid4().hex,
+        )
         self._batch = ReportBatch()
         self._is_crash_report_due = False
         self._handovers = 0
@@ -383,7 +389,7 @@
         self._apply_notices(None, report, now)
         self._apply_crash_reports(report.crash_reports, report.zone, now)
         self._peer_table.reach.on_zone_report(report.zone, report.host_counts, now)
-        self._usage.on_zone_report(report.zone, report.usage, now)
+        self._usage.on_zone_report(report.zone, report.usage, report.host_counts, now)
         if report.hosts is not None:
             self._peer_table.on_zone_hosts(report.zone, report.hosts, now)
         if report.is_forwarded:
--- a/dogwoodtack/fleet/reach.py
+++ b/dogwoodtack/fleet/reach.py
@@ -1,13 +1,16 @@
 """Which share of the fleet this host hears, for limits that all hosts keep together.
 
+It hears a host directly, or as another host passes on what that host reports.
+
 A host can't tell a host that has ended from one that it is cut off from and that goes
 on admitting requests.  So a host that falls silent keeps its part of what all hosts
 share for a while.
 """
 
+import math
 from typing import NamedTuple
 
-__all__ = ["FleetReach", "HostCounts"]
+__all__ = ["FleetReach", "HostCounts", "Party"]
 
 # Hosts that send heartbeats at this interval or a shorter one serve or are next to.
 SHORT_INTERVAL_S = 0.5
@@ -15,6 +18,8 @@
 # Three missed heartbeats of a reserve host, and a margin for network delay.
 MISSED_HEARTBEATS = 3.2
 ZONE_SILENCE_S = 0.6
+# Two heartbeats of a serving host that passes on reports, and a margin.
+RELAY_TTL_S = 0.9
 # If so many hosts fall silent, others that have not been heard since count as silent
 # before they miss three heartbeats: they are probably cut off as well.
 CUT_HOSTS = 2
@@ -38,6 +43,13 @@
     silent: int
 
 
+class Party(NamedTuple):
+    """A host of the local zone, or another zone."""
+
+    name: str
+    is_zone: bool
+
+
 class _Host(NamedTuple):
     """A host of the local zone.
 
@@ -45,14 +57,20 @@
         seen_at: when it was last heard, or when its record was found in the store.
         interval_s: seconds until its next heartbeat, 0 before the first one.
         is_ready: whether it accepts callers, which a host does that was never heard.
+        relayed_at: when another host last passed on its report.
     """
 
     seen_at: float
     interval_s: float
     is_ready: bool
+    relayed_at: float = -math.inf
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether it is heard neither directly nor through others."""
+        return self.is_overdue(now) and now - self.relayed_at > RELAY_TTL_S
 
     def is_overdue(self, now: float) -> bool:
-        """Return whether it should have been heard since it was."""
+        """Return whether it should have been heard directly since it was."""
         if not self.interval_s:
             return True
         if self.interval_s <= SHORT_INTERVAL_S:
@@ -61,10 +79,19 @@
 
 
 class _Zone(NamedTuple):
-    """What another zone has last reported, and when."""
+    """What another zone has last reported, and when directly and through others."""
 
     counts: HostCounts
     seen_at: float
+    relayed_at: float = -math.inf
+
+    def is_overdue(self, now: float) -> bool:
+        """Return whether it should have been heard directly since it was."""
+        return now - self.seen_at > ZONE_SILENCE_S
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether it is heard neither directly nor through others."""
+        return self.is_overdue(now) and now - self.relayed_at > RELAY_TTL_S
 
 
 class FleetReach:
@@ -120,6 +147,37 @@
             counts = HostCounts(max(1, len(self._records.get(zone, ()))), 0)
         self._zones[zone] = _Zone(counts, now)
 
+    def on_relayed(self, party: Party, counts: HostCounts | None, now: float) -> None:
+        """Record that another host passes on what a silent one reports.
+
+        Args:
+            party: the silent host or zone.
+            counts: hosts of the zone; None for a host.
+            now: seconds on the monotonic clock.
+        """
+        if party.is_zone and party.name in self._zones:
+            known = self._zones[party.name]
+            self._zones[party.name] = known._replace(
+                counts=counts or known.counts, relayed_at=now
+            )
+        elif not party.is_zone and party.name in self._hosts:
+            host = self._hosts[party.name]
+            self._hosts[party.name] = host._replace(relayed_at=now)
+
+    def missing(self, now: float) -> list[Party]:
+        """Return whom this host does not hear directly any more."""
+        hosts = [
+            Party(name, False)
+            for name, host in self._hosts.items()
+            if host.interval_s and _is_missing(host, now)
+        ]
+        zones = [
+            Party(name, True)
+            for name, zone in self._zones.items()
+            if _is_missing(zone, now)
+        ]
+        return hosts + zones
+
     def local_counts(self, now: float) -> HostCounts:
         """Return the hosts of the local zone, with this one."""
         for name in self._unseen:
@@ -139,12 +197,16 @@
 
     def _silent_hosts(self, now: float) -> list[_Host]:
         hosts = self._hosts.values()
-        overdue = [one for one in hosts if one.is_overdue(now)]
-        recent = sorted(one.seen_at for one in overdue if one.interval_s)
+        silent = [one for one in hosts if one.is_silent(now)]
+        recent = sorted(one.seen_at for one in silent if one.interval_s)
         if len(recent) < CUT_HOSTS:
-            return overdue
+            return silent
         cut_at = recent[-1]
-        return [one for one in hosts if one.is_overdue(now) or one.seen_at < cut_at]
+        return [
+            one
+            for one in hosts
+            if one.is_silent(now) or max(one.seen_at, one.relayed_at) < cut_at
+        ]
 
     def share(self, now: float) -> float:
         """Return the share of the fleet's hosts that is heard, with this one."""
@@ -161,14 +223,18 @@
         if reported is None:
             known = len(self._records[zone])
             return HostCounts(known, known)
-        counts, seen_at = reported
-        if now - seen_at <= ZONE_SILENCE_S:
+        counts = reported.counts
+        if not reported.is_silent(now):
             return counts
-        if now - seen_at > FORGET_MANY_S:
+        if now - reported.seen_at > FORGET_MANY_S:
             return HostCounts(0, 0)
         return HostCounts(counts.known, counts.known)
 
 
+def _is_missing(party: _Host | _Zone, now: float) -> bool:
+    return party.is_overdue(now) and now - party.seen_at <= FORGET_MANY_S
+
+
 def _forget_s(silent: int, known: int) -> float:
     is_few = silent <= max(1.0, FEW_RATIO * known) and 2 * silent < known
     return FORGET_S if is_few else FORGET_MANY_S
--- a/dogwoodtack/fleet/records.py
+++ b/dogwoodtack/fleet/records.py
@@ -12,7 +12,7 @@
 from ..position import StorePosition, decode_position
 from ..quarantine import CrashReport, crash_reports_from_json, crash_reports_to_json
 from ..quotas import OrganisationTotal
-from .reach import HostCounts
+from .reach import HostCounts, Party
 
 __all__ = [
     "Heartbeat",
@@ -22,6 +22,7 @@
     "UsageReport",
     "ZoneHosts",
     "PeerReport",
+    "RelayedUsage",
     "InstanceReport",
     "decode_host",
     "decode_message",
@@ -63,16 +64,36 @@
         return self.peer_address
 
 
+class RelayedUsage(NamedTuple):
+    """What the sender has heard from a host or zone that others don't hear.
+
+    Attributes:
+        party: that host or zone.
+        run: its process.
+        totals: all its totals.
+        host_counts: hosts of the zone; None for a host.
+    """
+
+    party: Party
+    run: str
+    totals: tuple[OrganisationTotal, ...]
+    host_counts: HostCounts | None
+
+
 class UsageReport(NamedTuple):
     """What the sender has done for organisations, in totals since its process began.
 
     Attributes:
         run: the sender's process; empty if no organisation has a limit or any work.
         totals: the totals; those of a zone report are the zone's sums.
+        missing: whom the sender does not hear directly any more.
+        relayed: reports of those whom others miss and the sender hears.
     """
 
     run: str = ""
     totals: tuple[OrganisationTotal, ...] = ()
+    missing: tuple[Party, ...] = ()
+    relayed: tuple[RelayedUsage, ...] = ()
 
 
 class Heartbeat(NamedTuple):
@@ -310,7 +331,12 @@
     """Return the fields of organisations' totals; none without organisations."""
     if not usage.run:
         return {}
-    return {"run": usage.run, "orgs": [list(total) for total in usage.totals]}
+    fields: dict[str, Any] = {"run": usage.run, "orgs": usage.totals}
+    if usage.missing:
+        fields["missing"] = usage.missing
+    if usage.relayed:
+        fields["relayed"] = usage.relayed
+    return fields
 
 
 def _host_counts_fields(counts: HostCounts | None) -> dict[str, Any]:
@@ -385,7 +411,8 @@
         _decode_leaving(fields),
         _decode_crash_reports(fields),
         _decode_usage(fields),
-        _decode_host_counts(fields),
+        # Hosts of earlier builds do not send it.
+        _decode_host_counts(fields["hosts"]) if "hosts" in fields else None,
     )
 
 
@@ -421,14 +448,39 @@
 
 def _decode_usage(fields: dict[str, Any]) -> UsageReport:
     """Return the organisations' totals; hosts of earlier builds send none."""
-    run = str(fields.get("run", ""))
+    relayed = tuple(
+        RelayedUsage(
+            _decode_party(*party),
+            _decode_run(run),
+            _decode_totals(rows),
+            None if counts is None else _decode_host_counts(counts),
+        )
+        for party, run, rows, counts in fields.get("relayed", [])
+    )
+    return UsageReport(
+        _decode_run(fields.get("run", "")),
+        _decode_totals(fields.get("orgs", [])),
+        tuple(_decode_party(*party) for party in fields.get("missing", [])),
+        relayed,
+    )
+
+
+def _decode_run(value: Any) -> str:
+    run = str(value)
     if len(run) > MAX_RUN_CHARS:
         raise ValueError("run is too long")
-    totals = tuple(
+    return run
+
+
+def _decode_party(name: Any, is_zone: Any) -> Party:
+    return Party(str(name), bool(is_zone))
+
+
+def _decode_totals(rows: Any) -> tuple[OrganisationTotal, ...]:
+    return tuple(
         OrganisationTotal(str(name), _decode_total(admitted), _decode_total(work_ms))
-        for name, admitted, work_ms in fields.get("orgs", [])
+        for name, admitted, work_ms in rows
     )
-    return UsageReport(run, totals)
 
 
 def _decode_total(value: Any) -> int:
@@ -438,11 +490,8 @@
     return total
 
 
-def _decode_host_counts(fields: dict[str, Any]) -> HostCounts | None:
-    """Return the zone's hosts; earlier builds send none."""
-    if "hosts" not in fields:
-        return None
-    known, silent = (_decode_total(count) for count in fields["hosts"])
+def _decode_host_counts(counts: Any) -> HostCounts:
+    known, silent = (_decode_total(count) for count in counts)
     if not silent < known:
         raise ValueError("the sender is not silent itself")
     return HostCounts(known, silent)
--- a/dogwoodtack/fleet/tests/test_records.py
+++ b/dogwoodtack/fleet/tests/test_records.py
@@ -8,8 +8,9 @@
 
 from dogwoodtack.fleet import Heartbeat, InstanceReport, PeerReport
 from dogwoodtack.fleet.gateways import ZoneGateways
-from dogwoodtack.fleet.reach import HostCounts
+from dogwoodtack.fleet.reach import HostCounts, Party
 from dogwoodtack.fleet.records import (
+    RelayedUsage,
     ServingHost,
     UsageReport,
     ZoneHosts,
@@ -30,6 +31,13 @@
     [ServingHost("h-1", Address("10.0.0.1", 1), Address("10.0.0.1", 2))], ["a", "b"]
 )
 USAGE = UsageReport("7f", (OrganisationTotal("org-1", 250, 81000),))
+RELAYS = USAGE._replace(
+    missing=(Party("h-9", False), Party("b", True)),
+    relayed=(
+        RelayedUsage(Party("h-8", False), "8f", USAGE.totals, None),
+        RelayedUsage(Party("c", True), "9f", (), HostCounts(3, 1)),
+    ),
+)
 CRASH_REPORTS = (
     CrashReport("d", True, (Crash("i-1/7", 0.25, True), Crash("i-2/0", 3.0, False))),
 )
@@ -60,6 +68,8 @@
         (make_zone_report(usage=USAGE, host_counts=HostCounts(37, 2)),),
         (make_heartbeat(make_host("h-1"))._replace(usage=USAGE),),
         (PeerReport("h-1", [], [], {}, USAGE),),
+        (make_zone_report(usage=RELAYS, host_counts=HostCounts(37, 2)),),
+        (make_heartbeat(make_host("h-1"))._replace(usage=RELAYS),),
         (PeerReport("h-1", [], [], {}, UsageReport("7f")),),
         (make_zone_report(crash_reports=CRASH_REPORTS),),
         (make_heartbeat(make_host("h-1"))._replace(crash_reports=CRASH_REPORTS),),
@@ -185,6 +195,9 @@
         ({"hosts": [0, 0]},),
         ({"hosts": [3, 3]},),
         ({"hosts": [3]},),
+        ({"missing": [["b"]]},),
+        ({"relayed": [[["b", 1], "9f", [], [3]]]},),
+        ({"relayed": [["b", "9f", [], None]]},),
     )
     def test_unusable(self, fields):
         self.assertIsNone(self.decode(fields))
