--- a/dogwoodtack/fleet/tests/test_records.py
+++ b/dogwoodtack/fleet/tests/test_records.py
@@ -8,8 +8,11 @@
 
 from dogwoodtack.fleet import Heartbeat, InstanceReport, PeerReport
 from dogwoodtack.fleet.gateways import ZoneGateways
+from dogwoodtack.fleet.reach import HostCounts, Party
 from dogwoodtack.fleet.records import (
+    RelayedUsage,
     ServingHost,
+    UsageReport,
     ZoneHosts,
     ZoneReport,
     decode_host,
@@ -22,10 +25,19 @@
 from dogwoodtack.placement import Observation, RateLimitReport, RequestMix
 from dogwoodtack.position import StorePosition
 from dogwoodtack.quarantine import Crash, CrashReport
+from dogwoodtack.quotas import OrganisationTotal
 
 ZONE_HOSTS = ZoneHosts(
     [ServingHost("h-1", Address("10.0.0.1", 1), Address("10.0.0.1", 2))], ["a", "b"]
 )
+USAGE = UsageReport("7f", (OrganisationTotal("org-1", 250, 81000),))
+RELAYS = USAGE._replace(
+    missing=(Party("h-9", False), Party("b", True)),
+    relayed=(
+        RelayedUsage(Party("h-8", False), "8f", USAGE.totals, None),
+        RelayedUsage(Party("c", True), "9f", (), HostCounts(3, 1)),
+    ),
+)
 CRASH_REPORTS = (
     CrashReport("d", True, (Crash("i-1/7", 0.25, True), Crash("i-2/0", 3.0, False))),
 )
@@ -58,6 +70,12 @@
         (make_zone_report(leaving={"i-1": 0}),),
         (make_zone_report(body_kb={"i-1": 4000}),),
         (make_heartbeat(make_host("h-1"))._replace(body_kb={"i-1": 61}),),
+        (make_zone_report(usage=USAGE, host_counts=HostCounts(37, 2)),),
+        (make_heartbeat(make_host("h-1"))._replace(usage=USAGE),),
+        (PeerReport("h-1", [], [], {}, USAGE),),
+        (make_zone_report(usage=RELAYS, host_counts=HostCounts(37, 2)),),
+        (make_heartbeat(make_host("h-1"))._replace(usage=RELAYS),),
+        (PeerReport("h-1", [], [], {}, UsageReport("7f")),),
         (make_zone_report(crash_reports=CRASH_REPORTS),),
         (make_heartbeat(make_host("h-1"))._replace(crash_reports=CRASH_REPORTS),),
         (make_heartbeat(make_host("h-1"))._replace(request_mixes=MIXES),),
@@ -180,3 +198,40 @@
         gateways.on_report("b", gateway, 100.0)
         self.assertEqual(gateways.addresses([], 100.1), [gateway])
         self.assertEqual(gateways.addresses([], 102.0), [])
+
+
+class UsageFieldsTest(unittest.TestCase):
+    """Totals that are no numbers would be charged to limits for good."""
+
+    @params(
+        ({},),
+        ({"run": "7f"},),
+        ({"run": "7f", "orgs": [["o", 1, 2]], "hosts": [3, 0]},),
+    )
+    def test_usable(self, fields):
+        self.assertIsNotNone(self.decode(fields))
+
+    @params(
+        ({"run": "7" * 33},),
+        ({"run": "7f", "orgs": [["o", -1, 0]]},),
+        ({"run": "7f", "orgs": [["o", 1e300, 0]]},),
+        ({"run": "7f", "orgs": [["o", None, 0]]},),
+        ({"run": "7f", "orgs": [["o", 1]]},),
+        ({"run": "7f", "orgs": 3},),
+        ({"hosts": [0, 0]},),
+        ({"hosts": [3, 3]},),
+        ({"hosts": [3]},),
+        ({"missing": [["b"]]},),
+        ({"relayed": [[["b", 1], "9f", [], [3]]]},),
+        ({"relayed": [["b", "9f", [], None]]},),
+    )
+    def test_unusable(self, fields):
+        self.assertIsNone(self.decode(fields))
+
+    def decode(self, fields):
+        report = json.loads(encode_message(make_zone_report()))
+        return decode_message(json.dumps(report | fields).encode())
+
+    def test_messages_without_organisations_are_as_before(self):
+        fields = json.loads(encode_message(make_zone_report()))
+        self.assertFalse({"run", "orgs", "hosts"} & fields.keys())
