--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -1,12 +1,14 @@
 """Organisations and their keys at an entry host, as a process."""
 
 import http.client
+import json
 import time
 import unittest
 from unittest import mock
 
 from nose2.tools import params
 
+from soak.site import ZONES, Site
 from tests.test_entry_host import BOUNDS, HOST, EntryHostTest, configuration
 
 KEY = "k1-s3cret"
@@ -22,6 +24,33 @@
     return {name: {"apiKeys": [key], "priority": 1} for name, key in keys.items()}
 
 
+def send(port, headers=(), path="/look/1", method="GET", body=None):
+    """Send a request with headers, doubled ones as well; return its response."""
+    conn = http.client.HTTPConnection("127.0.0.1", port, 10)
+    conn.putrequest(method, path, skip_host=True)
+    request_id = f"{time.monotonic_ns():016x}"[-16:]
+    sent = [
+        ("Host", HOST),
+        ("X-Dogwoodtack-Request-Id", request_id),
+        ("X-Dogwoodtack-Deadline-Ms", "4000"),
+        *headers,
+    ]
+    if body is not None:
+        sent.append(("Content-Length", str(len(body))))
+    for name, value in sent:
+        conn.putheader(name, value)
+    conn.endheaders(body)
+    found = conn.getresponse()
+    found.read()
+    found.request_id = request_id
+    conn.close()
+    return found
+
+
+def bearer(key):
+    return [("Authorization", f"Bearer {key}")]
+
+
 class OrganisationsTest(EntryHostTest):
     instances = 1
     bounds = BOUNDS
@@ -46,31 +75,11 @@
         self.wait_until(self.is_ready, "the host is ready")
         self.wait_until(self.are_all_registered, "all instances are registered")
 
-    def ask(self, headers=(), path="/look/1", method="GET", body=None, port=0):
-        """Send a request with headers, doubled ones as well; return its response."""
-        conn = http.client.HTTPConnection("127.0.0.1", port or self.ports[0], 10)
-        self.addCleanup(conn.close)
-        conn.putrequest(method, path, skip_host=True)
-        request_id = f"{time.monotonic_ns():016x}"[-16:]
-        sent = [
-            ("Host", HOST),
-            ("X-Dogwoodtack-Request-Id", request_id),
-            ("X-Dogwoodtack-Deadline-Ms", "4000"),
-            *headers,
-        ]
-        if body is not None:
-            sent.append(("Content-Length", str(len(body))))
-        for name, value in sent:
-            conn.putheader(name, value)
-        conn.endheaders(body)
-        found = conn.getresponse()
-        found.read()
-        found.request_id = request_id
-        return found
+    def ask(self, headers=(), path="/look/1", port=0):
+        return send(port or self.ports[0], headers, path)
 
     def status_with(self, key, path="/look/1", port=0):
-        headers = [("Authorization", f"Bearer {key}")]
-        return self.ask(headers, path, port=port).status
+        return self.ask(bearer(key), path, port=port).status
 
     def senders(self):
         return [run.sender for run in self.executed_requests()]
@@ -166,8 +175,8 @@
 
     def test_log_and_metrics_name_the_organisation(self):
         self.serve()
-        served = self.ask([("Authorization", "Bearer " + KEY)])
-        rejected = self.ask([("Authorization", "Bearer wrong-s3cret")])
+        served = self.ask(bearer(KEY))
+        rejected = self.ask(bearer("wrong-s3cret"))
         line = self.log_line(served.request_id)
         self.assertIn(" organisation=court", line)
         line = self.log_line(rejected.request_id)
@@ -213,5 +222,83 @@
         self.assertEqual(self.status_with(KEY), 200)
 
 
+class SeveralHostsTest(unittest.TestCase):
+    """Three hosts of a zone; the first one loses a link."""
+
+    def setUp(self):
+        bounds = [*BOUNDS, "strictRevocation=true", f"revokeS={REVOKE_S}"]
+        self.site = Site(
+            3, 2, zones=ZONES[:1], program="tests/cut_host.py", bounds=bounds
+        )
+        self.addCleanup(self.site.close)
+        self.site.wait_ready()
+        self.put(8, KEY)
+        self.wait_for([200, 200, 200], KEY)
+
+    def put(self, version, key):
+        spec = configuration(version)
+        spec["tenants"] = tenants(court=key)
+        self.site.store.put("config", "main", spec=spec)
+
+    def statuses(self, key, path="/look/1"):
+        hosts = self.site.hosts
+        return [send(host.port, bearer(key), path).status for host in hosts]
+
+    def wait_for(self, statuses, key):
+        """Wait until the hosts answer requests with a key so."""
+        end = time.monotonic() + CONFIG_S
+        while self.statuses(key) != statuses:
+            self.assertLess(time.monotonic(), end, self.logs())
+            time.sleep(0.02)
+
+    def logs(self):
+        return "\n".join(host.log_text() for host in self.site.hosts)
+
+    def cut_from_store(self, count):
+        for proxy in self.site.store_proxies[:count]:
+            proxy.close()
+
+    def tearDown(self):
+        self.assertNotIn("s3cret", self.logs())
+
+    def test_host_without_the_store_learns_of_keys_from_peers(self):
+        self.cut_from_store(2)
+        time.sleep(2 * REVOKE_S)
+        self.assertEqual(self.statuses(KEY), [200, 200, 200], self.logs())
+        self.put(9, "k9-s3cret")
+        self.wait_for([401, 401, 401], KEY)
+        self.wait_for([200, 200, 200], "k9-s3cret")
+
+    def test_zone_without_the_store_rejects_keys(self):
+        self.cut_from_store(3)
+        time.sleep(REVOKE_S + 1.0)
+        self.assertEqual(self.statuses(KEY), [503, 503, 503])
+
+    @params("/look/1", "/book/1")
+    def test_key_goes_with_a_request_that_is_handed_over(self, path):
+        """A host without paths lost the key, and callers got 401."""
+        ports = [one.proxy.address.port for one in self.site.instances]
+        cut = self.site.hosts[0].settings_path.with_suffix(".cut")
+        cut.write_text(json.dumps({"mode": "refuse-new", "ports": ports}))
+        port = self.site.hosts[0].port
+        end = time.monotonic() + 10.0
+        while "event=instance-paths lost=True" not in self.site.hosts[0].log_text():
+            self.assertLess(time.monotonic(), end, self.logs())
+            send(port, bearer(KEY))
+        served = send(port, [*bearer(KEY), (TENANT, "city")], path)
+        self.assertEqual(served.status, 200, self.logs())
+        self.assertEqual(send(port, [(TENANT, "court")], path).status, 401)
+        runs = [
+            run
+            for one in self.site.instances
+            for run in one.backend.ran
+            if run.request_id == served.request_id
+        ]
+        self.assertEqual([run.sender for run in runs], [((TENANT.lower(), "court"),)])
+        self.assertIn(f"id={served.request_id}", self.site.hosts[0].log_text())
+        others = "".join(host.log_text() for host in self.site.hosts[1:])
+        self.assertIn(f"id={served.request_id}", others)
+
+
 if __name__ == "__main__":
     unittest.main()
