--- a/dogwoodtack/access/credentials.py
+++ b/dogwoodtack/access/credentials.py
@@ -11,8 +11,8 @@
 # The standard name (RFC 9110); platforms may use another one.
 AUTHORIZATION = b"authorization"
 SCHEME = b"bearer"
-# Longer ones are no keys, and need not be hashed.
-MAX_KEY_BYTES = 4096
+# Longer ones are no keys, also in the configuration, and need not be hashed.
+MAX_KEY_BYTES = 8191
 
 
 class Credentials(NamedTuple):
