Count hosts as cut off from when their next heartbeat was due

Cause: reserve hosts that were heard just after the last serving host, but before the cut, counted as heard for 6 s at a host that was cut off; each of 13 such hosts used 0.18 of a limit instead of 1/111. Extrapolation also took demand that had moved to a host for a surge everywhere.

Change: what came before the next heartbeat of a silent host was due proves nothing; a surge has to exceed what random arrivals explain, and its ratio needs requests that came here before.

--- a/dogwoodtack/fleet/reach.py
+++ b/dogwoodtack/fleet/reach.py
@@ -198,14 +198,18 @@
     def _silent_hosts(self, now: float) -> list[_Host]:
         hosts = self._hosts.values()
         silent = [one for one in hosts if one.is_silent(now)]
-        recent = sorted(one.seen_at for one in silent if one.interval_s)
-        if len(recent) < CUT_HOSTS:
+        # By then each of them was cut off: its next heartbeat did not come.
+        cut_by = sorted(
+            one.seen_at + min(one.interval_s, SHORT_INTERVAL_S)
+            for one in silent
+            if one.interval_s
+        )
+        if len(cut_by) < CUT_HOSTS:
             return silent
-        cut_at = recent[-1]
         return [
             one
             for one in hosts
-            if one.is_silent(now) or max(one.seen_at, one.relayed_at) < cut_at
+            if one.is_silent(now) or max(one.seen_at, one.relayed_at) < cut_by[-1]
         ]
 
     def share(self, now: float) -> float:
--- a/dogwoodtack/fleet/tests/test_reach.py
+++ b/dogwoodtack/fleet/tests/test_reach.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from dogwoodtack.fleet.reach import FleetReach, HostCounts
+from dogwoodtack.fleet.reach import FleetReach, HostCounts, Party
 
 START = 10.0
 SERVING = 6
@@ -35,6 +35,8 @@
         (700.0, range(36), 0, 0),
         (1.1, range(1), 1, 1),
         (29.0, range(1), 1, 1),
+        # Of others, a few seconds of doubt; they have 2 s to be heard again.
+        (3.0, range(2), 2, 2),
         # A single host has rather ended.
         (31.0, range(1), 0, 0),
         (3.2, range(0, 36, 3), 12, 12),
@@ -51,6 +53,23 @@
         reach = run_zone(START + 9.0, range(36), is_ready=False)
         self.assertEqual(reach.local_counts(START + 9.0), HostCounts(1, 0))
 
+    def test_host_that_others_hear_is_not_silent(self):
+        reach = run_zone(START + 20.0, range(2))
+        missing = [Party("h-0", False), Party("h-1", False)]
+        self.assertEqual(reach.missing(START + 20.0), missing)
+        reach.on_relayed(missing[0], None, START + 20.0)
+        self.assertEqual(reach.local_counts(START + 20.0).silent, 1)
+        # It is still missed, or else nobody would pass on its reports.
+        self.assertEqual(reach.missing(START + 20.0), missing)
+
+    def test_zone_that_others_hear_is_not_silent(self):
+        reach = FleetReach("a")
+        reach.on_zone_report("b", HostCounts(3, 0), START)
+        self.assertEqual(reach.missing(START + 1.0), [Party("b", True)])
+        reach.on_relayed(Party("b", True), HostCounts(3, 1), START + 1.0)
+        self.assertEqual(reach.share(START + 1.0), 3 / 4)
+        self.assertEqual(reach.share(START + 2.0), 1 / 4)
+
     @params(
         # seconds since the last report of zone b, hosts it reported, expected share
         (0.1, HostCounts(3, 0), 1.0),
--- a/dogwoodtack/quotas/quotas.py
+++ b/dogwoodtack/quotas/quotas.py
@@ -6,6 +6,7 @@
 itself and what other hosts and zones report.
 """
 
+import math
 import random
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
@@ -31,6 +32,8 @@
 # to what these admitted before.  They are taken to admit at most as many as are
 # admitted here: callers may have moved here instead.
 MAX_RATIO = 1.0
+# A surge exceeds what random arrivals at the usual rate explain, in deviations.
+SURGE_DEVIATIONS = 2.0
 # What a source admits during a longer silence is not charged: it was kept to its own
 # part of the limit meanwhile.
 MAX_CHARGED_GAP_S = 2.5
@@ -110,7 +113,7 @@
     def expected(self, organisation: str, own: "_OwnCounts", now: float) -> float:
         """Return the requests that were probably admitted since the last report.
 
-        They come at the last rate, or grow with those that arrive here.
+        They come at the last rate, and more of them if more than before come here.
 
         Args:
             organisation: the organisation.
@@ -122,9 +125,12 @@
             return 0.0
         elapsed_s = min(MAX_EXTRAPOLATION_S, max(0.0, now - self.at))
         own_total, own_recent = self.marks.get(organisation, (0, 0.0))
-        ratio = min(MAX_RATIO, recent / own_recent) if own_recent else MAX_RATIO
+        usual = own_recent / RECENT_S * elapsed_s
         since = own.totals.get(organisation, 0) - own_total
-        return max(recent / RECENT_S * elapsed_s, ratio * since)
+        excess = max(0.0, since - usual - SURGE_DEVIATIONS * math.sqrt(usual))
+        # Where hardly any came before, they have rather moved here from elsewhere.
+        ratio = min(MAX_RATIO, recent / max(1.0, own_recent)) * min(1.0, own_recent)
+        return recent / RECENT_S * elapsed_s + ratio * excess
 
 
 class _OwnCounts:
