--- a/dogwoodtack/fleet/tests/test_even_load.py
+++ b/dogwoodtack/fleet/tests/test_even_load.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from dogwoodtack.fleet.tests.zones import Load, World
+from dogwoodtack.fleet.tests.zones import START, Load, World
 from dogwoodtack.placement import BalancingSetting
 
 # 58 instances of 4 slots, 9 hosts; 8 in 100 instances fail at any time, for 5 s each,
@@ -47,6 +47,42 @@
         self.assertLess(count["failed"], 0.02 * count["requests"])
         self.assertGreater(count["on_time"], 0.975 * count["requests"])
 
+    @params(
+        # Zone a is short; all zones are nearly full.
+        ((8, 25, 25), 290.0, 0.5, 0.015),
+        ((4, 27, 27), 290.0, 0.5, 0.015),
+        ((8, 25, 25), 450.0, 0.5, 0.045),
+        ((20, 19, 19), 600.0, 0.2, 0.09),
+    )
+    def test_hosts_of_a_short_zone_leave_its_last_slots(
+        self, instances, per_s, swing, share
+    ):
+        """They all see the same slot become free, and other zones have room."""
+        load = PUBLISHER._replace(
+            instances=instances, requests_per_s=(per_s / 3,) * 3, swing=swing
+        )
+        count = World(load, 1).run()
+        self.assertLess(count["refused"], share * count["attempts"])
+        self.assertGreater(count["on_time"], 0.975 * count["requests"])
+
+    def test_even_load_begins_without_a_setting(self):
+        """Until it does, load is packed: 300 requests at one host or its peers."""
+        load = PUBLISHER._replace(
+            balancing=BalancingSetting.AUTO,
+            requests_per_s=(97.0,) * 3,
+            duration_s=30.0,
+            unhealthy_period_s=1000.0,
+        )
+        world = World(load, 1)
+        world.run()
+        late = [
+            span
+            for one in world.servers.values()
+            for span in one.idle_spans(MAX_IDLE_S, SOUND_AFTER_S)
+            if span[1] > START + 20.0 and span[1] - max(span[0], START + 18.0) > 2.0
+        ]
+        self.assertEqual(late, [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/dogwoodtack/placement/balancing.py
+++ b/dogwoodtack/placement/balancing.py
@@ -43,10 +43,12 @@
 # Cost of an instance with all slots in use, in units of one failed request.  One
 # request more at one of four slots costs as much as 0.08 more risk of a failure.
 FULL_EVEN_LOAD_COST = 0.3
+# What other zones' hosts have sent to an instance since their last report.
+OTHER_ZONE_UNSEEN_LOAD = 1
 # Among equally loaded instances the one that was unused for longest comes first.
 IDLE_BONUS_PER_S = 0.03
 IDLE_BONUS_LIMIT_S = 2.0
-# A warming instance is slow, so its slots are worth half.
+# A warming instance is slow, so a request there counts as this many.
 WARMUP_LOAD_FACTOR = 2.0
 # An instance counts as sound 6 s after a disturbance and then has to get requests.
 # Its risk fades until then, as only these requests can show that it has recovered.
@@ -273,9 +275,10 @@
 
 def even_cost(use: InstanceUse) -> float:
     """Return the cost of an instance in even mode, in units of one failed request."""
-    load = (use.load + 1) / max(1, use.slots)
-    if use.is_warming:
-        load *= WARMUP_LOAD_FACTOR
+    unseen = 0 if use.is_local else OTHER_ZONE_UNSEEN_LOAD
+    factor = WARMUP_LOAD_FACTOR if use.is_warming else 1.0
+    # An idle instance costs the same however slow it is, so that it gets requests.
+    load = (factor * (use.load + unseen) + 1.0) / max(1, use.slots)
     cost = FULL_EVEN_LOAD_COST * load + _risk(use)
     if use.is_local:
         cost -= IDLE_BONUS_PER_S * min(use.since_seen_s, IDLE_BONUS_LIMIT_S)
--- a/dogwoodtack/placement/tests/stale_load.py
+++ b/dogwoodtack/placement/tests/stale_load.py
@@ -113,9 +113,7 @@
         self.ratios = []
 
     def at(self, delay_s, fn, *args):
-        heapq.heappush(
-            self.events, (self.now + delay_s, next(self.order), fn, args)
-        )
+        heapq.heappush(self.events, (self.now + delay_s, next(self.order), fn, args))
 
     def report(self):
         self.last_sent = list(self.sent)
@@ -147,7 +145,9 @@
         view = View(host, self.own[host], reported, excluded, self.setup, self.rng)
         number = self.choose(view)
         if number is None:
-            self.at(RETRY_S * self.rng.uniform(0.5, 1.5), self.place, host, since, excluded)
+            self.at(
+                RETRY_S * self.rng.uniform(0.5, 1.5), self.place, host, since, excluded
+            )
             return
         self._count(host, number, 1)
         self.at(NETWORK_S, self.receive, host, since, excluded, number)
