Test instances with even load again 1.8 s after a failure while many requests fail

Change: a doubtful, idle instance of the zone gets the next request 4 s after its failure, and 1.8 s while more than 8 in 100 recent requests of its service fail.

--- a/dogwoodtack/entry/evidence.py
+++ b/dogwoodtack/entry/evidence.py
@@ -51,6 +51,7 @@
         is_path_suspect = self._paths.is_suspect
         now = self._clock.monotonic()
         self._placer.health.observe(instance_id, observation, now, is_path_suspect)
+        self._placer.record_outcome(instance_id, observation, now)
         if is_path_suspect and observation in PATH_FAILURES:
             return None
         return observation
--- a/dogwoodtack/fleet/fleet.py
+++ b/dogwoodtack/fleet/fleet.py
@@ -353,6 +353,7 @@
                 self._placer.health.add_peer_report(
                     report.instance_id, report.observation, now
                 )
+                self._placer.record_outcome(report.instance_id, report.observation, now)
         self._apply_notices(message.host_name, message, now)
         self._peer_table.reach.on_report(message.host_name, now)
         self._usage.on_host_report(message.host_name, message.usage, False, now)
--- a/dogwoodtack/fleet/tests/test_even_load.py
+++ b/dogwoodtack/fleet/tests/test_even_load.py
@@ -31,7 +31,46 @@
 MAX_IDLE_S = 2.0
 
 
+# 60 in 100 instances lose 40 in 100 of their responses from the first second on; at any
+# instance some requests fail.
+LOST_RESPONSES = PUBLISHER._replace(
+    faulty_ratio=0.6,
+    failure_ratio=0.4,
+    unhealthy_span_s=(100.0, 100.0),
+    unhealthy_period_s=1.0,
+    shedding_ratio=0.0,
+    swing=0.0,
+    error_ratio=0.012,
+)
+FLOOR_SHARE = 0.7
+STEP_S = 0.5
+
+
+def least_share_in_use(world):
+    """Return the least share of the sound instances that get requests within 2 s."""
+    sound = [one for one in world.servers.values() if not one.unhealthy_spans]
+    begin, end = START + SOUND_AFTER_S, START + world.load.duration_s - MAX_IDLE_S
+    shares = []
+    for step in range(int((end - begin) / STEP_S)):
+        since = begin + step * STEP_S
+        used = [
+            any(since <= at < since + MAX_IDLE_S for at in one.arrivals)
+            for one in sound
+        ]
+        shares.append(sum(used) / len(used))
+    return min(shares)
+
+
 class PublisherTest(unittest.TestCase):
+    @params((202.0, 1), (202.0, 2), (290.0, 1), (290.0, 2))
+    def test_sound_instances_are_used_while_others_lose_responses(self, per_s, seed):
+        """One error kept a sound instance without requests while many others failed."""
+        load = LOST_RESPONSES._replace(requests_per_s=(per_s / 3,) * 3)
+        world = World(load, seed)
+        count = world.run()
+        self.assertGreater(count["failed"], 0.1 * count["requests"])
+        self.assertGreaterEqual(least_share_in_use(world), FLOOR_SHARE)
+
     @params((202.0, 1), (202.0, 2), (290.0, 1), (290.0, 2))
     def test_all_sound_instances_get_requests(self, per_s, seed):
         """Packed load leaves most instances without a request and fills the others."""
--- a/dogwoodtack/fleet/tests/zones.py
+++ b/dogwoodtack/fleet/tests/zones.py
@@ -59,6 +59,7 @@
         rate_limit_per_s: limit that some instances name; None if none does.
         limited_ratio: share of the instances that name it.
         lost_ratio: share of the messages between hosts that are lost.
+        error_ratio: share of the requests that fail at any instance.
         non_idempotent_ratio: share of the requests that aren't idempotent.
         failure_ratio: share of its requests that an unhealthy instance fails.
         unhealthy_span_s: shortest and longest time for which one is unhealthy.
@@ -83,6 +84,7 @@
     rate_limit_per_s: float | None = None
     limited_ratio: float = 0.4
     lost_ratio: float = 0.0
+    error_ratio: float = 0.0
     non_idempotent_ratio: float = 0.67
     failure_ratio: float = 0.8
     unhealthy_span_s: tuple[float, float] = (2.0, 5.0)
@@ -148,8 +150,11 @@
 
     def run(self, on_end):
         rng = self.world.rng
-        is_failing = self.is_unhealthy and rng.random() < self.world.load.failure_ratio
-        service_time_s = self.world.load.service_time_s * rng.uniform(0.4, 1.6)
+        load = self.world.load
+        is_failing = self.is_unhealthy and rng.random() < load.failure_ratio
+        if load.error_ratio:
+            is_failing = is_failing or rng.random() < load.error_ratio
+        service_time_s = load.service_time_s * rng.uniform(0.4, 1.6)
         self.world.at(
             self.world.now + (FAILURE_TIME_S if is_failing else service_time_s),
             self.end,
@@ -241,6 +246,7 @@
         now = world.now
         self.placer.release(name)
         self.placer.health.observe(name, observation, now)
+        self.placer.record_outcome(name, observation, now)
         per_s = world.servers[name].rate_limit_per_s
         self.placer.rate_limits.on_response(name, per_s, started_at, now)
         self.report(name, observation)
@@ -309,6 +315,7 @@
                 self.placer.health.add_peer_report(
                     one.instance_id, one.observation, now
                 )
+                self.placer.record_outcome(one.instance_id, one.observation, now)
         self.placer.dispatch_queued(now)
 
     def report_zone(self):
--- a/dogwoodtack/placement/balancing.py
+++ b/dogwoodtack/placement/balancing.py
@@ -21,7 +21,6 @@
     "RequestMix",
     "even_cost",
     "is_last_slot",
-    "may_be_retested",
 ]
 
 # Below the first share of idempotent requests load becomes even, above the second one
@@ -58,9 +57,6 @@
 FAILURE_MEMORY_S = 6.0
 # After a success the estimate rises only because nothing is known.
 SUCCESS_MEMORY_S = 1.5
-# From this time after a failure one request may test an instance that is probably
-# unhealthy.
-RETEST_AFTER_S = 4.0
 
 
 class Balancing(enum.StrEnum):
@@ -306,8 +302,3 @@
     free, and most of their requests are refused there, while other zones have room.
     """
     return use.load >= use.slots - 1
-
-
-def may_be_retested(use: InstanceUse) -> bool:
-    """Return whether a request may go there, however likely it is unhealthy."""
-    return use.is_local and use.load == 0 and use.since_seen_s >= RETEST_AFTER_S
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -9,12 +9,14 @@
 from ..fairness import UsageLedger
 from .balancing import Balancing, BalancingModes, RecentSends, is_last_slot
 from .body_load import BodyLoad, counted_kb
+from .health_estimate import Observation
 from .health_tracker import HealthTracker
 from .instances import Instance, InstanceRegistry
 from .notices import InstanceNotices
 from .occupancy import Occupancy
 from .queued_request import QueuedRequest
 from .rate_limits import RateLimits
+from .retests import FailureShares
 from .retry_budget import RetryBudget, RetryRules
 from .returns import RETRY_JITTER_S
 from .selection import (
@@ -93,6 +95,7 @@
         fair_services: services whose queues are ordered and bounded by work.
         rejections: rejected requests since the start, by priority.
         balancing: how each service's requests are spread.
+        failures: how many of each service's recent requests failed.
         competing_hosts: hosts that use the same slots, at least 1.
         retry_budget_hosts: hosts that share the slack of the retry budget, 0 if this
             host has no part in it.
@@ -115,6 +118,7 @@
         self.fair_services: frozenset[str] = frozenset()
         self.rejections: Counter[int] = Counter()
         self.balancing = BalancingModes()
+        self.failures = FailureShares()
         self.competing_hosts = 1
         self.retry_budget_hosts = 1
         self._zone = zone
@@ -259,7 +263,7 @@
         when no instance there could be better.
         """
         candidates = self.candidates(req.service, now, only_local=True)
-        found = self._choose(candidates, req)
+        found = self._choose(candidates, req, now)
         if (
             found is None
             or found.unhealthy_probability > LOCAL_MAX_UNHEALTHY_PROBABILITY
@@ -275,7 +279,7 @@
         """
         if len(self._queues.get(req.service, ())):
             return False
-        found = self._choose(self.candidates(req.service, now), req)
+        found = self._choose(self.candidates(req.service, now), req, now)
         if found is None:
             return False
         self._assign(req, found.instance, now)
@@ -286,9 +290,9 @@
     ) -> Candidate | None:
         if self._waits_for_local(req, now):
             candidates = [one for one in candidates if one.is_local]
-        found = self._choose(candidates, req)
+        found = self._choose(candidates, req, now)
         if found is None and self._is_last_chance(req, now):
-            found = self._choose(candidates, req, allow_unhealthy=True)
+            found = self._choose(candidates, req, now, allow_unhealthy=True)
         return found
 
     def _with_room(
@@ -310,6 +314,7 @@
         self,
         candidates: list[Candidate],
         req: PlacementRequest,
+        now: float,
         allow_unhealthy: bool = False,
     ) -> Candidate | None:
         return select_candidate(
@@ -318,6 +323,7 @@
             self._rng,
             allow_unhealthy,
             self.balancing.mode(req.service),
+            self.failures.retest_interval_s(req.service, now),
         )
 
     def _waits_for_local(self, req: PlacementRequest, now: float) -> bool:
@@ -347,7 +353,7 @@
         if req.requirements.mode is SelectionMode.EXPLORATORY:
             # On an unhealthy instance the request uses no healthy slot, and a failure
             # only costs a retry; some of these requests succeed.
-            found = self._choose(candidates, req, allow_unhealthy=True)
+            found = self._choose(candidates, req, now, allow_unhealthy=True)
         if found is None:
             self._reject(req, rejection)
         else:
@@ -512,6 +518,14 @@
             self.notices.forget(instance_id)
             self._recent_sends.forget(instance_id)
 
+    def record_outcome(
+        self, instance_id: str, observation: Observation, now: float
+    ) -> None:
+        """Count what a request of this host or of a peer showed of an instance."""
+        instance = self.registry.get(instance_id)
+        if instance is not None:
+            self.failures.record(instance.service, observation, now)
+
     def release(self, instance_id: str, body_bytes: int = 0) -> None:
         """Release the slot and the body of a request of this host that has ended."""
         self.occupancy.decrement(instance_id)
--- a/dogwoodtack/placement/selection.py
+++ b/dogwoodtack/placement/selection.py
@@ -6,9 +6,10 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from .balancing import Balancing, InstanceUse, even_cost, may_be_retested
+from .balancing import Balancing, InstanceUse, even_cost
 from .instances import Instance
 from .rate_limits import RateAllowance
+from .retests import CALM_INTERVAL_S, is_retest_due
 
 __all__ = [
     "Candidate",
@@ -168,6 +169,7 @@
     rng: random.Random,
     allow_unhealthy: bool = False,
     balancing: Balancing = Balancing.PACKED,
+    retest_interval_s: float = CALM_INTERVAL_S,
 ) -> Candidate | None:
     """Return the candidate with the least expected cost, or None if none is eligible.
 
@@ -182,21 +184,25 @@
         rng: breaks ties.
         allow_unhealthy: whether to select an unhealthy instance rather than none.
         balancing: how cautious requests are spread over the instances.
+        retest_interval_s: with even load, how long an instance is left alone after a
+            failure, in seconds.
     """
     eligible = [
         candidate
         for candidate in candidates
         if candidate.has_free_slot and candidate.instance.id not in requirements.exclude
     ]
+    is_exploratory = requirements.mode is SelectionMode.EXPLORATORY
     if not allow_unhealthy:
-        is_exploratory = requirements.mode is SelectionMode.EXPLORATORY
-        is_even = balancing is Balancing.EVEN
+        if balancing is Balancing.EVEN and not is_exploratory:
+            due = _due_for_retest(eligible, retest_interval_s)
+            if due is not None:
+                return due
         eligible = [
             candidate
             for candidate in eligible
             if candidate.unhealthy_probability <= MAX_UNHEALTHY_PROBABILITY
             or (is_exploratory and candidate.may_have_recovered)
-            or (is_even and may_be_retested(candidate.use))
         ]
     if not eligible:
         return None
@@ -209,6 +215,18 @@
     )
 
 
+def _due_for_retest(
+    eligible: Sequence[Candidate], interval_s: float
+) -> Candidate | None:
+    """Return the candidate that has waited longest for its retest, if any is due."""
+    due = [
+        candidate
+        for candidate in eligible
+        if is_retest_due(candidate.use, interval_s, MAX_UNHEALTHY_PROBABILITY)
+    ]
+    return max(due, key=lambda candidate: candidate.since_seen_s, default=None)
+
+
 def _sample_other_zones(
     eligible: list[Candidate], rng: random.Random
 ) -> list[Candidate]:
--- a/dogwoodtack/placement/tests/test_balancing.py
+++ b/dogwoodtack/placement/tests/test_balancing.py
@@ -12,7 +12,6 @@
     InstanceUse,
     RecentSends,
     even_cost,
-    may_be_retested,
 )
 
 NOW = 100.0
@@ -95,8 +94,6 @@
     def test_risk_is_forgotten_once_the_instance_counts_as_sound(self):
         """Nothing else tests it, so it would never get a request again."""
         failed = SOUND._replace(load=0, unhealthy_probability=0.6, last_failed=True)
-        self.assertFalse(may_be_retested(failed._replace(since_seen_s=3.0)))
-        self.assertTrue(may_be_retested(failed._replace(since_seen_s=4.0)))
         self.assertLess(even_cost(failed._replace(since_seen_s=6.0)), even_cost(SOUND))
 
     def test_sends_that_ended_early_are_counted_for_a_while(self):
