Measure the fleet's rate limits, and spread Retry-After over all hosts

Cause: each host told as many refused callers to return as the whole limit admits; a host that had stalled took all others for silent.

Change: Retry-After counts this host's part of an organisation's requests; a late check of silence is skipped once; bounds quotaWindowS, quotaOver and quotaSlack are read from the settings, odd ones get the defaults.

Result: 385 tests of quotas, fleet, entry (exchange, rate_limiter), platform (wire) and placement (rate_limits) passed.

--- a/dogwoodtack/fleet/fleet.py
+++ b/dogwoodtack/fleet/fleet.py
@@ -1,5 +1,6 @@
 """Exchange of heartbeats and reports with the other entry hosts."""
 
+import math
 import random
 import uuid
 from collections.abc import Callable, Collection
@@ -88,6 +89,7 @@
             placer.usage,
             uuid.uuid4().hex,
         )
+        self._reach_due_at = math.inf
         self._batch = ReportBatch()
         self._is_crash_report_due = False
         self._handovers = 0
@@ -205,7 +207,11 @@
         has_limits = self._quotas.has_limits
         wait_s = REACH_INTERVAL_S if has_limits else IDLE_REACH_INTERVAL_S
         self._reactor.call_later(wait_s, self._run_reach)
-        if has_limits:
+        now = self._reactor.clock.monotonic()
+        # After a stall of this process, what others have sent is still to be read.
+        is_late = now - self._reach_due_at > REACH_INTERVAL_S
+        self._reach_due_at = now + wait_s
+        if has_limits and not is_late:
             self.update_reach()
 
     def _run_zone_report(self) -> None:
--- a/dogwoodtack/fleet/tests/test_usage_exchange.py
+++ b/dogwoodtack/fleet/tests/test_usage_exchange.py
@@ -128,6 +128,16 @@
             self.assertLess(tokens, 108 - 50 + 8)
             self.assertGreaterEqual(quotas.reach, 0.3 if lost_ratio else 1.0)
 
+    def test_stalled_hosts_do_not_take_others_for_silent(self):
+        """A host that read its datagrams late lost nearly all unused allowance."""
+        network = LinkedNetwork(4)
+        network.set_limit(ORGANISATION)
+        network.reactor.run_for(5.0)
+        network.clock.now += 1.0
+        # What others have sent meanwhile arrives only after the timers have run.
+        network.reactor.run_for(0.0005)
+        self.assertEqual({quotas.reach for quotas in network.quotas}, {1.0})
+
     @params(
         # whether two hosts of 4 in each of three zones don't hear each other
         (lambda one, other: {one.name, other.name} == {"h-0", "h-1"},),
--- a/dogwoodtack/platform/settings.py
+++ b/dogwoodtack/platform/settings.py
@@ -115,11 +115,23 @@
             slack=values.get("budgetSlack", defaults.retries.slack),
         ),
         max_pause_s=max_pause_s,
-        quotas=QuotaBounds(
-            window_s=values.get("quotaWindowS", defaults.quotas.window_s),
-            over=values.get("quotaOver", defaults.quotas.over),
-            slack=values.get("quotaSlack", defaults.quotas.slack),
-        ),
+        quotas=_quota_bounds(values),
+    )
+
+
+def _quota_bounds(values: dict[str, float]) -> QuotaBounds:
+    """Return by how much limits may be exceeded; odd values get the defaults."""
+    defaults = QuotaBounds()
+    named = QuotaBounds(
+        window_s=values.get("quotaWindowS", defaults.window_s),
+        over=values.get("quotaOver", defaults.over),
+        slack=values.get("quotaSlack", defaults.slack),
+    )
+    return QuotaBounds(
+        *(
+            value if 0.0 <= value < math.inf else default
+            for value, default in zip(named, defaults, strict=True)
+        )
     )
 
 
--- a/dogwoodtack/platform/tests/test_wire.py
+++ b/dogwoodtack/platform/tests/test_wire.py
@@ -237,6 +237,16 @@
         self.assertEqual(found.bounds.retries.slack, 56.0)
         self.assertEqual(found.bounds.max_pause_s, 300.0)
 
+    @params(
+        ([], (5.0, 0.1, 20.0)),
+        (["quotaWindowS=10", "quotaOver=0.2", "quotaSlack=0"], (10.0, 0.2, 0.0)),
+        (["quotaWindowS=nan", "quotaOver=-1", "quotaSlack=inf"], (5.0, 0.1, 20.0)),
+        (["quotaWindowS=soon", "quotaSlack"], (5.0, 0.1, 20.0)),
+    )
+    def test_bounds_of_quotas(self, bounds, expected):
+        found = decode_entry_settings({**SETTINGS, "bounds": bounds})
+        self.assertEqual(found.bounds.quotas, expected)
+
     def test_longest_pause(self):
         found = decode_entry_settings({**SETTINGS, "bounds": ["maxPauseS = 12.5"]})
         self.assertEqual(found.bounds.max_pause_s, 12.5)
--- a/dogwoodtack/quotas/quotas.py
+++ b/dogwoodtack/quotas/quotas.py
@@ -340,7 +340,8 @@
 
     def _retry_after_s(self, limit: _Limit, now: float) -> float:
         """Return when there is allowance that no other refused request waits for."""
-        per_s = max(limit.bucket.per_s, 1.0 / MAX_RETRY_AFTER_S)
+        per_s = limit.bucket.per_s * self._own_part(limit.organisation.name, now)
+        per_s = max(per_s, 1.0 / MAX_RETRY_AFTER_S)
         missing = max(0.0, 1.0 - self._available(limit, now))
         limit.booked_until = max(limit.booked_until, now + missing / per_s)
         limit.booked_until += self._rng.uniform(0.5, 1.5) / per_s
@@ -350,6 +351,15 @@
             return self._rng.uniform(0.5, 1.0) * MAX_RETRY_AFTER_S
         return wait_s
 
+    def _own_part(self, organisation: str, now: float) -> float:
+        """Return which part of an organisation's requests comes to this host."""
+        recent = self._own_zone.recent.count(organisation, now)
+        for source in self._sources.values():
+            if source.is_zone:
+                recent += source.recent.count(organisation, now)
+        own = self._own.recent.count(organisation, now)
+        return own / recent if recent else 1.0
+
     def refund(self, organisation: str, now: float) -> None:
         """Return the allowance of an admitted request that ran at no instance."""
         self.refunded += 1
--- a/dogwoodtack/quotas/tests/test_quotas.py
+++ b/dogwoodtack/quotas/tests/test_quotas.py
@@ -152,6 +152,17 @@
         # The first ones return as allowance comes: ten a second.
         self.assertLess(sum(one < 1.0 for one in waits), 16)
 
+    def test_callers_of_other_hosts_return_as_well(self):
+        """Nine hosts told as many callers to return as one alone could admit."""
+        waits = []
+        for others in (0, 9):
+            quotas = make_quotas()
+            quotas.on_usage("zone b/1", {"o": 0}, NOW, is_zone=True)
+            quotas.on_usage("zone b/1", {"o": others}, NOW, is_zone=True)
+            admit_all(quotas, most=FULL - others)
+            waits.append([quotas.try_admit("o", NOW) for _ in range(20)][-1])
+        self.assertGreater(waits[1], 1.4 * waits[0])
+
 
 class TokenBucketTest(unittest.TestCase):
     @params(
