--- a/dogwoodtack/quotas/tests/replay.py
+++ b/dogwoodtack/quotas/tests/replay.py
@@ -9,8 +9,10 @@
 import random
 from typing import NamedTuple
 
+from dogwoodtack.fairness import UsageLedger
 from dogwoodtack.fleet.reach import FleetReach
-from dogwoodtack.quotas import OrganisationTotal, Quotas, ZoneTotals
+from dogwoodtack.fleet.usage_exchange import UsageExchange
+from dogwoodtack.quotas import Quotas
 from dogwoodtack.routing import Organisation
 
 ZONES = "abc"
@@ -69,7 +71,8 @@
         self.run = next(self.runs)
         self.quotas = world.make_quotas(self)
         self.reach = FleetReach(self.zone)
-        self.sums = ZoneTotals()
+        run = f"{self.name}/{self.run}"
+        self.usage = UsageExchange(self, self.reach, self.quotas, UsageLedger(), run)
         self.interval_s = 0.4 if self.rank < FRONT else 2.0
         for zone, rank in itertools.product(ZONES, range(world.load.hosts)):
             if (zone, rank) != (self.zone, self.rank):
@@ -79,46 +82,34 @@
         world.at(world.now + world.rng.uniform(0, 0.1), self.heartbeat, self.run)
         world.at(world.now, self.update_reach, self.run)
 
-    def own(self):
-        totals = self.quotas.totals(self.world.now)
-        return [OrganisationTotal(name, count, 0) for name, count in totals.items()]
-
     def heartbeat(self, run):
         world = self.world
         if run != self.run or self.is_dead:
             return
         world.at(world.now + self.interval_s, self.heartbeat, run)
+        usage = self.usage.report(world.now)
         for host in world.zones[self.zone]:
             if world.hears(host, self):
                 host.reach.on_heartbeat(self.name, self.interval_s, True, world.now)
-                host.receive(self, self.own(), True)
-
-    def receive(self, sender, totals, is_complete):
-        source = f"{sender.name}/{sender.run}"
-        self.sums.add(source, totals)
-        counts = {one.organisation: one.admitted for one in totals}
-        self.quotas.on_usage(source, counts, self.world.now, is_complete)
+                host.usage.on_host_report(self.name, usage, True, world.now)
 
     def report(self):
+        world = self.world
         self.is_due = False
-        for host in self.world.zones[self.zone][:SERVING]:
-            if self.world.hears(host, self):
-                host.reach.on_report(self.name, self.world.now)
-                host.receive(self, self.own(), False)
+        usage = self.usage.changes(world.now)
+        for host in world.zones[self.zone][:SERVING]:
+            if world.hears(host, self):
+                host.reach.on_report(self.name, world.now)
+                host.usage.on_host_report(self.name, usage, False, world.now)
 
     def report_zone(self):
         world = self.world
+        usage = self.usage.zone_report(world.now)
         counts = self.reach.local_counts(world.now)
-        totals = {one.organisation: one.admitted for one in self.sums.sums(self.own())}
-        source = f"zone {self.zone} {self.name}/{self.run}"
         for host in world.hosts:
             if host.zone != self.zone and world.hears(host, self):
                 host.reach.on_zone_report(self.zone, counts, world.now)
-                before = host.gateways.get(self.zone, source)
-                if before != source:
-                    host.quotas.replace_source(before, source, world.now)
-                host.gateways[self.zone] = source
-                host.quotas.on_usage(source, totals, world.now, True, True)
+                host.usage.on_zone_report(self.zone, usage, counts, world.now)
 
     def update_reach(self, run):
         if run == self.run:
@@ -153,8 +144,6 @@
             for zone in ZONES
         }
         self.hosts = [host for zone in self.zones.values() for host in zone]
-        for host in self.hosts:
-            host.gateways = {}
         for zone in ZONES:
             self.at(START + self.rng.uniform(0, ZONE_INTERVAL_S), self.gateway, zone)
         self.begin_at = START + WARM_UP_S
