--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -300,7 +300,8 @@
         rejection = queue.admit(queued, capacity, now, self._rng.random())
         if rejection is None:
             self._reject_unmeetable(queue, now)
-            return queued
+            # A caller that is rejected may have placed something else meanwhile.
+            return queued if queued in queue else None
         found = None
         if req.requirements.mode is SelectionMode.EXPLORATORY:
             # On an unhealthy instance the request uses no healthy slot, and a failure
--- a/dogwoodtack/placement/queue_order.py
+++ b/dogwoodtack/placement/queue_order.py
@@ -1,7 +1,8 @@
 """Which queued requests of a service come first, and which can't be met any more."""
 
 import heapq
-from collections.abc import Callable, Iterable
+import operator
+from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
 from ..fairness import ServedShares, UsageLedger
@@ -15,20 +16,9 @@
 PASSABLE_SHARE = 0.8
 
 
-class Urgency(NamedTuple):
-    """What decides before the organisations' work; lower values come first.
-
-    Attributes:
-        is_late: whether it can't meet its latency objective any more.
-        is_fed: whether its kind of request is not starved.
-        organisation_priority: priority of its organisation.
-        priority: its own priority.
-    """
-
-    is_late: bool
-    is_fed: bool
-    organisation_priority: int
-    priority: int
+# Whether a request can't meet its latency objective any more, whether its kind is not
+# starved, its organisation's priority, and its own. Lower values come first.
+Urgency = tuple[bool, bool, int, int]
 
 
 class Claim(NamedTuple):
@@ -49,7 +39,7 @@
 
 
 def by_claim(
-    requests: Iterable[QueuedRequest],
+    requests: Sequence[QueuedRequest],
     usage: UsageLedger,
     served: ServedShares,
     now: float,
@@ -63,34 +53,33 @@
     the finish times of Demers, Keshav and Shenker (1989).
 
     Args:
-        requests: the queued requests.
+        requests: the queued requests in the order of their arrival.
         usage: recent work of each organisation.
         served: how often each kind of request gets a slot.
         now: seconds on the monotonic clock.
     """
-    requests = list(requests)
-    starved = {
-        kind for kind in {one.kind for one in requests} if served.is_starved(kind, now)
-    }
-    urgencies = {
-        one.order: Urgency(
+    kinds = {one.kind for one in requests}
+    starved = {kind for kind in kinds if served.is_starved(kind, now)}
+    by_urgency: dict[Urgency, list[QueuedRequest]] = {}
+    for one in requests:
+        urgency = (
             one.start_by < now,
             one.kind not in starved,
             one.organisation_priority,
             one.priority,
         )
-        for one in requests
-    }
-    work_s = {
-        name: usage.usage_s(name, now)
-        for name in {one.organisation for one in requests}
-    }
+        by_urgency.setdefault(urgency, []).append(one)
+    work_s: dict[str, float] = {}
     claims = []
-    for one in sorted(requests, key=lambda one: (urgencies[one.order], one.order)):
-        before_s = work_s[one.organisation]
-        claims.append(Claim(urgencies[one.order], before_s, one.order, one))
-        work_s[one.organisation] = before_s + (one.work_s or 0.0)
-    return sorted(claims, key=lambda claim: claim[:3])
+    for urgency in sorted(by_urgency):
+        for one in by_urgency[urgency]:
+            name = one.organisation
+            if name not in work_s:
+                work_s[name] = usage.usage_s(name, now)
+            claims.append(Claim(urgency, work_s[name], one.order, one))
+            work_s[name] += one.work_s or 0.0
+    claims.sort()
+    return claims
 
 
 def serving_order(claims: Iterable[Claim], now: float) -> list[QueuedRequest]:
@@ -105,9 +94,11 @@
         claims: the claims of the queued requests, the best first.
         now: seconds on the monotonic clock.
     """
-    ordered = sorted(
-        claims, key=lambda claim: (claim.urgency, _has_time(claim.request, now))
-    )
+    fresh, waited = [], []
+    for claim in claims:
+        (fresh if _has_time(claim.request, now) else waited).append(claim)
+    # The claims of each list are in order already.
+    ordered = heapq.merge(waited, fresh, key=operator.attrgetter("urgency"))
     return [claim.request for claim in ordered]
 
 
@@ -132,17 +123,17 @@
         wait_s: returns how long it takes to free a slot for a request, in seconds.
         now: seconds on the monotonic clock.
     """
-    requests = [claim.request for claim in claims]
-    latest = [latest_start(one) for one in requests]
     # Ranks of the requests that fit so far, that with the least claim first.
     fitting: list[int] = []
     unmeetable = []
     start = now
-    for rank in sorted(range(len(requests)), key=lambda rank: (latest[rank], rank)):
+    waits_s = [wait_s(claim.request) for claim in claims]
+    latest = [(latest_start(claim.request), rank) for rank, claim in enumerate(claims)]
+    for latest_at, rank in sorted(latest):
         heapq.heappush(fitting, -rank)
-        start += wait_s(requests[rank])
-        if start > latest[rank] and len(fitting) > 1:
-            least = requests[-heapq.heappop(fitting)]
-            unmeetable.append(least)
-            start -= wait_s(least)
+        start += waits_s[rank]
+        if start > latest_at and len(fitting) > 1:
+            least = -heapq.heappop(fitting)
+            unmeetable.append(claims[least].request)
+            start -= waits_s[least]
     return unmeetable
--- a/dogwoodtack/placement/wait_queue.py
+++ b/dogwoodtack/placement/wait_queue.py
@@ -18,8 +18,8 @@
 # to zero over the same time.
 LATE_WAIT_LIMIT_S = 1.0
 # Requests of a service that is shared fairly have to fit in this part of the time that
-# they may wait. Without this margin for what other hosts take, more than twice as many
-# were rejected after an eighth of their objective.
+# they may wait. Without this margin for what other hosts take, a third more were
+# rejected after an eighth of their objective.
 ADMISSION_SHARE = 0.9
 # Stands for a wait that never ends.
 NEVER_S = 3600.0
@@ -100,6 +100,9 @@
     def __len__(self) -> int:
         return len(self._requests)
 
+    def __contains__(self, queued: QueuedRequest) -> bool:
+        return queued in self._requests
+
     def admit(
         self, queued: QueuedRequest, capacity: Capacity, now: float, jitter: float
     ) -> Rejection | None:
