--- a/dogwoodtack/fleet/tests/zones.py
+++ b/dogwoodtack/fleet/tests/zones.py
@@ -151,7 +151,8 @@
         rng = self.world.rng
         load = self.world.load
         is_failing = self.is_unhealthy and rng.random() < load.failure_ratio
-        service_time_s = load.service_time_s * rng.uniform(0.4, 1.6)
+        mean_s = getattr(on_end, "service_time_s", load.service_time_s)
+        service_time_s = mean_s * rng.uniform(0.4, 1.6)
         self.world.at(
             self.world.now + (FAILURE_TIME_S if is_failing else service_time_s),
             self.end,
@@ -352,11 +353,9 @@
 
     Attributes:
         host_class: class of its hosts.
-        server_class: class of its instances.
     """
 
     host_class = Host
-    server_class = Server
 
     def __init__(self, load, seed):
         self.load = load
@@ -369,7 +368,7 @@
         self._events = []
         zones = self.zones = "abcdefgh"[: len(load.instances)]
         servers = [
-            self.server_class(self, zone, number, self.rng.random() < load.faulty_ratio)
+            Server(self, zone, number, self.rng.random() < load.faulty_ratio)
             for zone, count in zip(zones, load.instances)
             for number in range(count)
         ]
