Soak: organisations with keys and limits, uploads, and hosts that are cut off

Cause: the fault soak knew neither keys, limits nor uploads, nor hosts cut from each other or from the store. Change: soak/organisations.py holds the organisations, their callers and the checks as pure functions; new faults take away and add keys, lower limits, let one organisation surge, and cut hosts from each other (soak/isolated_host.py) and from the store. Versions are raised under the site's lock, as two changes at once could write the same version with different keys.

--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -325,6 +325,7 @@
         path: path and query.
         body: the complete body.
         sender: the headers that say whose request it is, in whatever spelling.
+        at: monotonic time.
     """
 
     request_id: str
@@ -332,6 +333,7 @@
     path: str
     body: bytes
     sender: tuple[tuple[str, str], ...] = ()
+    at: float = 0.0
 
 
 class Arrival(NamedTuple):
@@ -488,7 +490,9 @@
             if name.lower().replace("_", "-") in SENDER_HEADERS
         )
         instance.ran.append(
-            ExecutedRequest(request_id, self.command, self.path, body, sender)
+            ExecutedRequest(
+                request_id, self.command, self.path, body, sender, time.monotonic()
+            )
         )
         time.sleep(instance.delay_s)
         if self.path in instance.lethal_targets:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,11 +5,12 @@
 import random
 import threading
 import time
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from .site import HOST, HostProcess, Site
 
-__all__ = ["Call", "Caller", "Repeater", "VersionWatcher"]
+__all__ = ["Call", "Caller", "Draft", "Repeater", "VersionWatcher"]
 
 RESPONSE_TIMEOUT_S = 4.0
 REQUEST_INTERVAL_S = 0.02
@@ -26,6 +27,8 @@
         status: HTTP status; 0 if the connection ended without a response, -1 if no
             connection was made.
         is_correct: whether a success is the complete response to this request.
+        key: its key; empty without one.
+        needs_key: whether its route needs a key.
     """
 
     id: str
@@ -36,6 +39,28 @@
     ended_at: float
     status: int
     is_correct: bool
+    key: str = ""
+    needs_key: bool = False
+
+
+class Draft(NamedTuple):
+    """A request to send.
+
+    Attributes:
+        prefix: first part of its path.
+        body: the complete body, None without one.
+        key: its key; empty without one.
+        needs_key: whether its route needs a key.
+        pieces: the body as it is sent, if not at once.
+    """
+
+    is_non_idempotent: bool
+    prefix: str
+    body: bytes | None = None
+    headers: dict[str, str] = {}
+    key: str = ""
+    needs_key: bool = True
+    pieces: Iterable[bytes] = ()
 
 
 class Caller(threading.Thread):
@@ -51,12 +76,13 @@
         self._lifetime = 0
         self.calls: list[Call] = []
         self.is_stopping = False
+        self.interval_s = REQUEST_INTERVAL_S
 
     def run(self) -> None:
         """Send requests until `is_stopping` is set."""
         while not self.is_stopping:
             self._call()
-            time.sleep(REQUEST_INTERVAL_S)
+            time.sleep(self.interval_s)
 
     def _connect(self) -> None:
         self._host = self._rng.choice(self._site.hosts)
@@ -67,16 +93,16 @@
         self._conn.connect()
 
     def _call(self) -> None:
-        is_non_idempotent = self._rng.random() < 0.6
+        draft = self._draw()
         request_id = f"{self._number:04x}{len(self.calls):012x}"
-        path = f"/{'book' if is_non_idempotent else 'look'}/{request_id}"
+        path = f"/{draft.prefix}/{request_id}"
         sent_at = time.monotonic()
         status, is_correct = -1, False
         try:
             if self._conn is None:
                 self._connect()
             status = 0
-            status, is_correct = self._exchange(is_non_idempotent, path, request_id)
+            status, is_correct = self._exchange(draft, path, request_id)
         except (OSError, http.client.HTTPException):
             self._close_conn()
         now = time.monotonic()
@@ -84,34 +110,66 @@
         self.calls.append(
             Call(
                 request_id,
-                is_non_idempotent,
+                draft.is_non_idempotent,
                 name,
                 self._lifetime,
                 sent_at,
                 now,
                 status,
                 is_correct,
+                draft.key,
+                draft.needs_key,
             )
         )
 
-    def _exchange(
-        self, is_non_idempotent: bool, path: str, request_id: str
-    ) -> tuple[int, bool]:
+    def _draw(self) -> Draft:
+        is_non_idempotent = self._rng.random() < 0.6
+        prefix, body = ("book", b"b") if is_non_idempotent else ("look", None)
+        key, headers = "", {}
+        if self._site.organisations is not None:
+            key = self._site.organisations.steady_key()
+            headers["Authorization"] = f"Bearer {key}"
+        return Draft(is_non_idempotent, prefix, body, headers, key, is_non_idempotent)
+
+    def _exchange(self, draft: Draft, path: str, request_id: str) -> tuple[int, bool]:
         headers = {
             "Host": HOST,
             "X-Dogwoodtack-Request-Id": request_id,
             "X-Dogwoodtack-Deadline-Ms": "3000",
+            **draft.headers,
         }
-        method, body = ("POST", b"b") if is_non_idempotent else ("GET", None)
-        self._conn.request(method, path, body, headers)
+        method = "GET" if draft.body is None else "POST"
+        body = draft.body or b""
+        if body:
+            headers["Content-Length"] = str(len(body))
+        is_sent = self._send(method, path, draft.pieces or draft.body, headers)
         answer = self._conn.getresponse()
         data = answer.read()
         signature = answer.getheader("X-Dogwoodtack-Response-Signature")
-        is_correct = signature == f"signed-{request_id}" and path.encode() in data
-        if answer.will_close:
+        is_correct = (
+            signature == f"signed-{request_id}"
+            and path.encode() in data
+            and data.endswith(body)
+        )
+        if answer.will_close or not is_sent:
             self._close_conn()
         return answer.status, is_correct
 
+    def _send(
+        self,
+        method: str,
+        path: str,
+        body: Iterable[bytes] | None,
+        headers: dict[str, str],
+    ) -> bool:
+        """Send a request, and return whether the host received all of it."""
+        try:
+            self._conn.request(method, path, body, headers)
+        except (BrokenPipeError, ConnectionResetError):
+            # The host may have rejected the request before the end of its body.
+            return False
+        return True
+
     def _close_conn(self) -> None:
         if self._conn is not None:
             self._conn.close()
@@ -147,6 +205,8 @@
             "X-Dogwoodtack-Request-Id": request_id,
             "X-Dogwoodtack-Deadline-Ms": "3000",
         }
+        if self._site.organisations is not None:
+            headers["Authorization"] = f"Bearer {self._site.organisations.steady_key()}"
         body = b"lethal" if self._method == "POST" else None
         conn = http.client.HTTPConnection(
             "127.0.0.1", host.port, timeout=RESPONSE_TIMEOUT_S
--- a/soak/site.py
+++ b/soak/site.py
@@ -11,7 +11,7 @@
 import time
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from dogwoodtack.misc import Address
 from dogwoodtack_standins.site import InstanceStandIn, StoreStandIn
@@ -19,6 +19,9 @@
 
 from .proxy import FaultProxy
 
+if TYPE_CHECKING:
+    from .organisations import Organisations
+
 __all__ = ["HOST", "HostProcess", "Site", "SiteInstance"]
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -209,6 +212,7 @@
         program: program that the entry hosts run.
         instance_zones: zones of the instances, assigned in rotation.
         bounds: bounds in the hosts' settings; BOUNDS by default.
+        organisations: organisations whose keys callers need; None if they need none.
 
     Attributes:
         store_proxies: for each host, the proxy between it and the store.
@@ -224,7 +228,9 @@
         program: str = PROGRAM,
         instance_zones: Sequence[str] = ZONES,
         bounds: Sequence[str] = (),
+        organisations: "Organisations | None" = None,
     ) -> None:
+        self.organisations = organisations
         self._instance_zones = instance_zones
         self._folder = tempfile.TemporaryDirectory()
         folder = Path(self._folder.name)
@@ -346,6 +352,14 @@
             self.version = version
             self._write_version()
 
+    def raise_version(
+        self, steps: int = 1, change: Callable[[], None] = lambda: None
+    ) -> None:
+        """Make a change and write a later version, also while others are written."""
+        with self._write_lock:
+            change()
+            self.set_version(self.version + steps)
+
     def _write_version(self) -> None:
         base_route = {
             "host": HOST,
@@ -367,4 +381,14 @@
             "services": {SERVICE: rules},
             "limits": {"idleTimeoutS": 15, "headerTimeoutS": 3},
         }
+        if self.organisations is not None:
+            for name in ("look", "own"):
+                routes[name]["allowAnonymous"] = True
+            routes["file"] = {
+                **base_route,
+                "pathPrefix": "/file/",
+                "kind": "upload",
+                "timeoutS": 3,
+            }
+            spec["tenants"] = self.organisations.as_tenants()
         self.store.put("config", "main", spec=spec)
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -13,6 +13,16 @@
 from dogwoodtack_standins.site import LEAVING_HEADER, RATE_LIMIT_HEADER
 
 from .callers import Call, Caller, Repeater, VersionWatcher
+from .organisations import (
+    KEY_PREFIX,
+    LIMITED,
+    OrganisationCaller,
+    Organisations,
+    check_keys,
+    check_limits,
+    check_senders,
+    run_times,
+)
 from .proxy import Fault
 from .site import HostProcess, Site, SiteInstance
 
@@ -27,6 +37,15 @@
 HOSTS = 3
 INSTANCES = 5
 CALLERS = 10
+# Callers of one organisation that exceeds its usual rate, and for how long.
+SURGE_CALLERS = 6
+SURGE_S = (2.0, 4.0)
+# Number of the first of them, by which its request ids differ from those of others.
+SURGE_NUMBER = 100
+# Disturbances of a host that last until its next one.
+LASTING = ("pause", "term", "isolated", "store-cut")
+# Its hosts can be cut from each other.
+PROGRAM = "soak/isolated_host.py"
 SETTLE_S = 3.5
 # The guaranteed limit on new requests at a draining instance, and how long hosts and
 # store have to be undisturbed beforehand for it to hold.
@@ -80,6 +99,7 @@
         self.store_outages: list[tuple[float, float]] = []
         self.proxy_faults: list[tuple[SiteInstance, float, float]] = []
         self.lethal: list[Repeater] = []
+        self.surging: list[OrganisationCaller] = []
         self.exit_codes: list[tuple[str, int | None]] = []
 
     def inject(self) -> None:
@@ -100,6 +120,14 @@
             self._limit_instance,
             self._ask_for_pause,
             self._send_lethal_request,
+            self._add_key,
+            self._take_key,
+            self._take_key,
+            self._lower_limit,
+            self._surge,
+            self._surge,
+            self._isolate_host,
+            self._cut_store,
         ]
         self._rng.choice(kinds)()
 
@@ -223,8 +251,82 @@
         )
 
     def _change_version(self) -> None:
-        version = self._site.version + self._rng.randint(1, 3)
-        self._start_fault(f"version {version}", lambda: self._site.set_version(version))
+        steps = self._rng.randint(1, 3)
+        self._start_fault(f"version +{steps}", lambda: self._site.raise_version(steps))
+
+    def _add_key(self) -> None:
+        name = self._rng.choice(LIMITED)
+        self._change(f"{name} gets a key", Organisations.add_key, name)
+
+    def _take_key(self) -> None:
+        name, replaces = self._rng.choice(LIMITED), self._rng.random() < 0.5
+        self._change(f"{name} loses a key", Organisations.take_key, name, replaces)
+
+    def _lower_limit(self) -> None:
+        name = self._rng.choice(LIMITED)
+        self._change(f"{name}'s limit falls", Organisations.lower_limit, name)
+
+    def _change(
+        self, description: str, change: Callable[..., None], *args: object
+    ) -> None:
+        """Change the organisations in a new version."""
+
+        def apply_change() -> None:
+            change(self._site.organisations, *args)
+
+        self._start_fault(
+            description, lambda: self._site.raise_version(change=apply_change)
+        )
+
+    def _surge(self) -> None:
+        """Let one organisation send many times its usual rate."""
+        name = self._rng.choice(LIMITED)
+        seconds = self._rng.uniform(*SURGE_S)
+        seed = self._rng.randrange(1_000_000)
+        first = SURGE_NUMBER + len(self.surging)
+        callers = [
+            OrganisationCaller(self._site, seed, first + n, name, is_surging=True)
+            for n in range(SURGE_CALLERS)
+        ]
+        self.surging += callers
+
+        def apply_fault() -> None:
+            for caller in callers:
+                caller.start()
+            time.sleep(seconds)
+            for caller in callers:
+                caller.is_stopping = True
+
+        self._start_fault(f"{name} surges {seconds:.1f} s", apply_fault)
+
+    def _isolate_host(self) -> None:
+        """Cut a host from all other hosts."""
+        seconds = self._rng.uniform(0.5, 4.0)
+
+        def apply_fault(host: HostProcess) -> None:
+            path = host.settings_path.with_suffix(".isolated")
+            host.record_disturbance("isolated")
+            path.touch()
+            time.sleep(seconds)
+            path.unlink()
+            host.record_disturbance("heard")
+
+        self._on_host(f"isolated {seconds:.1f} s", apply_fault)
+
+    def _cut_store(self) -> None:
+        """Cut a host from the store."""
+        seconds = self._rng.uniform(0.5, 3.0)
+        fault = self._rng.choice((Fault.RESET, Fault.SILENCED))
+
+        def apply_fault(host: HostProcess) -> None:
+            proxy = self._site.store_proxies[self._site.hosts.index(host)]
+            host.record_disturbance("store-cut")
+            proxy.fault = fault
+            time.sleep(seconds)
+            proxy.fault = Fault.NONE
+            host.record_disturbance("store-back")
+
+        self._on_host(f"cut from the store ({fault}) {seconds:.1f} s", apply_fault)
 
     def _drain_instance(self) -> None:
         active_instances = self._site.active_instances()
@@ -277,10 +379,14 @@
         length_s: seconds in which faults are injected.
     """
     rng = random.Random(seed)
-    site = Site(HOSTS, INSTANCES)
+    site = Site(HOSTS, INSTANCES, program=PROGRAM, organisations=Organisations())
     try:
         site.wait_ready()
-        callers = [Caller(site, seed, number) for number in range(CALLERS)]
+        callers: list[Caller] = [
+            OrganisationCaller(site, seed, CALLERS + number, name)
+            for number, name in enumerate(LIMITED)
+        ]
+        callers += [Caller(site, seed, number) for number in range(CALLERS)]
         watcher = VersionWatcher(site)
         for thread in (*callers, watcher):
             thread.start()
@@ -293,6 +399,7 @@
         time.sleep(SETTLE_S)
         for thread in (*callers, watcher, *injector.lethal):
             thread.is_stopping = True
+        callers = [*injector.surging, *callers]
         for thread in (*callers, *injector.lethal):
             thread.join(10.0)
         calls = [call for caller in callers for call in caller.calls]
@@ -326,6 +433,7 @@
     violations += _check_pauses(site, injector, calls)
     violations += _check_lethal(site, injector, runs)
     violations += _check_stops(site, injector, calls)
+    violations += _check_organisations(site, injector, calls)
     if not any(call.status == 200 for call in calls[-CALLERS:]):
         violations.append("no request succeeds after the faults")
     for host in site.hosts:
@@ -532,6 +640,35 @@
     return violations
 
 
+def _check_organisations(
+    site: Site, injector: FaultInjector, calls: list[Call]
+) -> list[str]:
+    """Find violated guarantees to and about organisations."""
+    history, owners = site.organisations.history, site.organisations.owners
+    ran = [run for instance in site.instances for run in instance.backend.ran]
+    disturbances = {
+        host.name: _intervals(host) + injector.store_outages for host in site.hosts
+    }
+    every = [one for intervals in disturbances.values() for one in intervals]
+    ran_ids = {run.request_id for run in ran}
+    violations = check_senders(ran, calls, owners, history)
+    violations += check_keys(calls, ran_ids, history, disturbances)
+    violations += check_limits(run_times(ran, calls, owners), history, every)
+    for host in site.hosts:
+        if KEY_PREFIX in host.log_text():
+            violations.append(f"{host.name} logged a key")
+    return violations
+
+
+def _intervals(host: HostProcess) -> list[tuple[float, float]]:
+    """Return begin and end of each time in which a host was disturbed."""
+    ends = [at for at, _ in host.disturbances[1:]]
+    return [
+        (at, end if description in LASTING else at)
+        for (at, description), end in zip(host.disturbances, [*ends, time.monotonic()])
+    ]
+
+
 def run_seeds(seeds: range, run: Callable[[int], SoakResult]) -> int:
     """Run a soak for each seed, print results and return how many were violated."""
     failed = 0
