Learn how slow instances are, and weigh that in even mode

Change: placement/speeds.py compares each response with the usual time of its route. In even mode a request in flight at a slow instance counts by its slowness (0.7 to 3), and so do its slots in the admission to the queue. A failed path of this host counts like a failure of the instance, also while peers reach it.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -854,6 +854,9 @@
             return
         if result.outcome is AttemptOutcome.ANSWERED:
             self._deps.placer.record_service_time(self._service, spent_s)
+            self._deps.placer.speeds.record(
+                self._service, self._route.name, instance.id, spent_s
+            )
             if result.head.status in SUCCESS_STATUSES:
                 self._deps.quarantine.on_success(self._digest, now)
             known = self._deps.response_kb.get(self._route.name, 1.0)
--- a/dogwoodtack/fleet/tests/test_even_load.py
+++ b/dogwoodtack/fleet/tests/test_even_load.py
@@ -65,6 +65,18 @@
         self.assertLess(count["refused"], share * count["attempts"])
         self.assertGreater(count["on_time"], 0.975 * count["requests"])
 
+    @params(1, 2)
+    def test_slow_instances_get_less_but_some(self, seed):
+        """One in five takes 2.5 times as long; 5.4 in 100 were late before."""
+        load = PUBLISHER._replace(
+            requests_per_s=(290.0 / 3,) * 3, slow_ratio=0.2, objective_s=0.7
+        )
+        world = World(load, seed)
+        count = world.run()
+        self.assertLess(count["late"], 0.046 * count["requests"])
+        for one in world.servers.values():
+            self.assertEqual(one.idle_spans(MAX_IDLE_S, SOUND_AFTER_S), [], one.name)
+
     def test_even_load_begins_without_a_setting(self):
         """Until it does, load is packed: 300 requests at one host or its peers."""
         load = PUBLISHER._replace(
--- a/dogwoodtack/fleet/tests/zones.py
+++ b/dogwoodtack/fleet/tests/zones.py
@@ -39,6 +39,7 @@
 FAILURE_TIME_S = 0.002
 SHED_RATIO = 0.55
 MAX_ATTEMPTS = 4
+SLOW_FACTOR = 2.5
 SWING_PERIOD_S = 20.0
 
 
@@ -65,6 +66,7 @@
         unhealthy_period_s: time in which each faulty instance becomes so once or twice.
         shedding_ratio: share of the instances that shed work though a slot is free.
         refuses_when_full: whether instances refuse what they have no slot for.
+        slow_ratio: share of the instances that take SLOW_FACTOR as long.
         swing: by which share the demand of a zone rises and falls.
         zone_delay_s: delay of messages between zones.
         balancing: the hosts' setting.
@@ -89,6 +91,7 @@
     unhealthy_period_s: float = 9.0
     shedding_ratio: float = 0.0
     refuses_when_full: bool = False
+    slow_ratio: float = 0.0
     swing: float = 0.0
     zone_delay_s: float = 0.0005
     balancing: BalancingSetting = BalancingSetting.AUTO
@@ -108,6 +111,7 @@
         self.arrivals = []
         self.unhealthy_spans = []
         self.is_shedding = False
+        self.slowness = 1.0
         self.rate_limit_per_s = None
         if is_faulty:
             world.at(
@@ -150,6 +154,7 @@
         rng = self.world.rng
         is_failing = self.is_unhealthy and rng.random() < self.world.load.failure_ratio
         service_time_s = self.world.load.service_time_s * rng.uniform(0.4, 1.6)
+        service_time_s *= self.slowness
         self.world.at(
             self.world.now + (FAILURE_TIME_S if is_failing else service_time_s),
             self.end,
@@ -247,6 +252,8 @@
         is_shed = observation is Observation.SHED
         if observation is Observation.SUCCESS:
             self.placer.record_service_time(SERVICE, now - started_at)
+            self.placer.speeds.record(SERVICE, "", name, now - started_at)
+            world.times_s.append(now - arrived_at)
             is_on_time = now - arrived_at <= world.load.objective_s
             world.count["on_time" if is_on_time else "late"] += 1
         elif is_shed and len(requirements.exclude) + 1 >= MAX_ATTEMPTS:
@@ -351,6 +358,8 @@
         self.count = Counter()
         # Seconds that placed requests waited for a slot.
         self.waits_s = []
+        # Seconds from arrival to response.
+        self.times_s = []
         self._order = itertools.count()
         self._events = []
         zones = self.zones = "abcdefgh"[: len(load.instances)]
@@ -363,6 +372,9 @@
         if load.shedding_ratio:
             for one in servers[:: round(1 / load.shedding_ratio)]:
                 one.is_shedding = True
+        if load.slow_ratio:
+            for one in servers[1 :: round(1 / load.slow_ratio)]:
+                one.slowness = SLOW_FACTOR
         self.hosts = [
             Host(self, zone, number, self._make_registry())
             for zone in zones
--- a/dogwoodtack/placement/balancing.py
+++ b/dogwoodtack/placement/balancing.py
@@ -262,9 +262,10 @@
         slots: its slots.
         is_warming: whether it is slow after its start.
         unhealthy_probability: probability that it is unhealthy.
-        last_failed: whether its last observation was a failure.
+        last_failed: whether its or its path's last observation was a failure.
         since_seen_s: seconds since that, infinite if there was none.
         is_local: whether it is in this host's zone.
+        slowness: how much longer its requests take than usual, 1.0 if as usual.
     """
 
     load: int
@@ -274,12 +275,13 @@
     last_failed: bool
     since_seen_s: float
     is_local: bool
+    slowness: float = 1.0
 
 
 def even_cost(use: InstanceUse) -> float:
     """Return the cost of an instance in even mode, in units of one failed request."""
     unseen = 0 if use.is_local else OTHER_ZONE_UNSEEN_LOAD
-    factor = WARMUP_LOAD_FACTOR if use.is_warming else 1.0
+    factor = max(WARMUP_LOAD_FACTOR if use.is_warming else 0.0, use.slowness)
     # An idle instance costs the same however slow it is, so that it gets requests.
     load = (factor * (use.load + unseen) + 1.0) / max(1, use.slots)
     cost = FULL_EVEN_LOAD_COST * load + _risk(use)
--- a/dogwoodtack/placement/health_tracker.py
+++ b/dogwoodtack/placement/health_tracker.py
@@ -63,6 +63,12 @@
             1.0 - (path.unhealthy_probability(now) if path else PATH_PRIOR)
         )
 
+    def has_failed(self, instance_id: str, now: float) -> bool:
+        """Return whether the last observation of an instance, or its path, failed."""
+        path = self._path_estimates.get(instance_id)
+        is_path_lost = path is not None and path.last_failed
+        return is_path_lost or self.estimate_for(instance_id, now).last_failed
+
     def observe(
         self,
         instance_id: str,
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -20,6 +20,7 @@
     reserved_slots,
     select_candidate,
 )
+from .speeds import Speeds
 from .wait_queue import (
     RETRY_JITTER_S,
     Capacity,
@@ -90,6 +91,7 @@
         notices: which of them leave or are paused.
         usage: recent work of each organisation.
         balancing: how each service's requests are spread.
+        speeds: how slow instances are; used in even mode.
         competing_hosts: hosts that use the same slots, at least 1.
         retry_budget_hosts: hosts that share the slack of the retry budget, 0 if this
             host has no part in it.
@@ -109,6 +111,7 @@
         self.notices = InstanceNotices()
         self.usage = UsageLedger()
         self.balancing = BalancingModes()
+        self.speeds = Speeds()
         self.competing_hosts = 1
         self.retry_budget_hosts = 1
         self._zone = zone
@@ -177,8 +180,9 @@
                     estimate.last_succeeded,
                     reserved_slots(instance.slots) if zone_has_hosts else 0,
                     allowance,
-                    estimate.last_failed,
+                    self.health.has_failed(instance.id, now),
                     self._ended_early(instance, now) if is_even else 0,
+                    self.speeds.slowness(instance.id) if is_even else 1.0,
                 )
             )
         return found
@@ -410,6 +414,7 @@
         for instance_id in instance_ids:
             self.notices.forget(instance_id)
             self._recent_sends.forget(instance_id)
+            self.speeds.forget(instance_id)
 
     def release(self, instance_id: str) -> None:
         """Release the slot of a request of this host that has ended."""
--- a/dogwoodtack/placement/selection.py
+++ b/dogwoodtack/placement/selection.py
@@ -96,9 +96,10 @@
         last_succeeded: whether its last observation was a success.
         reserved_slots: slots that are reserved for its own zone's hosts.
         rate_allowance: what this host may send there; None if it is not limited.
-        last_failed: whether its last observation was a failure.
+        last_failed: whether its or its path's last observation was a failure.
         ended_early: this host's requests there that ended within less than the mean
             service time since they were sent.
+        slowness: how much longer its requests take than usual; 1.0 in packed mode.
     """
 
     instance: Instance
@@ -111,6 +112,7 @@
     rate_allowance: RateAllowance | None = None
     last_failed: bool = False
     ended_early: int = 0
+    slowness: float = 1.0
 
     @property
     def use(self) -> InstanceUse:
@@ -123,6 +125,7 @@
             self.last_failed,
             self.since_seen_s,
             self.is_local,
+            self.slowness,
         )
 
     @property
@@ -143,14 +146,15 @@
         return self.in_flight < self.instance.slots - self.reserved_slots
 
     def usable_slots(self, service_time_s: float) -> float:
-        """Return its slots, or fewer if its rate limit keeps them from being in use.
+        """Return its slots, fewer if it is slow or its rate limit leaves some unused.
 
         Args:
             service_time_s: mean time that a request holds a slot, in seconds.
         """
         if self.rate_allowance is None:
-            return self.instance.slots
-        return min(self.instance.slots, self.rate_allowance.per_s * service_time_s)
+            return self.instance.slots / self.slowness
+        slots = self.instance.slots / self.slowness
+        return min(slots, self.rate_allowance.per_s * service_time_s)
 
 
 def reserved_slots(slots: int) -> int:
--- a/dogwoodtack/placement/tests/test_placer.py
+++ b/dogwoodtack/placement/tests/test_placer.py
@@ -7,6 +7,7 @@
 
 from dogwoodtack.misc import Address
 from dogwoodtack.placement import (
+    BalancingSetting,
     Instance,
     InstanceChange,
     InstanceRegistry,
@@ -103,6 +104,46 @@
         self.assertEqual(place(placer, SelectionMode.CAUTIOUS), "i-1")
 
 
+class EvenPlacementTest(unittest.TestCase):
+    """Requests that run once only, of a service whose load is even."""
+
+    def setUp(self):
+        self.placer = make_placer("i-1", "i-2", "i-3")
+        self.placer.balancing.setting = BalancingSetting.EVEN
+        for name in ("i-1", "i-2", "i-3"):
+            self.placer.health.observe(name, Observation.SUCCESS, NOW)
+
+    def place_many(self, count, now):
+        names = [place(self.placer, SelectionMode.CAUTIOUS, now) for _ in range(count)]
+        for name in names:
+            self.placer.release(name)
+        return names
+
+    def test_each_instance_gets_its_turn(self):
+        self.assertEqual(len(set(self.place_many(3, NOW + 0.1))), 3)
+
+    def test_instance_that_fails_at_once_does_not_look_idle(self):
+        """It ends its requests in milliseconds, so that it never has any in flight."""
+        names = []
+        for number in range(30):
+            now = NOW + 0.1 * number
+            names.append(place(self.placer, SelectionMode.CAUTIOUS, now))
+            if names[-1] == "i-1":
+                self.placer.release("i-1")
+            if number >= 3 and names[number - 3] != "i-1":
+                self.placer.release(names[number - 3])
+        self.assertLess(names.count("i-1"), 15)
+
+    def test_instance_that_only_this_host_cannot_reach_is_avoided(self):
+        """Peers' successes there show nothing of this host's path."""
+        for second in (0.1, 0.2):
+            self.placer.health.observe("i-1", Observation.NO_RESPONSE, NOW + second)
+        for number in range(5):
+            now = NOW + 0.3 + 0.1 * number
+            self.placer.health.add_peer_report("i-1", Observation.SUCCESS, now)
+            self.assertNotIn("i-1", self.place_many(2, now))
+
+
 class FullQueueTest(unittest.TestCase):
     """The healthy instance and the queue are full; an unhealthy instance is free."""
 
