--- a/dogwoodtack/routing/tests/test_routes.py
+++ b/dogwoodtack/routing/tests/test_routes.py
@@ -1,5 +1,6 @@
 """Tests of route matching and traffic splits."""
 
+import random
 import unittest
 from collections import Counter
 
@@ -101,6 +102,22 @@
             for service, weight in services:
                 self.assertLess(abs(counts[service] - count * weight / total), 1.6)
 
+    @params((70.0, 0.6), (50.0, 0.9), (10.0, 1.0))
+    def test_shares_hold_while_a_short_part_rejects_and_callers_repeat(
+        self, weight, rejected_share
+    ):
+        """What is rejected by the short part may not be moved to the other one."""
+        route = make_route("split", services=(("a", weight), ("b", 100.0 - weight)))
+        splitter, rng = TrafficSplitter(), random.Random(1)
+        drawn = []
+        while len(drawn) < 1000:
+            drawn.append(splitter.next_service(route))
+            if drawn[-1] == "a" and rng.random() < rejected_share:
+                drawn.append(splitter.next_service(route))
+        for begin in range(0, 950, 10):
+            share = drawn[begin : begin + 50].count("a") / 50
+            self.assertAlmostEqual(share, weight / 100, delta=0.1)
+
     def test_new_weights_take_effect_at_once(self):
         splitter = TrafficSplitter()
         for _ in range(50):
