--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -1007,6 +1007,9 @@
             self._deps.placer.record_service_time(
                 self._service, spent_s, self._route.name
             )
+            self._deps.placer.speeds.record(
+                self._service, self._route.name, instance.id, spent_s
+            )
             if result.head.status in SUCCESS_STATUSES:
                 self._deps.quarantine.on_success(self._digest, now)
             known = self._deps.response_kb.get(self._route.name, 1.0)
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -26,6 +26,7 @@
     reserved_slots,
     select_candidate,
 )
+from .speeds import Speeds
 from .wait_queue import Capacity, Rejection, WaitQueue
 
 __all__ = ["PlacementRequest", "Placer"]
@@ -96,6 +97,7 @@
         rejections: rejected requests since the start, by priority.
         balancing: how each service's requests are spread.
         failures: how many of each service's recent requests failed.
+        speeds: how slow instances are; used in even mode.
         competing_hosts: hosts that use the same slots, at least 1.
         retry_budget_hosts: hosts that share the slack of the retry budget, 0 if this
             host has no part in it.
@@ -119,6 +121,7 @@
         self.rejections: Counter[int] = Counter()
         self.balancing = BalancingModes()
         self.failures = FailureShares()
+        self.speeds = Speeds()
         self.competing_hosts = 1
         self.retry_budget_hosts = 1
         self._zone = zone
@@ -197,8 +200,9 @@
                     estimate.last_succeeded,
                     reserved_slots(instance.slots) if zone_has_hosts else 0,
                     allowance,
-                    estimate.last_failed,
+                    self.health.has_failed(instance.id, now),
                     self._ended_early(instance, now) if is_even else 0,
+                    self.speeds.slowness(instance.id) if is_even else 1.0,
                 )
             )
         return found
@@ -518,6 +522,7 @@
         for instance_id in instance_ids:
             self.notices.forget(instance_id)
             self._recent_sends.forget(instance_id)
+            self.speeds.forget(instance_id)
 
     def record_outcome(
         self, instance_id: str, observation: Observation, now: float
