Let a new request displace no more than its own work

It now displaces as much work as its own. Gauges by priority go back to 0, and a hedge counts as an arrival of its kind.

Ran placement test_fair_queue, test_placer, test_parts and test_simulations, entry test_exchange, fairness test_fairness, limits test_parts and test_limits, fleet test_zones and test_fair_waiting (13), tests test_entry_host, test_reference and test_overload (55): all passed.

--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -383,9 +383,8 @@
     def _priority_gauges(self) -> dict[str, float]:
         """Return the lengths of the queues and the rejections, by priority."""
         waiting = self.placer.lengths_by_priority()
-        rejected = self.placer.rejections
-        gauges = {f"waiting_priority_{one}": waiting[one] for one in rejected | waiting}
-        for priority, count in rejected.items():
+        gauges = {f"waiting_priority_{one}": count for one, count in waiting.items()}
+        for priority, count in self.placer.rejections.items():
             gauges[f"rejected_priority_{priority}"] = count
         return gauges
 
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -117,6 +117,7 @@
         self._queues: dict[str, WaitQueue] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._service_times_s: dict[str, float] = {}
+        self._queued_priorities: set[int] = set()
         self._route_times_s: dict[tuple[str, str], float] = {}
         self._sequence = itertools.count()
 
@@ -263,6 +264,8 @@
         )
         if found is None:
             return False
+        if req.service in self.fair_services:
+            self._queue(req.service).served.on_arrival(req.route, now)
         self._assign(req, found.instance, now)
         return True
 
@@ -295,6 +298,7 @@
         self, req: PlacementRequest, candidates: list[Candidate], now: float
     ) -> QueuedRequest | None:
         queue = self._queue(req.service)
+        self._queued_priorities.add(req.priority)
         queued = self._queued_request(req, now)
         capacity = self._capacity(req.service, candidates)
         rejection = queue.admit(queued, capacity, now, self._rng.random())
@@ -459,9 +463,10 @@
         slots = self._healthy_slots(service, candidates)
         return queue.slot_share.must_yield(held, slots, self.competing_hosts, now)
 
-    def lengths_by_priority(self) -> Counter[int]:
-        """Return the number of queued requests of all services, by priority."""
-        return sum((queue.lengths() for queue in self._queues.values()), Counter())
+    def lengths_by_priority(self) -> dict[int, int]:
+        """Return the number of queued requests, by each priority that ever waited."""
+        lengths = sum((one.lengths() for one in self._queues.values()), Counter())
+        return {priority: lengths[priority] for priority in self._queued_priorities}
 
     def forget(self, instance_ids: Collection[str]) -> None:
         """Drop what is known of instances that are gone, except what they asked for."""
--- a/dogwoodtack/placement/tests/test_fair_queue.py
+++ b/dogwoodtack/placement/tests/test_fair_queue.py
@@ -143,6 +143,13 @@
         self.assertIn("work ahead", rejection.detail)
         self.assertIn("organisation's work 1.00 s", rejection.detail)
 
+    def test_newcomer_displaces_no_more_than_its_own_work(self):
+        """All that waited was rejected when instances failed for a moment."""
+        queue = self.fill()
+        few = Capacity(0.2, 1, 0.1)
+        self.assertIsNone(queue.admit(make_queued(50, "idle"), few, NOW, 0.5))
+        self.assertEqual(len(queue.pop_unmeetable(NOW, lambda: 0.5)), 1)
+
     def test_repeat_of_a_rejected_request_has_no_better_place(self):
         queue = self.fill()
         for repeat in range(100, 150):
@@ -231,6 +238,8 @@
         self.assertGreater(rejected, 20)
         self.assertEqual(lengths, {0: 5, 2: 40 - rejected})
         self.assertEqual(self.placer.rejections, {2: rejected})
+        self.placer.reject_queued("no instance is reached")
+        self.assertEqual(self.placer.lengths_by_priority(), {0: 0, 2: 0})
 
     def test_caller_of_an_expired_request_learns_what_was_ahead(self):
         for _ in range(2):
--- a/dogwoodtack/placement/wait_queue.py
+++ b/dogwoodtack/placement/wait_queue.py
@@ -150,9 +150,29 @@
         if queued in unmeetable or queued.abandon_at <= now:
             return self._rejection(queued, claims, now, jitter)
         self._requests.append(queued)
-        self._unmeetable = unmeetable
+        self._unmeetable = self._displaced(queued, unmeetable, claims)
         return None
 
+    def _displaced(
+        self,
+        queued: QueuedRequest,
+        unmeetable: list[QueuedRequest],
+        claims: list[Claim],
+    ) -> list[QueuedRequest]:
+        """Return what a new request displaces: as much work as its own, at most.
+
+        What can't be met as instances have failed stays: they often recover in time.
+        """
+        left_s = self._capacity.work_s(queued)
+        displaced = []
+        for claim in reversed(claims):
+            if left_s <= 0.0 or claim.request is queued:
+                break
+            if claim.request in unmeetable:
+                displaced.append(claim.request)
+                left_s -= self._capacity.work_s(claim.request)
+        return displaced
+
     def pop_unmeetable(
         self, now: float, jitter: Callable[[], float]
     ) -> list[tuple[QueuedRequest, Rejection]]:
