Soak: check each call against the versions that may be in force, with less code

Cause: the checks of names and of keys looked at the same calls twice, and the limits were so high that a fleet whose hosts do not report to each other passed. Change: one check by call; limits of 8 requests/s; a call on a route without keys must run under its organisation's name, too.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -28,7 +28,6 @@
             connection was made.
         is_correct: whether a success is the complete response to this request.
         key: its key; empty without one.
-        needs_key: whether its route needs a key.
     """
 
     id: str
@@ -40,29 +39,29 @@
     status: int
     is_correct: bool
     key: str = ""
-    needs_key: bool = False
 
 
 class Draft(NamedTuple):
     """A request to send.
 
     Attributes:
-        prefix: first part of its path.
+        kind: first part of its path; those of kind `look` are idempotent.
         body: the complete body, None without one.
         key: its key; empty without one.
-        needs_key: whether its route needs a key.
         pieces: the body as it is sent, if not at once.
     """
 
-    is_non_idempotent: bool
-    prefix: str
-    body: bytes | None = None
-    headers: dict[str, str] = {}
+    kind: str
+    body: bytes | None
     key: str = ""
-    needs_key: bool = True
+    headers: dict[str, str] = {}
     pieces: Iterable[bytes] = ()
 
 
+def _key_headers(key: str) -> dict[str, str]:
+    return {"Authorization": f"Bearer {key}"} if key else {}
+
+
 class Caller(threading.Thread):
     """Sends requests one after another, on one connection until it ends."""
 
@@ -95,7 +94,7 @@
     def _call(self) -> None:
         draft = self._draw()
         request_id = f"{self._number:04x}{len(self.calls):012x}"
-        path = f"/{draft.prefix}/{request_id}"
+        path = f"/{draft.kind}/{request_id}"
         sent_at = time.monotonic()
         status, is_correct = -1, False
         try:
@@ -110,7 +109,7 @@
         self.calls.append(
             Call(
                 request_id,
-                draft.is_non_idempotent,
+                draft.kind != "look",
                 name,
                 self._lifetime,
                 sent_at,
@@ -118,31 +117,33 @@
                 status,
                 is_correct,
                 draft.key,
-                draft.needs_key,
             )
         )
 
     def _draw(self) -> Draft:
-        is_non_idempotent = self._rng.random() < 0.6
-        prefix, body = ("book", b"b") if is_non_idempotent else ("look", None)
-        key, headers = "", {}
-        if self._site.organisations is not None:
-            key = self._site.organisations.steady_key()
-            headers["Authorization"] = f"Bearer {key}"
-        return Draft(is_non_idempotent, prefix, body, headers, key, is_non_idempotent)
+        organisations = self._site.organisations
+        key = organisations.steady_key if organisations else ""
+        if self._rng.random() < 0.6:
+            return Draft("book", b"b", key)
+        return Draft("look", None, key)
 
     def _exchange(self, draft: Draft, path: str, request_id: str) -> tuple[int, bool]:
         headers = {
             "Host": HOST,
             "X-Dogwoodtack-Request-Id": request_id,
             "X-Dogwoodtack-Deadline-Ms": "3000",
+            **_key_headers(draft.key),
             **draft.headers,
         }
-        method = "GET" if draft.body is None else "POST"
-        body = draft.body or b""
+        method, body = ("GET", b"") if draft.body is None else ("POST", draft.body)
         if body:
             headers["Content-Length"] = str(len(body))
-        is_sent = self._send(method, path, draft.pieces or draft.body, headers)
+        is_sent = True
+        try:
+            self._conn.request(method, path, draft.pieces or draft.body, headers)
+        except (BrokenPipeError, ConnectionResetError):
+            # The host may have rejected the request before the end of its body.
+            is_sent = False
         answer = self._conn.getresponse()
         data = answer.read()
         signature = answer.getheader("X-Dogwoodtack-Response-Signature")
@@ -155,21 +156,6 @@
             self._close_conn()
         return answer.status, is_correct
 
-    def _send(
-        self,
-        method: str,
-        path: str,
-        body: Iterable[bytes] | None,
-        headers: dict[str, str],
-    ) -> bool:
-        """Send a request, and return whether the host received all of it."""
-        try:
-            self._conn.request(method, path, body, headers)
-        except (BrokenPipeError, ConnectionResetError):
-            # The host may have rejected the request before the end of its body.
-            return False
-        return True
-
     def _close_conn(self) -> None:
         if self._conn is not None:
             self._conn.close()
@@ -206,7 +192,7 @@
             "X-Dogwoodtack-Deadline-Ms": "3000",
         }
         if self._site.organisations is not None:
-            headers["Authorization"] = f"Bearer {self._site.organisations.steady_key()}"
+            headers |= _key_headers(self._site.organisations.steady_key)
         body = b"lethal" if self._method == "POST" else None
         conn = http.client.HTTPConnection(
             "127.0.0.1", host.port, timeout=RESPONSE_TIMEOUT_S
--- a/soak/organisations.py
+++ b/soak/organisations.py
@@ -1,7 +1,5 @@
 """Organisations of a soak: their keys and limits, their callers, and the checks."""
 
-import itertools
-import threading
 import time
 from collections import defaultdict
 from collections.abc import Iterable, Iterator, Sequence
@@ -13,16 +11,15 @@
 from .site import Site
 
 __all__ = [
+    "CHANGES",
+    "KEY_PREFIX",
     "LIMITED",
-    "UNLIMITED",
     "OrganisationCaller",
     "Organisations",
     "Terms",
     "Version",
-    "check_keys",
+    "check_calls",
     "check_limits",
-    "check_senders",
-    "KEY_PREFIX",
     "known_since",
     "run_times",
 ]
@@ -32,9 +29,10 @@
 UNLIMITED = "org-steady"
 LIMITED = ("org-a", "org-b", "org-c")
 KEY_PREFIX = "soak-key-"
-FIRST_KEYS = 2
-FIRST_RATE_PER_S = 24.0
-LEAST_RATE_PER_S = 3.0
+CHANGES = ("key added", "key taken", "key replaced", "limit falls")
+# Requests per second, also the burst. A surge is many times that, also at each host.
+FIRST_RATE_PER_S = 8.0
+LEAST_RATE_PER_S = 2.0
 # The guaranteed time to the use of a version, by a host that was not disturbed for the
 # other time.
 CONFIG_S = 2.5
@@ -43,8 +41,8 @@
 WINDOW_S = 5.0
 OVER_FACTOR = 1.1
 SLACK = 20
-REQUEST_INTERVAL_S = 0.1
-SURGE_INTERVAL_S = 0.03
+REQUEST_INTERVAL_S = 0.15
+SURGE_INTERVAL_S = 0.04
 UPLOAD_BYTES = (10_000, 300_000)
 PIECE_BYTES = 16_384
 # Pause of a slow sender after each piece, at most: up to 1.5 s for the longest body.
@@ -62,7 +60,6 @@
 
     keys: tuple[str, ...]
     rate_per_s: float = 0.0
-    burst: float = 0.0
 
 
 class Version(NamedTuple):
@@ -77,7 +74,7 @@
 
 
 class Organisations:
-    """The organisations of a site and their history.
+    """The organisations of a site.
 
     Attributes:
         history: the terms of each version, oldest first.
@@ -85,13 +82,12 @@
     """
 
     def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._numbers = itertools.count()
         self.owners: dict[str, str] = {}
-        terms = {UNLIMITED: Terms((self._new_key(UNLIMITED),))}
+        terms = {UNLIMITED: Terms(self._new_key(UNLIMITED))}
+        self.steady_key = terms[UNLIMITED].keys[0]
         for name in LIMITED:
-            keys = tuple(self._new_key(name) for _ in range(FIRST_KEYS))
-            terms[name] = Terms(keys, FIRST_RATE_PER_S, FIRST_RATE_PER_S)
+            keys = self._new_key(name) + self._new_key(name)
+            terms[name] = Terms(keys, FIRST_RATE_PER_S)
         self.history = [Version(time.monotonic(), terms)]
 
     @property
@@ -99,55 +95,29 @@
         """Return the newest terms."""
         return self.history[-1].terms
 
-    def steady_key(self) -> str:
-        """Return the key that is valid throughout."""
-        return self.terms[UNLIMITED].keys[0]
-
-    def keys_ever(self, name: str) -> list[str]:
-        """Return the keys that an organisation has or had, oldest first."""
-        return [key for key, owner in list(self.owners.items()) if owner == name]
-
     def as_tenants(self) -> dict[str, Any]:
         """Return the newest terms as a part of the configuration."""
         return {
-            name: {
-                "apiKeys": list(terms.keys),
-                "priority": 1,
-                "ratePerS": terms.rate_per_s,
-                "burst": terms.burst,
-            }
-            for name, terms in self.terms.items()
+            name: {"apiKeys": keys, "priority": 1, "ratePerS": rate, "burst": rate}
+            for name, (keys, rate) in self.terms.items()
         }
 
-    def add_key(self, name: str) -> None:
-        """Add a key."""
-        with self._lock:
-            old = self.terms[name]
-            self._set(name, old._replace(keys=(*old.keys, self._new_key(name))))
-
-    def take_key(self, name: str, replaces: bool) -> None:
-        """Take the oldest key away; the last one is always replaced."""
-        with self._lock:
-            old = self.terms[name]
-            keys = old.keys[1:]
-            if replaces or not keys:
-                keys = (*keys, self._new_key(name))
-            self._set(name, old._replace(keys=keys))
-
-    def lower_limit(self, name: str) -> None:
-        """Halve the limit."""
-        with self._lock:
-            old = self.terms[name]
-            rate = max(LEAST_RATE_PER_S, old.rate_per_s / 2)
-            self._set(name, old._replace(rate_per_s=rate, burst=rate))
-
-    def _set(self, name: str, terms: Terms) -> None:
-        self.history.append(Version(time.monotonic(), {**self.terms, name: terms}))
-
-    def _new_key(self, name: str) -> str:
-        key = f"{KEY_PREFIX}{next(self._numbers):04d}"
+    def change(self, name: str, change: str) -> None:
+        """Make one of the CHANGES; the last key is not taken without a new one."""
+        keys, rate = self.terms[name]
+        if change == "limit falls":
+            rate = max(LEAST_RATE_PER_S, rate / 2)
+        if change in ("key taken", "key replaced"):
+            keys = keys[1:]
+        if change in ("key added", "key replaced") or not keys:
+            keys += self._new_key(name)
+        terms = {**self.terms, name: Terms(keys, rate)}
+        self.history.append(Version(time.monotonic(), terms))
+
+    def _new_key(self, name: str) -> tuple[str]:
+        key = f"{KEY_PREFIX}{len(self.owners):04d}"
         self.owners[key] = name
-        return key
+        return (key,)
 
 
 class OrganisationCaller(Caller):
@@ -173,29 +143,28 @@
 
     def _draw(self) -> Draft:
         key = self._draw_key()
-        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        headers = {}
         if self._rng.random() < 0.25:
             headers[self._rng.choice(TENANT_SPELLINGS)] = UNLIMITED
-        kinds = ("book", "look") if self._is_surging else ("book", "look", "file")
+        kinds = ("book", "look", *["book" if self._is_surging else "file"] * 2)
         kind = self._rng.choice(kinds)
-        if kind == "look":
-            return Draft(False, kind, headers=headers, key=key, needs_key=False)
-        if kind == "book":
-            return Draft(True, kind, b"b", headers, key)
+        if kind != "file":
+            return Draft(kind, b"b" if kind == "book" else None, key, headers)
         body = self._rng.randbytes(self._rng.randint(*UPLOAD_BYTES))
         pause_s = self._rng.choice((0.0, self._rng.uniform(0.0, PIECE_PAUSE_S)))
-        return Draft(True, kind, body, headers, key, pieces=_slowly(body, pause_s))
+        return Draft(kind, body, key, headers, _slowly(body, pause_s))
 
     def _draw_key(self) -> str:
-        organisations = self._site.organisations
         draw = self._rng.random()
         if draw < 0.05:
             return ""
         if draw < 0.1:
             return f"unknown-{KEY_PREFIX}{self._rng.randrange(10_000)}"
+        organisations, name = self._site.organisations, self._organisation
         if draw < 0.3:
-            return self._rng.choice(organisations.keys_ever(self._organisation)[-4:])
-        return self._rng.choice(organisations.terms[self._organisation].keys)
+            owners = list(organisations.owners.items())
+            return self._rng.choice([key for key, owner in owners if owner == name])
+        return self._rng.choice(organisations.terms[name].keys)
 
 
 def _slowly(body: bytes, pause_s: float) -> Iterator[bytes]:
@@ -204,96 +173,69 @@
         time.sleep(pause_s)
 
 
-def known_since(
-    disturbances: Iterable[tuple[float, float]], at: float, begin: float = 0.0
-) -> float:
+def known_since(disturbances: Iterable[tuple[float, float]], at: float) -> float:
     """Return from when on versions may be in force at a host at a time.
 
     Args:
         disturbances: begin and end of what kept the host from learning versions.
         at: monotonic time.
-        begin: earliest time to return.
     """
     since = at
     for lost_at, back_at in sorted(disturbances, key=lambda one: one[1], reverse=True):
         if lost_at <= at and back_at + UNDISTURBED_S > since:
             since = min(since, lost_at)
-    return max(begin, since - CONFIG_S)
+    return since - CONFIG_S
 
 
-def _in_force(
-    history: Sequence[Version], begin: float, end: float
-) -> Iterator[Version]:
-    """Yield the versions that may be in force at some time between two."""
-    following = [version.at for version in history[1:]] + [float("inf")]
-    for version, replaced_at in zip(history, following):
-        if version.at <= end and replaced_at >= begin:
-            yield version
+def in_force(history: Sequence[Version], begin: float, end: float) -> list[Version]:
+    """Return the versions that may be in force at some time between two."""
+    replaced_at = [version.at for version in history[1:]] + [float("inf")]
+    return [
+        version
+        for version, until in zip(history, replaced_at)
+        if version.at <= end and until >= begin
+    ]
 
 
-def check_senders(
-    ran: Iterable[ExecutedRequest],
+def check_calls(
     calls: Iterable[Call],
-    owners: dict[str, str],
-    history: Sequence[Version],
-) -> list[str]:
-    """Find keys and wrong names that reached an instance.
-
-    Args:
-        ran: what instances ran.
-        calls: the calls whose names are checked.
-        owners: organisation of each key that was ever valid.
-        history: versions, oldest first.
-    """
-    by_id = {call.id: call for call in calls}
-    violations = []
-    for one in ran:
-        names = [name for _, name in one.sender]
-        if any(header.lower() == "authorization" for header, _ in one.sender):
-            violations.append(f"{one.request_id} reached an instance with its key")
-        call = by_id.get(one.request_id)
-        if call is None:
-            continue
-        owner = owners.get(call.key)
-        allowed = [[owner]] if owner else []
-        if not call.needs_key and not _is_always_valid(call.key, history):
-            allowed.append([])
-        if names not in allowed:
-            violations.append(f"{call.id} of {owner} ran as {names}")
-    return violations
-
-
-def _is_always_valid(key: str, history: Sequence[Version]) -> bool:
-    return all(version.has_key(key) for version in history)
-
-
-def check_keys(
-    calls: Iterable[Call],
-    ran_ids: set[str],
-    history: Sequence[Version],
+    ran: Iterable[ExecutedRequest],
+    organisations: Organisations,
     disturbances: dict[str, list[tuple[float, float]]],
 ) -> list[str]:
-    """Find requests that ran without a valid key, and valid keys that got a 401.
+    """Find valid keys that got a 401, and runs without a valid key or its owner.
 
     Args:
-        calls: the calls.
-        ran_ids: ids of the requests that ran.
-        history: versions, oldest first.
+        calls: the calls; only routes of non-idempotent ones need keys.
+        ran: what instances ran.
+        organisations: owners of keys, and versions.
         disturbances: begin and end of those of each host.
     """
+    senders: dict[str, list[list[str]]] = defaultdict(list)
+    for one in ran:
+        # A key that has reached the instance is one of the values.
+        senders[one.request_id].append([value for _, value in one.sender])
     violations = []
+    begin = organisations.history[0].at
     for call in calls:
-        since = known_since(disturbances.get(call.host, ()), call.sent_at)
-        versions = list(_in_force(history, since, call.ended_at))
+        since = known_since(disturbances[call.host], call.sent_at)
+        versions = in_force(organisations.history, since, call.ended_at)
         valid = [version.has_key(call.key) for version in versions]
+        allowed = [[organisations.owners[call.key]]] if any(valid) else []
+        if not call.is_non_idempotent and not all(valid):
+            allowed.append([])
         evidence = (
-            f"{call.id} to {call.host} at {call.sent_at - history[0].at:.2f} s with"
-            f" {call.key!r} (known since {since - history[0].at:.2f} s)"
+            f"{call.id} to {call.host} at {call.sent_at - begin:.2f} with {call.key!r},"
+            f" valid in {sum(valid)} of {len(valid)} versions since"
+            f" {since - begin:.2f},"
         )
-        if call.status == 401 and (all(valid) or not call.needs_key):
+        if call.status == 401 and (all(valid) or not call.is_non_idempotent):
             violations.append(f"{evidence} got 401")
-        if call.needs_key and call.id in ran_ids and not any(valid):
-            violations.append(f"{evidence} ran without a valid key")
+        violations += [
+            f"{evidence} ran as {names}"
+            for names in senders[call.id]
+            if names not in allowed
+        ]
     return violations
 
 
@@ -305,47 +247,34 @@
     """Find windows in which more requests of an organisation ran than may.
 
     Args:
-        times: when requests ran, by organisation.
+        times: when requests ran, in order, by organisation.
         history: versions, oldest first.
         disturbances: begin and end of those of all hosts.
     """
     violations = []
-    for name, unsorted_times in times.items():
-        ran_at = sorted(unsorted_times)
-        end = 0
-        for index, start in enumerate(ran_at):
-            while end < len(ran_at) and ran_at[end] < start + WINDOW_S:
-                end += 1
-            since = known_since(disturbances, start)
-            terms = [
-                version.terms[name]
-                for version in _in_force(history, since, start + WINDOW_S)
-            ]
-            if not all(one.rate_per_s for one in terms):
-                continue
-            most = max(one.rate_per_s * WINDOW_S + one.burst for one in terms)
-            allowed = most * OVER_FACTOR + SLACK
-            if end - index > allowed:
-                at_s = start - history[0].at
+    for name in times.keys() & set(LIMITED):
+        for start in times[name]:
+            end = start + WINDOW_S
+            count = sum(start <= at < end for at in times[name])
+            versions = in_force(history, known_since(disturbances, start), end)
+            rate = max(version.terms[name].rate_per_s for version in versions)
+            allowed = (rate * WINDOW_S + rate) * OVER_FACTOR + SLACK
+            if count > allowed:
                 violations.append(
-                    f"{end - index} of {name} ran in {WINDOW_S} s from {at_s:.2f} s,"
-                    f" allowed {allowed:.0f} (known since {since - history[0].at:.2f})"
+                    f"{count} of {name} ran in {WINDOW_S} s"
+                    f" from {start - history[0].at:.2f},"
+                    f" allowed {allowed:.1f} at rate {rate}"
                 )
                 break
     return violations
 
 
-def run_times(
-    ran: Iterable[ExecutedRequest], calls: Iterable[Call], owners: dict[str, str]
-) -> dict[str, list[float]]:
-    """Return when each request first ran, by organisation that instances were told."""
-    first: dict[str, tuple[float, str]] = {}
-    ids = {call.id for call in calls}
-    for one in sorted(ran, key=lambda one: one.at):
-        if one.request_id in ids and one.sender:
-            first.setdefault(one.request_id, (one.at, one.sender[0][1]))
+def run_times(ran: Iterable[ExecutedRequest]) -> dict[str, list[float]]:
+    """Return when each request first ran, by the organisation it ran as."""
     times: dict[str, list[float]] = defaultdict(list)
-    for at, name in first.values():
-        if name in owners.values():
-            times[name].append(at)
+    seen: set[str] = set()
+    for one in sorted(ran, key=lambda one: one.at):
+        if one.sender and one.request_id not in seen:
+            seen.add(one.request_id)
+            times[one.sender[0][1]].append(one.at)
     return times
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -14,13 +14,13 @@
 
 from .callers import Call, Caller, Repeater, VersionWatcher
 from .organisations import (
+    CHANGES,
     KEY_PREFIX,
     LIMITED,
     OrganisationCaller,
     Organisations,
-    check_keys,
+    check_calls,
     check_limits,
-    check_senders,
     run_times,
 )
 from .proxy import Fault
@@ -39,11 +39,11 @@
 CALLERS = 10
 # Callers of one organisation that exceeds its usual rate, and for how long.
 SURGE_CALLERS = 6
-SURGE_S = (2.0, 4.0)
+SURGE_S = (3.0, 6.0)
 # Number of the first of them, by which its request ids differ from those of others.
 SURGE_NUMBER = 100
 # Disturbances of a host that last until its next one.
-LASTING = ("pause", "term", "isolated", "store-cut")
+LASTING = ("pause", "term", "cut")
 # Its hosts can be cut from each other.
 PROGRAM = "soak/isolated_host.py"
 SETTLE_S = 3.5
@@ -120,14 +120,9 @@
             self._limit_instance,
             self._ask_for_pause,
             self._send_lethal_request,
-            self._add_key,
-            self._take_key,
-            self._take_key,
-            self._lower_limit,
-            self._surge,
-            self._surge,
-            self._isolate_host,
-            self._cut_store,
+            *[self._change_organisation] * 4,
+            *[self._surge] * 2,
+            *[self._cut_host] * 2,
         ]
         self._rng.choice(kinds)()
 
@@ -254,28 +249,15 @@
         steps = self._rng.randint(1, 3)
         self._start_fault(f"version +{steps}", lambda: self._site.raise_version(steps))
 
-    def _add_key(self) -> None:
-        name = self._rng.choice(LIMITED)
-        self._change(f"{name} gets a key", Organisations.add_key, name)
-
-    def _take_key(self) -> None:
-        name, replaces = self._rng.choice(LIMITED), self._rng.random() < 0.5
-        self._change(f"{name} loses a key", Organisations.take_key, name, replaces)
-
-    def _lower_limit(self) -> None:
-        name = self._rng.choice(LIMITED)
-        self._change(f"{name}'s limit falls", Organisations.lower_limit, name)
-
-    def _change(
-        self, description: str, change: Callable[..., None], *args: object
-    ) -> None:
-        """Change the organisations in a new version."""
+    def _change_organisation(self) -> None:
+        """Change keys or the limit of an organisation in a new version."""
+        name, change = self._rng.choice(LIMITED), self._rng.choice(CHANGES)
 
         def apply_change() -> None:
-            change(self._site.organisations, *args)
+            self._site.organisations.change(name, change)
 
         self._start_fault(
-            description, lambda: self._site.raise_version(change=apply_change)
+            f"{name}: {change}", lambda: self._site.raise_version(change=apply_change)
         )
 
     def _surge(self) -> None:
@@ -299,34 +281,25 @@
 
         self._start_fault(f"{name} surges {seconds:.1f} s", apply_fault)
 
-    def _isolate_host(self) -> None:
-        """Cut a host from all other hosts."""
+    def _cut_host(self) -> None:
+        """Cut a host from the store, or from all other hosts."""
         seconds = self._rng.uniform(0.5, 4.0)
+        fault = self._rng.choice((Fault.RESET, Fault.SILENCED, Fault.NONE, Fault.NONE))
 
         def apply_fault(host: HostProcess) -> None:
             path = host.settings_path.with_suffix(".isolated")
-            host.record_disturbance("isolated")
-            path.touch()
-            time.sleep(seconds)
-            path.unlink()
-            host.record_disturbance("heard")
-
-        self._on_host(f"isolated {seconds:.1f} s", apply_fault)
-
-    def _cut_store(self) -> None:
-        """Cut a host from the store."""
-        seconds = self._rng.uniform(0.5, 3.0)
-        fault = self._rng.choice((Fault.RESET, Fault.SILENCED))
-
-        def apply_fault(host: HostProcess) -> None:
             proxy = self._site.store_proxies[self._site.hosts.index(host)]
-            host.record_disturbance("store-cut")
+            host.record_disturbance("cut")
+            if fault is Fault.NONE:
+                path.touch()
             proxy.fault = fault
             time.sleep(seconds)
             proxy.fault = Fault.NONE
-            host.record_disturbance("store-back")
+            path.unlink(missing_ok=True)
+            host.record_disturbance("cut ended")
 
-        self._on_host(f"cut from the store ({fault}) {seconds:.1f} s", apply_fault)
+        what = "hosts" if fault is Fault.NONE else f"store ({fault})"
+        self._on_host(f"cut from {what} {seconds:.1f} s", apply_fault)
 
     def _drain_instance(self) -> None:
         active_instances = self._site.active_instances()
@@ -644,19 +617,19 @@
     site: Site, injector: FaultInjector, calls: list[Call]
 ) -> list[str]:
     """Find violated guarantees to and about organisations."""
-    history, owners = site.organisations.history, site.organisations.owners
     ran = [run for instance in site.instances for run in instance.backend.ran]
-    disturbances = {
+    by_host = {
         host.name: _intervals(host) + injector.store_outages for host in site.hosts
     }
-    every = [one for intervals in disturbances.values() for one in intervals]
-    ran_ids = {run.request_id for run in ran}
-    violations = check_senders(ran, calls, owners, history)
-    violations += check_keys(calls, ran_ids, history, disturbances)
-    violations += check_limits(run_times(ran, calls, owners), history, every)
-    for host in site.hosts:
-        if KEY_PREFIX in host.log_text():
-            violations.append(f"{host.name} logged a key")
+    # The name of a caller's host before its first connection.
+    by_host[""] = every = sum(by_host.values(), [])
+    violations = check_calls(calls, ran, site.organisations, by_host)
+    violations += check_limits(run_times(ran), site.organisations.history, every)
+    violations += [
+        f"{host.name} logged a key"
+        for host in site.hosts
+        if KEY_PREFIX in host.log_text()
+    ]
     return violations
 
 
