--- a/soak/soak.py
+++ b/soak/soak.py
@@ -121,7 +121,8 @@
             self._ask_for_pause,
             self._send_lethal_request,
             *[self._change_organisation] * 4,
-            *[self._surge] * 2,
+            self._surge,
+            self._surge_beside_cut,
             *[self._cut_host] * 2,
         ]
         self._rng.choice(kinds)()
@@ -281,10 +282,18 @@
 
         self._start_fault(f"{name} surges {seconds:.1f} s", apply_fault)
 
+    def _surge_beside_cut(self) -> None:
+        """Let an organisation surge while a host hears nothing of the others' part."""
+        self._surge()
+        self._isolate_host(Fault.NONE, SURGE_S[1])
+
     def _cut_host(self) -> None:
         """Cut a host from the store, or from all other hosts."""
-        seconds = self._rng.uniform(0.5, 4.0)
-        fault = self._rng.choice((Fault.RESET, Fault.SILENCED, Fault.NONE, Fault.NONE))
+        fault = self._rng.choice((Fault.RESET, Fault.SILENCED, Fault.NONE))
+        self._isolate_host(fault, self._rng.uniform(0.5, 4.0))
+
+    def _isolate_host(self, fault: Fault, seconds: float) -> None:
+        """Apply a fault to a host's path to the store, or without one to the others."""
 
         def apply_fault(host: HostProcess) -> None:
             path = host.settings_path.with_suffix(".isolated")
