Tell where a request would go, without sending it

Cause: operators could only ask afterwards, from logs, why a request went to an instance. Change: entry hosts answer /place on the relay port; `dogwoodtack place` asks one. The decision is made on copies of what a placement changes. Quotas.decision no longer settles silent sources, so that it charges nothing; its result is the same.

--- a/dogwoodtack/api.py
+++ b/dogwoodtack/api.py
@@ -3,7 +3,7 @@
 import http.client
 import json
 from typing import Any, NamedTuple
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 from .burn import BurnReport, merge_reports
 from .control import ACCESS_HEADER
@@ -11,7 +11,7 @@
 from .intents import Plan, Receipt
 from .misc import Address
 
-__all__ = ["ApiError", "OperatorApi", "Unreachable"]
+__all__ = ["ApiError", "OperatorApi", "Unreachable", "fetch_placement"]
 
 DEFAULT_TIMEOUT_S = 30.0
 HTTP_OK = 200
@@ -188,6 +188,53 @@
             conn.close()
 
 
+def fetch_placement(
+    address: Address,
+    method: str,
+    host: str,
+    target: str,
+    organisation: str,
+    timeout_s: float = DEFAULT_TIMEOUT_S,
+) -> Any:
+    """Return where an entry host would send a request now; it is not sent.
+
+    Args:
+        address: the entry host's relay address, which asks for no key.
+        method: the request's method.
+        host: the host name in its URL.
+        target: its path and query.
+        organisation: name of the organisation that sends it, empty if none.
+        timeout_s: seconds to wait for the entry host.
+
+    Raises:
+        ApiError: the entry host rejected the call.
+        Unreachable: the entry host did not reply.
+    """
+    query = {"method": method, "host": host, "target": target}
+    if organisation:
+        query["organisation"] = organisation
+    conn = http.client.HTTPConnection(*address, timeout=timeout_s)
+    try:
+        conn.request("GET", f"/place?{urlencode(query)}")
+        resp = conn.getresponse()
+        body = resp.read()
+        if resp.status == HTTP_OK:
+            reply = json.loads(body)
+            if isinstance(reply, dict) and "outcome" in reply:
+                return reply
+            raise ValueError("the reply is none of an entry host's")
+    except (OSError, http.client.HTTPException, ValueError) as exc:
+        detail = str(exc) or type(exc).__name__
+        raise Unreachable(f"{address}: {detail}", False) from exc
+    finally:
+        conn.close()
+    raise ApiError(
+        ErrorKind.NOT_FOUND if resp.status == 404 else ErrorKind.BAD_REQUEST,
+        "the entry host can't tell",
+        f"{address}: status {resp.status}",
+    )
+
+
 def _make_error(attempt: _Attempt) -> ApiError:
     body = attempt.body if isinstance(attempt.body, dict) else {}
     try:
--- a/dogwoodtack/cmdline.py
+++ b/dogwoodtack/cmdline.py
@@ -11,7 +11,7 @@
 
 from absl import flags
 
-from .api import ApiError, OperatorApi, Unreachable
+from .api import ApiError, OperatorApi, Unreachable, fetch_placement
 from .burn import PlotUnavailable, draw_report, format_report
 from .entry.explain import explain_request
 from .errors import DogwoodtackError, ErrorKind
@@ -60,6 +60,12 @@
     "yes", False, "Confirm without asking on the terminal.", flag_values=FLAGS
 )
 flags.DEFINE_string("plot", None, "A picture file for burn.", flag_values=FLAGS)
+flags.DEFINE_string(
+    "organisation",
+    "",
+    "For place: name of the organisation that sends the request.",
+    flag_values=FLAGS,
+)
 flags.DEFINE_bool("help", False, "Show this help.", short_name="h", flag_values=FLAGS)
 
 
@@ -96,6 +102,8 @@
         is_json: whether to print JSON.
         is_yes: whether to confirm without a prompt.
         plot: image file that burn writes, None for none.
+        organisation: the organisation that place asks for, empty for none.
+        timeout_s: seconds to wait for one entry host.
     """
 
     api: OperatorApi
@@ -104,6 +112,8 @@
     is_json: bool
     is_yes: bool
     plot: str | None
+    organisation: str = ""
+    timeout_s: float = 30.0
 
 
 class Command(NamedTuple):
@@ -114,7 +124,7 @@
         text: one line of help.
         arg_counts: allowed numbers of arguments.
         act: runs it, prints the result and returns the exit code.
-        is_offline: whether it runs without calling an entry host.
+        is_offline: whether it runs without the operators' address and key.
     """
 
     usage: str
@@ -212,6 +222,18 @@
     return ExitCode.OK
 
 
+def place(ctx: Context) -> ExitCode:
+    """Print where one entry host would send a request now, without sending it."""
+    address_text, *request = ctx.args
+    try:
+        address = parse_address(address_text, allow_name=True)
+    except ValueError as exc:
+        raise UsageError(f"{address_text}: {exc}") from exc
+    reply = fetch_placement(address, *request, ctx.organisation, ctx.timeout_s)
+    _print(ctx, reply, format_placement(reply))
+    return ExitCode.OK
+
+
 COMMANDS: dict[str, Command] = {
     "submit": Command(
         "submit FILE|-", "Send an intent (JSON) and save its plan.", (1,), submit
@@ -238,6 +260,13 @@
         (0,),
         burn,
     ),
+    "place": Command(
+        "place HOST:PORT METHOD URL-HOST TARGET [--organisation=NAME]",
+        "Show where an entry host would send a request now; HOST:PORT is its relay.",
+        (4,),
+        place,
+        is_offline=True,
+    ),
 }
 
 
@@ -275,6 +304,54 @@
     return "\n".join(lines)
 
 
+def format_placement(reply: dict[str, Any]) -> str:
+    """Return the reply of an entry host to `place` as text for people."""
+    asked = reply["question"]
+    lines = [f"{asked['method']} {asked['host']}{asked['target']}: {reply['outcome']}"]
+    if reply["instance"]:
+        lines[0] += f" at {reply['instance']}"
+    if reply["reason"]:
+        lines[0] += f" ({reply['reason']})"
+    if not reply["route"]:
+        return "\n".join(lines)
+    shares = ", ".join(f"{one['service']} {one['weight']}" for one in reply["services"])
+    lines += [
+        f"route: {reply['route']}, kind {reply['kind']}, priority {reply['priority']}, "
+        f"repeats: {reply['repeats']}, configuration {reply['version']}",
+        f"services and weights: {shares or 'none'}",
+    ]
+    if reply["organisation_priority"] is not None:
+        lines.append(
+            f"organisation: {asked['organisation']}, "
+            f"priority {reply['organisation_priority']}"
+        )
+    if reply["rate_limit"] is not None:
+        inputs = ", ".join(f"{key} {one}" for key, one in reply["rate_limit"].items())
+        chance = reply["admission_chance"]
+        lines.append(f"rate limit: admitted with probability {chance} ({inputs})")
+    if reply["service"]:
+        lines += _placement_lines(reply)
+    return "\n".join(lines)
+
+
+def _placement_lines(reply: dict[str, Any]) -> list[str]:
+    wait_s = reply["expected_wait_s"]
+    lines = [
+        f"service: {reply['service']}, balancing {reply['balancing']}, "
+        f"{reply['queue_length']} waiting, "
+        f"expected wait {'unknown' if wait_s is None else f'{wait_s:.3f} s'}",
+        "candidates, the first choice first:" if reply["candidates"] else "none listed",
+    ]
+    lines.extend(
+        f"  {one['instance']} in {one['zone']}: {one['in_flight']}/{one['slots']}, "
+        f"unhealthy {one['unhealthy_probability']:.3f}, "
+        f"cost {one['expected_cost']:.3f}"
+        f"{'' if one['has_free_slot'] else ', no free slot'}"
+        for one in reply["candidates"]
+    )
+    return lines
+
+
 def _print(ctx: Context, value: Any, text: str) -> None:
     print(json.dumps(value, indent=2) if ctx.is_json else text)
 
@@ -325,7 +402,16 @@
 def _make_context(args: list[str], is_offline: bool) -> Context:
     if is_offline:
         api = OperatorApi([], "", FLAGS.timeout_s)
-        return Context(api, args, Path("plans"), FLAGS.json, FLAGS.yes, FLAGS.plot)
+        return Context(
+            api,
+            args,
+            Path("plans"),
+            FLAGS.json,
+            FLAGS.yes,
+            FLAGS.plot,
+            FLAGS.organisation,
+            FLAGS.timeout_s,
+        )
     cfg = _load_config(FLAGS.config)
     texts = FLAGS.addresses or cfg.get("addresses", "").replace(",", " ").split()
     key = FLAGS.access_key or os.environ.get(ACCESS_KEY_VARIABLE)
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -1,5 +1,6 @@
 """One entry host on the users' platform: all components on one event loop."""
 
+import json
 import os
 import random
 import signal
@@ -45,6 +46,7 @@
 from .idle_limit import IdleLimit
 from .notices import NoticeReader
 from .paths import PathMonitor
+from .placement_preview import PREVIEW_PATH, HostView, parse_question, preview_request
 from .rate_limiter import RateLimiter
 from .recent_ids import RecentIds
 from .request_log import RequestLog
@@ -202,6 +204,8 @@
             self.quarantine,
             self.fleet.report_crash,
         )
+        self.splitter = TrafficSplitter(self.rng.random())
+        self.response_kb: dict[str, float] = {}
         idle_limit = IdleLimit()
         self.grace = GracePeriod(self.reactor.clock)
         deps = ExchangeDependencies(
@@ -223,12 +227,12 @@
             evidence=Evidence(self.reactor.clock, self.placer, self.paths, idle_limit),
             find_route=self._find_route,
             confirm_configuration=self.feed.confirm_configuration,
-            splitter=TrafficSplitter(self.rng.random()),
+            splitter=self.splitter,
             grace=self.grace,
             idle_limit=idle_limit,
             request_log=self.request_log,
             recent_ids=RecentIds(),
-            response_kb={},
+            response_kb=self.response_kb,
             access=self.access,
         )
         limits = connection_limits(cfg.max_descriptors)
@@ -400,6 +404,8 @@
             return SimpleResponse(
                 200, self.request_log.render(self._state_gauges()), "text/plain"
             )
+        if target.split("?", 1)[0] == PREVIEW_PATH:
+            return self._preview_response(method, target)
         try:
             body = handle_relay_request(
                 target,
@@ -413,6 +419,27 @@
             return SimpleResponse(400)
         return None if body is None else SimpleResponse(200, body)
 
+    def _preview_response(self, method: str, target: str) -> SimpleResponse:
+        """Return where a request that the query describes would go now."""
+        if method != "GET":
+            return SimpleResponse(405)
+        try:
+            question = parse_question(target)
+        except ValueError:
+            return SimpleResponse(400)
+        view = HostView(
+            self.feed.configuration,
+            self._find_route,
+            self.splitter,
+            self.placer,
+            self.quotas,
+            self.response_kb,
+            self.paths.is_cut_off,
+            self._are_keys_confirmed(),
+        )
+        preview = preview_request(question, view, self.reactor.clock.monotonic())
+        return SimpleResponse(200, json.dumps(preview.to_json()).encode())
+
     def _state_gauges(self) -> dict[str, float]:
         version, position, age_s = self.feed.sync_status()
         now = self.reactor.clock.monotonic()
--- a/dogwoodtack/entry/request.py
+++ b/dogwoodtack/entry/request.py
@@ -12,6 +12,7 @@
     "ATTEMPTS_LEFT_HEADER",
     "MIN_ATTEMPT_S",
     "attempts_left",
+    "default_time_limit_s",
     "forwarded_headers",
     "max_runs",
     "time_limit_s",
@@ -36,7 +37,17 @@
         route: the matched route, whose timeout may lower the limit.
     """
     deadline_ms = parse_count(head.header(header_names.deadline_ms) or "")
-    limit_s = DEFAULT_TIME_LIMIT_S if deadline_ms is None else deadline_ms / 1000
+    if deadline_ms is None:
+        return default_time_limit_s(route)
+    return _bounded_limit_s(deadline_ms / 1000, route)
+
+
+def default_time_limit_s(route: Route) -> float:
+    """Return how long a request without a deadline may take, in seconds."""
+    return _bounded_limit_s(DEFAULT_TIME_LIMIT_S, route)
+
+
+def _bounded_limit_s(limit_s: float, route: Route) -> float:
     if route.timeout_s is not None:
         limit_s = min(limit_s, route.timeout_s)
     return max(MIN_ATTEMPT_S, limit_s - RESPONSE_MARGIN_S)
--- a/dogwoodtack/placement/__init__.py
+++ b/dogwoodtack/placement/__init__.py
@@ -30,7 +30,13 @@
 from .rate_limits import RateAllowance, RateLimitReport, RateLimits
 from .reachability import Reachability
 from .retry_budget import RetryBudget, RetryRules
-from .selection import Candidate, Requirements, SelectionMode, select_candidate
+from .selection import (
+    Candidate,
+    Requirements,
+    SelectionMode,
+    expected_cost,
+    select_candidate,
+)
 from .wait_queue import Capacity, Rejection, WaitQueue
 
 __all__ = [
@@ -69,6 +75,7 @@
     "WaitQueue",
     "check_instance",
     "check_name",
+    "expected_cost",
     "next_action",
     "observation_for",
     "select_candidate",
--- a/dogwoodtack/placement/health_tracker.py
+++ b/dogwoodtack/placement/health_tracker.py
@@ -1,5 +1,6 @@
 """Health of instances from this host's own requests, its peers' and zone reports."""
 
+import copy
 from collections.abc import Iterable
 
 from .health_estimate import HealthEstimate, Observation
@@ -138,6 +139,12 @@
             for name in names
         }
 
+    def snapshot(self) -> "HealthTracker":
+        """Return a copy for reading: a look at an unknown instance is not kept here."""
+        copied = copy.copy(self)
+        copied._estimates = dict(self._estimates)
+        return copied
+
     def forget(self, gone: Iterable[str]) -> None:
         """Drop all records of instances that are gone."""
         for instance_id in gone:
--- a/dogwoodtack/placement/placer.py
+++ b/dogwoodtack/placement/placer.py
@@ -1,6 +1,8 @@
 """Placement of a host's requests on instances, with queues and retry budgets."""
 
+import copy
 import itertools
+import math
 import random
 from collections import Counter
 from collections.abc import Callable, Collection
@@ -31,6 +33,9 @@
 
 __all__ = ["PlacementRequest", "Placer"]
 
+# Arrivals at a copy of the placer come after all others.
+LAST_ORDER = 2**62
+
 INITIAL_SERVICE_TIME_S = 0.3
 SERVICE_TIME_EWMA_WEIGHT = 0.05
 # Requests are planned with this many times the mean service time, so that most of them
@@ -277,6 +282,70 @@
         is_even = self.balancing.mode(req.service) is Balancing.EVEN
         return None if is_even and is_last_slot(found.use) else found
 
+    def snapshot(self, service: str) -> "Placer":
+        """Return a copy for questions about a service, sharing what is only read.
+
+        Nothing may be placed there: of what a placement changes only the queue, the
+        retry budget and the random numbers are the copy's own.
+        """
+        copied = copy.copy(self)
+        copied.health = self.health.snapshot()
+        copied.rate_limits = copy.deepcopy(self.rate_limits)
+        copied._rng = random.Random(0)
+        copied._sequence = itertools.count(LAST_ORDER)
+        copied._queues = {
+            name: queue.snapshot()
+            for name, queue in self._queues.items()
+            if name == service
+        }
+        copied._budgets = {
+            name: copy.deepcopy(budget)
+            for name, budget in self._budgets.items()
+            if name == service
+        }
+        return copied
+
+    def find(self, req: PlacementRequest, now: float) -> Candidate | None:
+        """Return where a request would be placed at once, None if nowhere."""
+        local = self._select_local(req, now)
+        if local is not None:
+            return local
+        return self._select(self.candidates(req.service, now), req, now)
+
+    def find_overflow(self, req: PlacementRequest, now: float) -> Candidate | None:
+        """Return where a request goes that may be repeated and is not queued."""
+        if req.requirements.mode is not SelectionMode.EXPLORATORY:
+            return None
+        candidates = self.candidates(req.service, now)
+        return self._choose(candidates, req, now, allow_unhealthy=True)
+
+    def eligible(
+        self, candidates: list[Candidate], req: PlacementRequest
+    ) -> list[Candidate]:
+        """Return the candidates with a free slot and room for a request's body."""
+        return [one for one in self._with_room(candidates, req) if one.has_free_slot]
+
+    def queue_length(self, service: str) -> int:
+        """Return how many requests of a service are queued."""
+        return len(self._queues.get(service, ()))
+
+    def try_queue(
+        self, req: PlacementRequest, now: float
+    ) -> tuple[float, Rejection | None]:
+        """Queue a request at a copy (see `snapshot`).
+
+        Returns:
+            Its expected wait in seconds, and the rejection if it is not admitted.
+        """
+        candidates = self.candidates(req.service, now)
+        if not candidates:
+            return math.inf, self._rejection_without_candidates(req.service, now)
+        queue = self._queue(req.service)
+        queued = self._queued_request(req, now)
+        capacity = self._capacity(req.service, candidates)
+        wait_s = queue.expected_wait_s(queued, capacity, now)
+        return wait_s, queue.admit(queued, capacity, now, self._rng.random())
+
     def try_place(self, req: PlacementRequest, now: float) -> bool:
         """Place a request at once, and return whether it was placed.
 
--- a/dogwoodtack/placement/selection.py
+++ b/dogwoodtack/placement/selection.py
@@ -15,6 +15,7 @@
     "Candidate",
     "Requirements",
     "SelectionMode",
+    "expected_cost",
     "reserved_slots",
     "select_candidate",
 ]
@@ -214,7 +215,7 @@
         eligible = _sample_other_zones(eligible, rng)
     return min(
         eligible,
-        key=lambda candidate: _expected_cost(candidate, requirements, balancing)
+        key=lambda candidate: expected_cost(candidate, requirements, balancing)
         + TIE_BREAK_COST * rng.random(),
     )
 
@@ -244,9 +245,13 @@
     return local + rng.sample(others, min(OTHER_ZONE_CHOICES, len(others)))
 
 
-def _expected_cost(
+def expected_cost(
     candidate: Candidate, requirements: Requirements, balancing: Balancing
 ) -> float:
+    """Return what a request at a candidate is expected to cost, before ties are broken.
+
+    The unit is the cost of one failed request.
+    """
     cost = 0.0
     if not candidate.is_local:
         cost += CROSS_ZONE_COST_PER_KB * requirements.response_kb
--- a/dogwoodtack/placement/wait_queue.py
+++ b/dogwoodtack/placement/wait_queue.py
@@ -1,5 +1,6 @@
 """Queue of requests that wait for a free slot, with admission control."""
 
+import copy
 import math
 from collections import Counter
 from collections.abc import Callable
@@ -153,6 +154,28 @@
         self._unmeetable = self._displaced(queued, unmeetable, claims)
         return None
 
+    def snapshot(self) -> "WaitQueue":
+        """Return a copy whose admissions leave this queue and its requests alone."""
+        copied = copy.copy(self)
+        copied.slot_share = copy.copy(self.slot_share)
+        copied._returns = copy.copy(self._returns)
+        copied._requests = list(self._requests)
+        copied._unmeetable = list(self._unmeetable)
+        return copied
+
+    def expected_wait_s(
+        self, queued: QueuedRequest, capacity: Capacity, now: float
+    ) -> float:
+        """Return how long a request that is not queued yet would wait, in seconds."""
+        if self.usage is None:
+            ahead = [one for one in self._requests if one.priority <= queued.priority]
+        else:
+            claims = self._claims([*self._requests, queued], now)
+            ahead = [one.request for one in claims]
+            ahead = ahead[: ahead.index(queued)]
+        work_s = sum(capacity.work_s(one) for one in [*ahead, queued])
+        return capacity.expected_wait_s(work_s)
+
     def _displaced(
         self,
         queued: QueuedRequest,
--- a/dogwoodtack/quotas/quotas.py
+++ b/dogwoodtack/quotas/quotas.py
@@ -6,6 +6,7 @@
 itself and what other hosts and zones report.
 """
 
+import copy
 import math
 import random
 from collections.abc import Iterable, Mapping
@@ -370,17 +371,32 @@
             limit.bucket.charge(-1.0, now, self._extrapolated(organisation, now))
 
     def decision(self, organisation: str, now: float) -> Decision | None:
-        """Return the inputs of a decision; None without a limit."""
+        """Return the inputs of a decision; None without a limit.
+
+        Nothing is charged, not even what silent sources have probably admitted.
+        """
         limit = self._limits.get(organisation)
         if limit is None:
             return None
-        owed = self._extrapolated(organisation, now)
-        return Decision(
-            limit.bucket.tokens(now, owed),
-            owed,
-            limit.bucket.per_s,
-            self._reach,
-        )
+        bucket = copy.copy(limit.bucket)
+        owed = 0.0
+        for source in self._sources.values():
+            expected = self._expected(source, organisation, now)
+            if now - source.at <= MAX_EXTRAPOLATION_S:
+                owed += expected
+            elif source.recent:
+                bucket.charge(expected, now, expected)
+        return Decision(bucket.tokens(now, owed), owed, bucket.per_s, self._reach)
+
+    def admission_chance(self, organisation: str, now: float) -> float:
+        """Return how likely a request would be admitted now, without a charge."""
+        decision = self.decision(organisation, now)
+        if decision is None:
+            return 1.0
+        available = decision.tokens - decision.extrapolated
+        if self._limits[organisation].bucket.capacity >= 1.0:
+            return float(available >= 1.0)
+        return min(1.0, max(0.0, available))
 
     def totals(self, now: float) -> dict[str, int]:
         """Return how many requests this host has admitted since its start."""
--- a/dogwoodtack/routing/splits.py
+++ b/dogwoodtack/routing/splits.py
@@ -50,6 +50,14 @@
         credits[best] -= total
         return services[best].service
 
+    def peek_service(self, route: Route) -> str:
+        """Return the service that `next_service` would return, without a change."""
+        copied = TrafficSplitter(self._initial_phase)
+        if route.name in self._credits:
+            services, credits = self._credits[route.name]
+            copied._credits[route.name] = services, list(credits)
+        return copied.next_service(route)
+
     def _initial_credits(self, services: tuple[WeightedService, ...]) -> list[float]:
         """Return the credits at the initial phase of a round."""
         initial = [(self._initial_phase - 0.5) * service.weight for service in services]
