--- a/dogwoodtack/quotas/tests/test_quotas.py
+++ b/dogwoodtack/quotas/tests/test_quotas.py
@@ -49,6 +49,24 @@
         self.assertEqual(admit_all(quotas), 1000)
         self.assertIsNone(quotas.decision("o", NOW))
 
+    @params(0.1, 0.7, 1.5)
+    def test_decision_charges_nothing(self, silence_s):
+        """Guards against a question that charges what silent hosts have admitted."""
+        asked, unasked = make_quotas(), make_quotas()
+        for quotas in (asked, unasked):
+            for name in ("h-1", "h-2"):
+                quotas.on_usage(name, {"o": 0}, NOW)
+                quotas.on_usage(name, {"o": 5}, NOW + 0.1)
+        for step in range(3):
+            asked.decision("o", NOW + 0.1 + silence_s * step / 3)
+        now = NOW + 0.1 + silence_s
+        decision = asked.decision("o", now)
+        self.assertEqual(asked.admission_chance("o", now), 1.0)
+        self.assertEqual(admit_all(asked, now), admit_all(unasked, now))
+        available = decision.tokens - decision.extrapolated
+        self.assertEqual(int(available), asked.admitted)
+        self.assertEqual(asked.admission_chance("o", now), 0.0)
+
     def test_lower_limit_takes_effect_at_once(self):
         quotas = make_quotas(org(400.0, 400.0))
         quotas.set_limits([org(4.0, 4.0)], NOW)
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -499,6 +499,23 @@
         self.assertIn(cause, trace.stdout)
         self.assertIn("attempt at i-0", trace.stdout)
 
+    def test_command_tells_where_a_request_would_go(self):
+        """Guards against a preview that is sent, or that the relay port refuses."""
+        self.serve()
+        address = f"127.0.0.1:{max(self.ports[3:])}"
+        command = [sys.executable, "-m", "dogwoodtack.cmdline", "place", address]
+        result = subprocess.run(
+            [*command, "POST", HOST, "/book/1", "--json"],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+        )
+        self.assertEqual(result.returncode, 0, result.stderr)
+        reply = json.loads(result.stdout)
+        self.assertEqual((reply["outcome"], reply["route"]), ("placed", "r-once"))
+        self.assertEqual(reply["candidates"][0]["in_flight"], 0)
+        self.assertNotIn("event=request ", self.log.read_text())
+
     def test_metrics_count_requests(self):
         self.serve()
         self.call("GET", "/look/1")
