Keep reports of organisations' usage within a datagram

Cause: heartbeats name all organisations that a host has admitted: 2,309 B with 79, 26,255 B with 1,000 (a trial of the encoding). From about 2,400 on a heartbeat would exceed 64 kB and be lost, so that its host would count as dead. Seen on reading, not on a deployment. Change: a report carries totals of at most 32 kB, of the organisations with most requests, and relays only what else fits.

--- a/dogwoodtack/fleet/tests/test_usage_exchange.py
+++ b/dogwoodtack/fleet/tests/test_usage_exchange.py
@@ -9,9 +9,9 @@
 
 from dogwoodtack.fairness import UsageLedger
 from dogwoodtack.fleet.reach import FleetReach
-from dogwoodtack.fleet.records import UsageReport
+from dogwoodtack.fleet.records import UsageReport, encode_message
 from dogwoodtack.fleet.tests.test_crash_reports import Network
-from dogwoodtack.fleet.tests.test_peers import make_host
+from dogwoodtack.fleet.tests.test_peers import make_heartbeat, make_host
 from dogwoodtack.fleet.usage_exchange import UsageExchange
 from dogwoodtack.quotas import Quotas
 from dogwoodtack.quotas.tests.replay import bound, most_in_window
@@ -51,6 +51,18 @@
         self.assertEqual(exchange.changes(NOW).totals, (("o", 2, 0),))
         self.assertEqual(exchange.changes(NOW).totals, ())
 
+    @params("report", "changes", "zone_report")
+    def test_report_fits_into_a_datagram(self, kind):
+        """A heartbeat of thousands of organisations was lost, and its host was dead."""
+        exchange, quotas, _ = make_exchange("1", ())
+        for number in range(5000):
+            quotas.try_admit(f"organisation {number:05}", NOW)
+        quotas.try_admit("organisation 04999", NOW)
+        usage = getattr(exchange, kind)(NOW)
+        heartbeat = make_heartbeat(make_host("h-1"))._replace(usage=usage)
+        self.assertLess(len(encode_message(heartbeat)), 48_000)
+        self.assertEqual(usage.totals[0], ("organisation 04999", 2, 0))
+
     def test_admissions_and_work_reach_another_zone_once(self):
         """Two paths lead from a host to another zone, and reports are repeated."""
         sender, quotas, ledger = make_exchange("1")
--- a/dogwoodtack/fleet/usage_exchange.py
+++ b/dogwoodtack/fleet/usage_exchange.py
@@ -1,5 +1,6 @@
 """What this host and others report of organisations' requests and work."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from ..fairness import UsageLedger
@@ -13,6 +14,11 @@
 WANTED_TTL_S = 3.0
 # Only what was heard as recently is passed on: a host that has ended must turn silent.
 MAX_RELAY_AGE_S = 0.6
+# A datagram holds 64 kB.  A heartbeat that is longer is lost, and its sender would
+# count as dead.  What else it carries takes less than half.
+MAX_USAGE_BYTES = 32_768
+# Numbers and separators of a row.
+ROW_BYTES = 40
 
 
 class _Latest(NamedTuple):
@@ -77,6 +83,8 @@
         ]
 
     def _report(self, totals: list[OrganisationTotal]) -> UsageReport:
+        """Return a report of totals, of the largest ones if there are too many."""
+        totals = _fitting(totals, MAX_USAGE_BYTES)
         if not totals and not self._quotas.has_limits:
             return UsageReport()
         return UsageReport(self._run, tuple(totals))
@@ -109,10 +117,13 @@
             # What a host that never served may admit is little.
             if party in self._latest and self._latest[party].totals
         ]
-        relayed = [
-            RelayedUsage(party, known.run, tuple(known.totals.values()), counts)
-            for party, known, counts in self._relayable(now)
-        ]
+        relayed = []
+        left_bytes = MAX_USAGE_BYTES - _size(report.totals)
+        for party, known, counts in self._relayable(now):
+            totals = tuple(known.totals.values())
+            left_bytes -= _size(totals)
+            if left_bytes >= 0:
+                relayed.append(RelayedUsage(party, known.run, totals, counts))
         return report._replace(
             missing=tuple(one for one in missing if one.is_zone or not is_for_zones),
             relayed=tuple(
@@ -232,3 +243,23 @@
             self._work_ms[key] = total.work_ms
             work_s = total.work_ms / 1000
             self._ledger.on_total(source, total.organisation, work_s, now)
+
+
+def _size(totals: Iterable[OrganisationTotal]) -> int:
+    """Return about how many bytes totals take in a message."""
+    return sum(len(one.organisation.encode()) + ROW_BYTES for one in totals)
+
+
+def _fitting(
+    totals: list[OrganisationTotal], max_bytes: int
+) -> list[OrganisationTotal]:
+    """Return as many totals as fit, the organisations with most requests first."""
+    if _size(totals) <= max_bytes:
+        return totals
+    kept = []
+    for one in sorted(totals, key=lambda one: -one.admitted):
+        max_bytes -= _size([one])
+        if max_bytes < 0:
+            break
+        kept.append(one)
+    return kept
