--- a/review/support_2.py
+++ b/review/support_2.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import pathlib
 import shlex
 import signal
 import socket
@@ -14,7 +15,6 @@
 import time
 import tomllib
 from collections import Counter
-import pathlib
 
 from dogwoodtack_standins.site import StoreStandIn
 
@@ -451,8 +451,7 @@
         sock.sendall(
             f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n"
             f"{SIGNATURE}: signed-{request_id}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n".encode()
-            + body
+            f"Content-Length: {len(body)}\r\n\r\n".encode() + body
         )
         return True
 
