--- a/review/6/case.py
+++ b/review/6/case.py
@@ -31,7 +31,7 @@
 # A version is in force this long after its acknowledgement (configS), and a margin.
 CONFIG_S = 2.0
 MARGIN_S = 0.5
-REQUESTS = 60
+REQUESTS = 100
 
 
 def play(case):
@@ -64,7 +64,7 @@
 
     rng = random.Random(6)
     if case.has_trouble:
-        for one in instances[::2]:
+        for one in instances[: len(instances) // 2]:
             one.losing = lambda request_id: rng.random() < LOST_SHARE
         case.note("half of the instances lose 0.4 of their answers")
     statuses = Counter()
