--- a/review/support_2.py
+++ b/review/support_2.py
@@ -93,6 +93,7 @@
             fn: returns a list of texts, one for each time that the rule was broken.
         """
         code = 2
+        signal.signal(signal.SIGTERM, _raise_exit)
         try:
             broken = fn(self)
             for text in broken:
@@ -117,6 +118,11 @@
         os._exit(code)
 
 
+def _raise_exit(signo, frame):
+    """End the run by an exception, so that all processes are ended."""
+    raise SystemExit(f"signal {signo}")
+
+
 def free_ports(count):
     """Return free ports below the range of outgoing connections."""
     found = []
