Confirm a service's methods in dogwoodtackd whatever the method is

What callers could see: a GET request of a route that no longer lists GET as idempotent, or of a new prefix that does not, was sent to a second back end by a host that did not know the newest configuration. A GET request with a key was run there without a look at the key, so that another host could run it once more by the key.

Cause: the same as in the entry host: methods that HTTP calls safe passed without a confirmation by the store.

Evidence: five rows of frontend/tests/test_responses.py fail before (GET rows of changed methods, of a store that is not reached and of a key; a new prefix below a route).

--- a/dogwoodtack/frontend/exchange.py
+++ b/dogwoodtack/frontend/exchange.py
@@ -182,13 +182,13 @@
     def _is_idempotent_by(self, match: Match) -> bool:
         """Return whether the request may run more than once.
 
-        With a key, of a method that is not safe, it runs at most once: the host may not
-        know yet that its route no longer lists the method.
+        With a key it runs at most once, whatever its method: the host may not know yet
+        that its route no longer lists the method.
         """
-        method = self._head.method
-        if method not in match.route.idempotent_methods:
-            return False
-        return is_safe_method(method) or self._head.header(IDEMPOTENCY_KEY) is None
+        return (
+            self._head.method in match.route.idempotent_methods
+            and self._head.header(IDEMPOTENCY_KEY) is None
+        )
 
     def _is_still_idempotent(self) -> bool:
         match = self._find_match()
@@ -443,7 +443,7 @@
 
     def _check_kind(self, exc: WireError) -> None:
         """Retry a request that may have run, if the newest configuration allows it."""
-        if is_safe_method(self._head.method) or self._is_kind_confirmed:
+        if self._is_kind_confirmed:
             self._on_configuration_confirmed(exc, True)
             return
         on_done = functools.partial(self._on_configuration_confirmed, exc)
--- a/dogwoodtack/frontend/tests/test_responses.py
+++ b/dogwoodtack/frontend/tests/test_responses.py
@@ -63,15 +63,20 @@
                 peer.stream.close()
 
     @params(
-        # methods in the store, whether that is reached, whether the request has a key,
-        # runs, confirmations
-        (["GET", "POST"], True, False, 2, 1),
-        (["GET"], True, False, 1, 1),
-        (["GET", "POST"], False, False, 1, 1),
-        (["GET", "POST"], True, True, 1, 0),
+        # method, methods in the store, whether that is reached, whether the request
+        # has a key, runs, confirmations
+        ("POST", ["GET", "POST"], True, False, 2, 1),
+        ("POST", ["GET"], True, False, 1, 1),
+        ("POST", ["GET", "POST"], False, False, 1, 1),
+        ("POST", ["GET", "POST"], True, True, 1, 0),
+        ("GET", ["GET", "POST"], True, False, 2, 1),
+        ("GET", ["POST"], True, False, 1, 1),
+        ("GET", ["GET", "POST"], False, False, 1, 1),
+        # Its key was ignored here, and another host ran the request by it.
+        ("GET", ["GET", "POST"], True, True, 1, 0),
     )
     def test_request_is_not_repeated_by_methods_that_have_changed(
-        self, methods, is_reached, has_key, runs, confirmations
+        self, method, methods, is_reached, has_key, runs, confirmations
     ):
         """A host that did not know the newest configuration sent a request twice."""
         known = {"host": HOST, "prefix": "/", "timeout_ms": TIMEOUT_MS}
@@ -80,14 +85,25 @@
         harness.change_in_store = {"routes": [{**known, "idempotent_methods": methods}]}
         harness.is_store_reached = is_reached
         harness.script(Reply(b"", "close"))
-        request = POST
+        request = POST.replace(b"POST", method.encode(), 1)
         if has_key:
             key = f"Idempotency-Key: {harness.keys.prefix}abcdefgh\r\nContent"
-            request = POST.replace(b"Content", key.encode(), 1)
+            request = request.replace(b"Content", key.encode(), 1)
         harness.send(request)
         self.assertEqual(len(harness.requests), runs)
         self.assertEqual(harness.confirmations, confirmations)
 
+    def test_new_prefix_below_a_route(self):
+        """A GET request was repeated by the route that its host knew above it."""
+        above = {"host": HOST, "prefix": "/", "timeout_ms": TIMEOUT_MS}
+        below = {**above, "prefix": "/racks/", "idempotent_methods": ["HEAD"]}
+        harness = self.start(backends=2, routes=[above])
+        harness.change_in_store = {"routes": [above, below]}
+        harness.script(Reply(b"", "close"))
+        peer = harness.send(GET)
+        self.assertEqual(self.outcome(peer), (502, "unknown"))
+        self.assertEqual((len(harness.requests), harness.confirmations), (1, 1))
+
     def test_methods_that_change_while_a_retry_waits(self):
         """A retry was sent by methods that had changed while it waited."""
         harness = self.start(backends=2)
