Confirm the configuration through other hosts

A storm of lost answers would cost a call of each host, up to ten a second.

Change: a host asks the zone's reader, which makes one call for all that ask (/confirmation on the relay port; hosts of earlier builds answer 404). If that or the own path to the store fails or is slow, the next way is tried beside it: the store, a peer, a host of another zone. What a peer has read is confirmed and its newer configuration put in force before the request goes on. Contact with the store, by the host or its zone, ends the time without reads. The readers' own reads stay bounded to ten a second with a back-off.

--- a/dogwoodtack/confirmation.py
+++ b/dogwoodtack/confirmation.py
@@ -32,11 +32,18 @@
         reactor: event loop and clock.
         read: reads the newest configuration, puts it in force, and calls its argument
             with whether it has.
+        max_backoff_s: longest time in seconds without a read after some that failed.
     """
 
-    def __init__(self, reactor: Reactor, read: Callable[[OnConfirmed], None]) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        read: Callable[[OnConfirmed], None],
+        max_backoff_s: float = MAX_BACKOFF_S,
+    ) -> None:
         self._reactor = reactor
         self._read = read
+        self._max_backoff_s = max_backoff_s
         self._waiting: list[OnConfirmed] = []
         self._began_at = -math.inf
         self._interval_s = MIN_INTERVAL_S
@@ -55,6 +62,10 @@
         if len(self._waiting) == 1:
             self._reactor.call_later(wait_s, self._begin)
 
+    def end_backoff(self) -> None:
+        """Read at once again, as the source has answered something else."""
+        self._interval_s = MIN_INTERVAL_S
+
     def _begin(self) -> None:
         self._began_at = self._reactor.clock.monotonic()
         waiting, self._waiting = self._waiting, []
@@ -70,7 +81,7 @@
             self._interval_s = MIN_INTERVAL_S
         elif waiting:
             backoff_s = max(FIRST_BACKOFF_S, 2.0 * self._interval_s)
-            self._interval_s = min(MAX_BACKOFF_S, backoff_s)
+            self._interval_s = min(self._max_backoff_s, backoff_s)
             self._limited_log.warn("configuration-unconfirmed", requests=len(waiting))
         # Each on its own, as one may raise.
         for on_done in waiting:
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -1,5 +1,6 @@
 """One entry host on the users' platform: all components on one event loop."""
 
+import functools
 import json
 import os
 import random
@@ -16,7 +17,15 @@
 from ..clock import SystemClock
 from ..errors import SettingsError
 from ..fairness import fair_services
-from ..feed import Feed, FeedCallbacks, RelayClient, Source, handle_relay_request
+from ..feed import (
+    Feed,
+    FeedCallbacks,
+    RelayClient,
+    Source,
+    encode_confirmation,
+    handle_relay_request,
+    version_to_confirm,
+)
 from ..fleet import Fleet, Heartbeat, HostRecord, PeerTable
 from ..logs import LineSink, log_event
 from ..misc import Address
@@ -50,7 +59,7 @@
 from .rate_limiter import RateLimiter
 from .recent_ids import RecentIds
 from .request_log import RequestLog
-from .responder import Responder, SimpleResponse
+from .responder import DeferredResponse, Responder, SimpleResponse
 from .settings import EntrySettings
 from .wire import AddressQuery, DirectoryQuery, HeaderNames, ReadinessQuery
 
@@ -399,7 +408,9 @@
         ttl_s = min(ADDRESS_TTL_S, self.settings.bounds.max_answer_ttl_s)
         return SimpleResponse(200, self._adapter.encode_addresses(addresses, ttl_s))
 
-    def _handle_peer_request(self, method: str, target: str) -> SimpleResponse | None:
+    def _handle_peer_request(
+        self, method: str, target: str
+    ) -> SimpleResponse | DeferredResponse | None:
         if target == "/metrics":
             return SimpleResponse(
                 200, self.request_log.render(self._state_gauges()), "text/plain"
@@ -407,6 +418,9 @@
         if target.split("?", 1)[0] == PREVIEW_PATH:
             return self._preview_response(method, target)
         try:
+            version = version_to_confirm(target)
+            if version is not None:
+                return DeferredResponse(functools.partial(self._confirm_for, version))
             body = handle_relay_request(
                 target,
                 self.registry,
@@ -419,6 +433,20 @@
             return SimpleResponse(400)
         return None if body is None else SimpleResponse(200, body)
 
+    def _confirm_for(
+        self, version: int, respond: Callable[[SimpleResponse], None]
+    ) -> None:
+        """Respond to a peer that asks whether it has the newest configuration."""
+
+        def on_done(is_confirmed: bool) -> None:
+            if is_confirmed:
+                body = encode_confirmation(self.feed.configuration, version)
+                respond(SimpleResponse(200, body))
+            else:
+                respond(SimpleResponse(503))
+
+        self.feed.confirm_at_store(on_done)
+
     def _preview_response(self, method: str, target: str) -> SimpleResponse:
         """Return where a request that the query describes would go now."""
         if method != "GET":
--- a/dogwoodtack/entry/responder.py
+++ b/dogwoodtack/entry/responder.py
@@ -1,5 +1,6 @@
-"""A server for small requests that are handled synchronously from memory."""
+"""A server for small requests, most of which are handled at once from memory."""
 
+import functools
 import socket
 from collections.abc import Callable
 from typing import NamedTuple
@@ -9,7 +10,7 @@
 from ..misc import Address
 from ..reactor import Listener, Reactor
 
-__all__ = ["Responder", "SimpleResponse"]
+__all__ = ["DeferredResponse", "Responder", "SimpleResponse"]
 
 # Clients of these ports send small heads and reuse their connections.
 HEAD_TIMEOUT_S = 5.0
@@ -26,7 +27,17 @@
     content_type: str = "application/json"
 
 
-RequestHandler = Callable[[str, str], SimpleResponse | None]
+class DeferredResponse(NamedTuple):
+    """A response that is not there yet.
+
+    Attributes:
+        begin: starts what it needs and calls its argument once with the response.
+    """
+
+    begin: Callable[[Callable[[SimpleResponse], None]], None]
+
+
+RequestHandler = Callable[[str, str], SimpleResponse | DeferredResponse | None]
 
 
 class Responder:
@@ -84,7 +95,14 @@
         """Send the handler's response."""
         head = self._request_heads.pop(conn)
         response = self._handle(head.method, head.target) or SimpleResponse(NOT_FOUND)
-        self._send(conn, response)
+        if isinstance(response, DeferredResponse):
+            response.begin(functools.partial(self._send_later, conn))
+        else:
+            self._send(conn, response)
+
+    def _send_later(self, conn: ServerConn, response: SimpleResponse) -> None:
+        if conn in self._conns:
+            self._send(conn, response)
 
     def on_request_error(self, conn: ServerConn, kind: ErrorKind, detail: str) -> None:
         """Reject a malformed request."""
--- a/dogwoodtack/feed/__init__.py
+++ b/dogwoodtack/feed/__init__.py
@@ -1,7 +1,13 @@
 """Feed of instances and configuration from the store or through a peer."""
 
 from .feed import Feed, FeedCallbacks
-from .relay import RelayClient, RelayedState, handle_relay_request
+from .relay import (
+    RelayClient,
+    RelayedState,
+    encode_confirmation,
+    handle_relay_request,
+    version_to_confirm,
+)
 from .updates import (
     ConfigurationUpdate,
     InstanceUpdates,
@@ -26,5 +32,7 @@
     "RelayClient",
     "RelayedState",
     "Source",
+    "encode_confirmation",
     "handle_relay_request",
+    "version_to_confirm",
 ]
--- a/dogwoodtack/feed/feed.py
+++ b/dogwoodtack/feed/feed.py
@@ -15,6 +15,7 @@
 from ..position import START_POSITION, StorePosition
 from ..reactor import Reactor
 from ..routing import Configuration
+from .alternatives import StaggeredAttempts, Way
 from .call_loop import CallLoop
 from .relay import RelayClient, RelayedState
 from .updates import ConfigurationUpdate, InstanceUpdates, Source
@@ -56,6 +57,9 @@
 # The store may have been away if no host of the zone has heard from it for so long. A
 # host that takes over for one that has lost its path hears from it sooner.
 MAX_CONTACT_GAP_S = MAX_STORE_AGE_S + FOLLOW_CHECK_S + 0.25
+# Requests that wait for a confirmation are told after this time that there is none, and
+# the next ones at once; other hosts may reach the store again sooner than this one.
+MAX_CONFIRMATION_BACKOFF_S = 1.0
 # Consecutive failed calls after which the store counts as lost.
 LOST_AFTER_FAILURES = 2
 
@@ -122,7 +126,11 @@
         self._has_begun = False
         self._instances_loop = CallLoop(reactor, self._sync_instances)
         self._configuration_loop = CallLoop(reactor, self._sync_configuration)
-        self._confirmer = ConfigurationConfirmer(reactor, self._read_newest)
+        # Reads for requests here, and reads of the store for all hosts that ask.
+        self._confirmer = ConfigurationConfirmer(
+            reactor, self._confirm_anywhere, MAX_CONFIRMATION_BACKOFF_S
+        )
+        self._store_confirmer = ConfigurationConfirmer(reactor, self._read_newest)
         # A read from a peer is under way at most until then.
         self._pull_ends_by = -math.inf
         # Calls that showed no usable configuration while none was known.
@@ -441,6 +449,38 @@
         """
         self._confirmer.confirm(on_done)
 
+    def confirm_at_store(self, on_done: OnConfirmed) -> None:
+        """Do the same by a read of the store from here, for a request of any host.
+
+        Args:
+            on_done: called with whether it is known.
+        """
+        self._store_confirmer.confirm(on_done)
+
+    def _confirm_anywhere(self, on_done: OnConfirmed) -> None:
+        StaggeredAttempts(self._reactor, self._ways_to_confirm(), on_done).begin_next()
+
+    def _ways_to_confirm(self) -> list[Way]:
+        """Return how to learn the newest configuration, the cheapest way first.
+
+        The zone's reader makes one call to the store for all hosts that ask it.  Where
+        that or the own path to the store fails, other hosts may still reach it.
+        """
+        now = self._reactor.clock.monotonic()
+        addresses = self._peer_table.confirming_addresses(now, self._rng)
+        ways: list[Way] = [
+            functools.partial(self._confirm_through, address) for address in addresses
+        ]
+        ways.insert(1 if self._follows_peer() else 0, self.confirm_at_store)
+        return ways
+
+    def _confirm_through(self, address: Address, on_done: OnConfirmed) -> None:
+        def on_reply(is_confirmed: bool, configuration: Configuration | None) -> None:
+            self._apply_configuration(configuration)
+            on_done(is_confirmed)
+
+        self._relay_client.confirm(address, self.version, on_reply)
+
     def _read_newest(self, on_done: OnConfirmed) -> None:
         def on_update(
             update: ConfigurationUpdate | None, exc: StoreError | None
@@ -631,6 +671,7 @@
                 # This host has started in the meantime.
                 self._recovering_until = now + RECOVERY_GRACE_S
         self._failures = 0
+        self._store_confirmer.end_backoff()
         self._store_seen_at = now
         self._observe_contact(now)
 
@@ -642,6 +683,7 @@
         """
         if at <= self._zone_contact_at:
             return
+        self._confirmer.end_backoff()
         gap_s = at - self._zone_contact_at
         self._zone_contact_at = at
         max_gap_s = MAX_CONTACT_GAP_S
--- a/dogwoodtack/feed/relay.py
+++ b/dogwoodtack/feed/relay.py
@@ -29,11 +29,19 @@
     WeightedService,
 )
 
-__all__ = ["RelayClient", "RelayedState", "handle_relay_request"]
+__all__ = [
+    "RelayClient",
+    "RelayedState",
+    "encode_confirmation",
+    "handle_relay_request",
+    "version_to_confirm",
+]
 
 # A peer in the same zone responds in milliseconds.
 RELAY_TIMEOUT_S = 0.5
 STATE_PATH = "/state"
+CONFIRMATION_PATH = "/confirmation"
+HTTP_OK = 200
 # Members of a route that hosts of earlier builds read.
 ROUTE_MEMBERS = 9
 # Kinds of routes that those know, and the index of the kind among the members.
@@ -113,6 +121,63 @@
         call = Call(address, "GET", target, None, RELAY_TIMEOUT_S)
         self._client.call(call, on_reply)
 
+    def confirm(
+        self,
+        address: Address,
+        version: int,
+        on_done: Callable[[bool, Configuration | None], None],
+    ) -> None:
+        """Let a peer read the newest configuration from the store.
+
+        Args:
+            address: the peer's relay address.
+            version: version of the configuration known here; 0 for none.
+            on_done: called with whether the peer has read it after this call, and with
+                the configuration if it is newer.
+        """
+
+        def on_reply(reply: Reply | None, exc: WireError | None) -> None:
+            # Hosts of earlier builds don't know the path.
+            if reply is None or reply.status != HTTP_OK:
+                on_done(False, None)
+                return
+            try:
+                configuration, partial_version = _decode_newer(reply.body)
+            except DECODE_ERRORS as error:
+                log_event("relay-unusable", level="WARNING", error=repr(error))
+                on_done(False, None)
+                return
+            on_done(not partial_version, configuration)
+
+        target = f"{CONFIRMATION_PATH}?{urlencode({'version': version})}"
+        call = Call(address, "GET", target, None, RELAY_TIMEOUT_S)
+        self._client.call(call, on_reply)
+
+
+def version_to_confirm(target: str) -> int | None:
+    """Return the version that a peer has which asks for a confirmation.
+
+    Returns:
+        None for another request.
+
+    Raises:
+        ValueError: the version is not a number.
+    """
+    parts = urlsplit(target)
+    if parts.path != CONFIRMATION_PATH:
+        return None
+    return int(parse_qs(parts.query).get("version", ["0"])[0])
+
+
+def encode_confirmation(configuration: Configuration | None, version: int) -> bytes:
+    """Return the response body to a peer that asks for a confirmation.
+
+    Args:
+        configuration: the one that the store has just shown to be the newest.
+        version: the version that the peer has.
+    """
+    return _to_json(_encode_newer(configuration, version))
+
 
 def handle_relay_request(
     target: str,
@@ -139,7 +204,6 @@
     query = {name: values[0] for name, values in parse_qs(parts.query).items()}
     position = decode_position({"revision": 0, **query})
     version = int(query.get("version", 0))
-    has_newer = configuration is not None and configuration.version > version
     # This host may not know which instances were removed before its first snapshot.
     is_snapshot = position < registry.snapshot_position
     changes = registry.changes_since(START_POSITION if is_snapshot else position)
@@ -150,14 +214,26 @@
         **registry.position._asdict(),
         "whole": is_snapshot,
         "complete": is_synced,
-        "configuration": _encode_configuration(configuration) if has_newer else None,
         "recovery": round(recovery_left_s, 3),
+        **_encode_newer(configuration, version),
     }
-    if has_newer:
-        fields |= _encode_additions(configuration)
+    return _to_json(fields)
+
+
+def _to_json(fields: dict[str, Any]) -> bytes:
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
+def _encode_newer(configuration: Configuration | None, version: int) -> dict[str, Any]:
+    """Return the fields of a configuration if it is newer than a version."""
+    if configuration is None or configuration.version <= version:
+        return {"configuration": None}
+    return {
+        "configuration": _encode_configuration(configuration),
+        **_encode_additions(configuration),
+    }
+
+
 def _encode_change(change: InstanceChange) -> list[Any]:
     instance = change.instance
     fields = (
--- a/dogwoodtack/feed/tests/test_feed.py
+++ b/dogwoodtack/feed/tests/test_feed.py
@@ -384,6 +384,22 @@
         state = decode_state(fields)
         self.world.reactor.call_later(delay_s, on_done, state)
 
+    def confirm(self, address, version, on_done):
+        """Stand in for the relay client: let that host read the store."""
+        peer = next(
+            host for host in self.world.hosts if host.record.relay_address == address
+        )
+        if self.world.rng.random() < self.source.fault_level / 2:
+            self.world.reactor.call_later(0.5, on_done, False, None)
+            return
+
+        def respond(is_confirmed):
+            newest = peer.feed.configuration
+            is_newer = newest is not None and newest.version > version
+            on_done(is_confirmed, newest if is_confirmed and is_newer else None)
+
+        peer.feed.confirm_at_store(respond)
+
 
 class World:
     """A store, two hosts, and changes by operators and instances."""
@@ -841,6 +857,85 @@
             self.assertEqual(host.regressions, [])
 
 
+class ConfirmationTest(unittest.TestCase):
+    def confirm_often(self, world, calls, span_s):
+        """Let hosts ask now and then; return versions acknowledged and then known."""
+        results = []
+
+        def ask(host):
+            acknowledged, asked_at = world.store.state.version, world.reactor.clock.now
+
+            def on_done(is_confirmed):
+                waited_s = world.reactor.clock.now - asked_at
+                version = host.feed.version
+                results.append((host, is_confirmed, acknowledged, version, waited_s))
+
+            host.feed.confirm_configuration(on_done)
+
+        for _ in range(calls):
+            delay_s = world.rng.random() * span_s
+            world.reactor.call_later(delay_s, ask, world.rng.choice(world.hosts))
+        return results
+
+    @params("none", "faults", "cut", "away")
+    def test_confirmed_host_knows_what_was_acknowledged_before(self, fault):
+        """A host that had not heard of the newest version repeated by an older one."""
+        for seed in range(40):
+            world = World(seed, hosts=3)
+            world.run(3.0)
+            for host in world.hosts:
+                host.source.fault_level = 0.4 if fault == "faults" else 0.0
+            if fault == "cut":
+                for host in world.rng.sample(world.hosts, world.rng.choice((1, 2))):
+                    host.source.cut(world.rng.choice(("refused", "silent")))
+            world.store.is_away = fault == "away"
+            for _ in range(20):
+                if fault != "away":
+                    world.reactor.call_later(
+                        world.rng.random() * 8.0, world.store.configure
+                    )
+            results = self.confirm_often(world, 60, 8.0)
+            world.run(10.0)
+            with self.subTest(seed=seed):
+                self.assertEqual(len(results), 60)
+                for host, is_confirmed, acknowledged, version, waited_s in results:
+                    self.assertLessEqual(waited_s, 0.52)
+                    if is_confirmed:
+                        self.assertGreaterEqual(version, acknowledged)
+                confirmed = [one for one in results if one[1]]
+                self.assertEqual(bool(confirmed), fault != "away")
+                if fault == "none":
+                    self.assertEqual(len(confirmed), 60)
+                for host in world.hosts:
+                    self.assertEqual(host.regressions, [])
+
+    @params("refused", "silent")
+    def test_hosts_that_are_cut_off_ask_others(self, how):
+        """A look-up was given up though a neighbour could read the store."""
+        world = World(3, hosts=3)
+        world.run(3.0)
+        for host in world.hosts[1:]:
+            host.source.cut(how)
+        world.run(3.0)
+        results = self.confirm_often(world, 90, 8.0)
+        world.run(10.0)
+        confirmed = [one for one in results if one[1]]
+        self.assertGreaterEqual(len(confirmed), 85)
+
+    def test_confirmations_go_on_soon_after_an_outage(self):
+        """They were given up for 8 s after the store was back."""
+        world = World(5, hosts=3)
+        world.run(3.0)
+        world.store.is_away = True
+        self.confirm_often(world, 200, 10.0)
+        world.run(10.0)
+        world.store.is_away = False
+        world.run(2.0)
+        results = self.confirm_often(world, 30, 1.0)
+        world.run(2.0)
+        self.assertEqual([one[1] for one in results], [True] * 30)
+
+
 class EarlierBuildTest(unittest.TestCase):
     """A follower whose peer passes on no additions of the configuration."""
 
--- a/dogwoodtack/feed/tests/test_relay.py
+++ b/dogwoodtack/feed/tests/test_relay.py
@@ -8,7 +8,12 @@
 from nose2.tools import params
 
 from dogwoodtack.calls import Reply
-from dogwoodtack.feed import RelayClient, handle_relay_request
+from dogwoodtack.feed import (
+    RelayClient,
+    encode_confirmation,
+    handle_relay_request,
+    version_to_confirm,
+)
 from dogwoodtack.feed.relay import decode_state
 from dogwoodtack.misc import Address
 from dogwoodtack.placement import EntryVersion, InstanceChange, InstanceRegistry
@@ -39,6 +44,52 @@
     return handle_relay_request(target, make_registry(), CONFIGURATION, is_synced, 1.5)
 
 
+class ConfirmationTest(unittest.TestCase):
+    @params(
+        # status, version known to the host, whether the peer's build is an earlier one;
+        # whether it is confirmed, whether a configuration comes with it
+        (200, 0, False, True, True),
+        (200, CONFIGURATION.version, False, True, False),
+        (200, CONFIGURATION.version + 1, False, True, False),
+        (200, 0, True, False, False),
+        (503, 0, False, False, False),
+        (404, 0, False, False, False),
+    )
+    def test_reply_of_a_peer(self, status, version, is_earlier, confirmed, has_newer):
+        fields = json.loads(encode_confirmation(CONFIGURATION, version))
+        if is_earlier:
+            fields.pop("kinds")
+        client = mock.Mock()
+        results = []
+        relay_client = RelayClient(client)
+        address = Address("10.0.0.1", 3)
+        relay_client.confirm(address, version, lambda *args: results.append(args))
+        call, on_reply = client.call.call_args.args
+        self.assertEqual(version_to_confirm(call.target), version)
+        on_reply(Reply(status, [], fields), None)
+        [(is_confirmed, configuration)] = results
+        self.assertEqual(is_confirmed, confirmed)
+        self.assertEqual(configuration, CONFIGURATION if has_newer else None)
+
+    @params(None, [], {}, {"configuration": 1}, {"configuration": [1]}, "x")
+    def test_unusable_reply_confirms_nothing(self, body):
+        client = mock.Mock()
+        results = []
+        RelayClient(client).confirm(
+            Address("10.0.0.1", 3), 1, lambda *args: results.append(args)
+        )
+        client.call.call_args.args[1](Reply(200, [], body), None)
+        self.assertEqual(results, [(False, None)])
+
+    @params(("/state?version=3", None), ("/confirmation", 0), ("/confirmation/", None))
+    def test_other_requests_ask_for_none(self, target, expected):
+        self.assertEqual(version_to_confirm(target), expected)
+
+    def test_version_that_is_no_number(self):
+        with self.assertRaises(ValueError):
+            version_to_confirm("/confirmation?version=x")
+
+
 class RelayTest(unittest.TestCase):
     @params((2, 0, 3), (2, 2, 2), (2, 3, 2), (2, 4, 1), (1, 9, 3))
     def test_follower_reads_missing_changes(self, era, revision, count):
--- a/dogwoodtack/fleet/peers.py
+++ b/dogwoodtack/fleet/peers.py
@@ -3,8 +3,10 @@
 import functools
 import hashlib
 import math
+import random
 from typing import NamedTuple
 
+from ..misc import Address
 from .reach import FleetReach
 from .records import Heartbeat, HostRecord, ServingHost, ZoneHosts
 
@@ -241,6 +243,26 @@
             return None
         return min(ahead, key=lambda peer: _rank(peer.heartbeat.host))
 
+    def confirming_addresses(self, now: float, rng: random.Random) -> list[Address]:
+        """Return relay addresses of a few hosts that may reach the store.
+
+        The first is that of the zone's reader if another host is that.  One is in
+        another zone, and the last choice: its answer costs bytes between zones.
+
+        Args:
+            now: seconds on the monotonic clock.
+            rng: chooses the host of the other zone.
+        """
+        zone = self.local_host.zone
+        live = self.live_peers(now)
+        fresh = [peer for peer in live if peer.store_age_s(now) <= MAX_STORE_AGE_S]
+        nearby = sorted((peer.heartbeat.host for peer in fresh or live), key=_rank)
+        elsewhere = [host for host in self._known.values() if host.zone != zone]
+        hosts = nearby[:1]
+        if elsewhere:
+            hosts.append(rng.choice(elsewhere))
+        return [host.relay_address for host in hosts]
+
     def rank_among_known(self) -> int:
         """Return how many of the zone's known hosts rank higher, alive or not."""
         zone = self.local_host.zone
--- a/dogwoodtack/fleet/tests/test_peers.py
+++ b/dogwoodtack/fleet/tests/test_peers.py
@@ -1,5 +1,6 @@
 """Tests of which hosts are alive, serve, and read the store."""
 
+import random
 import unittest
 
 from nose2.tools import params
@@ -32,6 +33,55 @@
     return peer_table
 
 
+class ConfirmingTest(unittest.TestCase):
+    @params(
+        # peers of the zone with the age of their store data, zones of others; zones of
+        # the hosts that are asked
+        ([], [], []),
+        ([0.1, 0.1], [], ["a"]),
+        ([9.0, 0.1], [], ["a"]),
+        # Cut off too, as far as is known: it may have just lost its reader.
+        ([9.0, 9.0], ["b"], ["a", "b"]),
+        ([], ["b", "c"], ["b or c"]),
+        ([0.1], ["b", "b"], ["a", "b"]),
+    )
+    def test_hosts_that_are_asked(self, ages_s, other_zones, expected):
+        peer_table = PeerTable(make_host("h-0"))
+        fresh = set()
+        zones = {}
+        for number, age_s in enumerate(ages_s, 1):
+            host = make_host(f"h-{number}")
+            zones[host.relay_address] = "a"
+            if age_s < 1.0:
+                fresh.add(host.relay_address)
+            peer_table.on_heartbeat(make_heartbeat(host, age_s=age_s), 100.0)
+        for number, zone in enumerate(other_zones, 50):
+            host = make_host(f"h-{number}", zone)
+            zones[host.relay_address] = zone
+            peer_table.add_record(host)
+        for seed in range(5):
+            found = peer_table.confirming_addresses(100.0, random.Random(seed))
+            self.assertEqual(len(found), len(expected))
+            for address, zone in zip(found, expected, strict=True):
+                self.assertIn(zones[address], zone)
+            if fresh:
+                self.assertIn(found[0], fresh)
+
+    def test_all_followers_ask_the_reader(self):
+        hosts = [make_host(f"h-{n}") for n in range(6)]
+        asked = set()
+        for local_host in hosts:
+            peer_table = PeerTable(local_host)
+            for host in hosts:
+                peer_table.on_heartbeat(make_heartbeat(host), 100.0)
+            reader = peer_table.store_reader(100.0)
+            if reader is not None:
+                [first] = peer_table.confirming_addresses(100.0, random.Random(1))
+                self.assertEqual(first, reader.heartbeat.host.relay_address)
+                asked.add(first)
+        self.assertEqual(len(asked), 1)
+
+
 class ServingTest(unittest.TestCase):
     @params(
         # capacities of the zone's hosts, slots of its instances, serving hosts
--- a/soak/once.py
+++ b/soak/once.py
@@ -85,7 +85,7 @@
         request_id = uuid.UUID(int=rng.getrandbits(128)).hex[:16]
         request_id = f"{self._soak.prefix}{request_id[4:]}"
         prefix = "/book/" if is_post else rng.choice(("/look/", "/docs/"))
-        if is_post and self._soak.changes_kinds and rng.random() < 0.4:
+        if self._soak.changes_kinds and rng.random() < 0.4:
             prefix = rng.choice(self._soak.changing_prefixes())
         head, body = self._request(is_post, prefix, request_id)
         leaves_after_s = rng.choice((0.05, 0.3)) if rng.random() < 0.1 else None
--- a/tests/test_outdated_kind.py
+++ b/tests/test_outdated_kind.py
@@ -1,20 +1,25 @@
 """Routes whose requests may run once at most, by a configuration new to the host."""
 
+import http.client
 import signal
 import threading
 import time
+import unittest
 from collections import Counter
 
 from nose2.tools import params
 
 from dogwoodtack.entry.explain import explain_request
 from soak.proxy import Fault, FaultProxy
+from soak.site import HOST, Site
 from tests.test_entry_host import EntryHostTest, configuration
 
 REQUESTS = 6
 PAUSE_S = 0.5
 # Longer than the time after which a request without a response is hedged.
 SLOW_S = 1.2
+# Until hosts have heard of each other, also of those in other zones.
+INTRODUCTION_S = 2.5
 # A request gets its response soon after the store has not answered in time.
 PROMPT_S = 1.5
 
@@ -184,3 +189,61 @@
                 if arrival.request_id == request_id
             ),
         )
+
+
+class SeveralHostsTest(unittest.TestCase):
+    """A host that is cut from the store learns the newest kind from others."""
+
+    def start_site(self, zones):
+        self.site = Site(len(zones), 2, zones=zones, instance_zones=zones)
+        self.addCleanup(self.site.close)
+        self.site.wait_ready()
+        time.sleep(INTRODUCTION_S)
+
+    def send(self, target, request_id):
+        host = self.site.hosts[0]
+        conn = http.client.HTTPConnection("127.0.0.1", host.port, 5.0)
+        self.addCleanup(conn.close)
+        headers = {
+            "Host": HOST,
+            "X-Dogwoodtack-Request-Id": request_id,
+            "X-Dogwoodtack-Deadline-Ms": "4000",
+        }
+        conn.request("GET", target, headers=headers)
+        answer = conn.getresponse()
+        answer.read()
+        return answer.status
+
+    def runs(self):
+        return Counter(
+            run.request_id for one in self.site.instances for run in one.backend.ran
+        )
+
+    @params(
+        # zones of the hosts, fault of the first one's path, whether the kind changes
+        (("zone-a", "zone-b"), Fault.SILENCED, False),
+        (("zone-a", "zone-b"), Fault.SILENCED, True),
+        (("zone-a", "zone-a"), Fault.RESET, False),
+        (("zone-a", "zone-a"), Fault.RESET, True),
+    )
+    def test_look_up_at_a_host_that_is_cut_from_the_store(
+        self, zones, fault, is_changed
+    ):
+        """It ran twice by an outdated kind, or was given up beside a sound host."""
+        self.start_site(zones)
+        self.site.store_proxies[0].fault = fault
+        if is_changed:
+            self.site.store.put("config", "main", spec=turned(9, "prefix"))
+        first, second = (one.backend for one in self.site.instances)
+        first.behaviour, second.behaviour = "cut", "error" if is_changed else "ok"
+        statuses = [
+            self.send(f"/look/b/{number}", f"{number:016x}")
+            for number in range(REQUESTS)
+        ]
+        log = self.site.hosts[0].log_text()[-3000:]
+        if is_changed:
+            self.assertEqual(max(self.runs().values()), 1, log)
+            self.assertLessEqual(set(statuses), {500, 502}, log)
+        else:
+            self.assertEqual(max(self.runs().values()), 2, log)
+            self.assertEqual(set(statuses), {200}, log)
