--- a/dogwoodtack/confirmation.py
+++ b/dogwoodtack/confirmation.py
@@ -62,6 +62,11 @@
         if len(self._waiting) == 1:
             self._reactor.call_later(wait_s, self._begin)
 
+    @property
+    def is_failing(self) -> bool:
+        """Return whether the last read has failed, as far as nothing else is known."""
+        return self._interval_s > MIN_INTERVAL_S
+
     def end_backoff(self) -> None:
         """Read at once again, as the source has answered something else."""
         self._interval_s = MIN_INTERVAL_S
--- a/dogwoodtack/tests/test_confirmation.py
+++ b/dogwoodtack/tests/test_confirmation.py
@@ -105,3 +105,34 @@
         self.reads[1](True)
         self.loop.run_for(0.0)
         self.assertEqual(self.results[1:], [("b", True)])
+
+    def test_back_off_ends_when_the_store_is_heard_of(self):
+        """Look-ups were not repeated for 8 s after the store was back."""
+        for _ in range(3):
+            self.confirm("a")
+            self.loop.run_for(0.01)
+            self.reads[-1](False)
+            self.loop.run_for(MAX_BACKOFF_S)
+        self.confirm("a")
+        self.loop.run_for(0.01)
+        self.reads[-1](False)
+        self.loop.run_for(MIN_INTERVAL_S)
+        self.assertTrue(self.confirmer.is_failing)
+        self.confirmer.end_backoff()
+        self.assertFalse(self.confirmer.is_failing)
+        reads = len(self.reads)
+        self.confirm("b")
+        self.loop.run_for(0.01)
+        self.assertEqual(len(self.reads), reads + 1)
+        self.reads[-1](True)
+        self.loop.run_for(0.0)
+        self.assertEqual(self.results[-1], ("b", True))
+
+    def test_longest_back_off_can_be_set(self):
+        self.confirmer = ConfigurationConfirmer(self.loop, self.reads.append, 1.0)
+        for number in range(4):
+            self.confirm("a")
+            self.loop.run_for(0.01)
+            self.assertEqual(len(self.reads), number + 1)
+            self.reads[-1](False)
+            self.loop.run_for(1.0)
