Let requests at the moment of a read wait for the next one

Cause: a request that came at the moment at which a read had begun was told at once that nothing was confirmed, where the rounded sum of times exceeded the interval: the check meant for the back-off compared them alone. It was not repeated though the store answered.

Change: requests are denied a read only while reads fail.

Measured: test_requests_at_the_moment_of_a_read_wait_for_the_next failed before and passes now, with the other 10 tests of dogwoodtack/tests/test_confirmation.py.

--- a/dogwoodtack/confirmation.py
+++ b/dogwoodtack/confirmation.py
@@ -55,7 +55,7 @@
         While reads fail most callers are told at once that it is not known.
         """
         wait_s = self._began_at + self._interval_s - self._reactor.clock.monotonic()
-        if wait_s > MIN_INTERVAL_S:
+        if self.is_failing and wait_s > MIN_INTERVAL_S:
             self._reactor.call_soon(on_done, False)
             return
         self._waiting.append(on_done)
--- a/dogwoodtack/tests/test_confirmation.py
+++ b/dogwoodtack/tests/test_confirmation.py
@@ -136,3 +136,18 @@
             self.assertEqual(len(self.reads), number + 1)
             self.reads[-1](False)
             self.loop.run_for(1.0)
+
+    def test_requests_at_the_moment_of_a_read_wait_for_the_next(self):
+        """Rounding of times denied one in some of them its repeat."""
+        for number in range(200):
+            self.loop.run_for(1.0 + number / 7)
+            self.confirm("a")
+            self.loop.run_for(0.0)
+            self.confirm("b")
+            self.loop.run_for(MIN_INTERVAL_S / 2)
+            self.reads[-1](True)
+            self.loop.run_for(MIN_INTERVAL_S)
+            self.reads[-1](True)
+            self.loop.run_for(0.0)
+        self.assertEqual({result for _, result in self.results}, {True})
+        self.assertEqual(len(self.results), 400)
