End a response that drips on after its caller has left

Whether a host's memory can grow: rows for every part of a response that need not end (four new ones: a chunk's extension, extensions together, trailers, tiny chunks), for both programs. It doesn't: the entry host's 12 rows and dogwoodtackd's 12 rows pass, before this change, too.

A fault beside it: a non-idempotent request of dogwoodtackd goes on when its caller leaves, without any bound. A faulty back end that sends a few bytes of one chunked response now and then was read for ever, and its slot stayed in use. It now has what is left of the route's time limit, and at least the time of one stall; then its outcome is recorded as unknown.

--- a/dogwoodtack/frontend/exchange.py
+++ b/dogwoodtack/frontend/exchange.py
@@ -245,19 +245,32 @@
         """Cancel the request, unless it is non-idempotent and was dispatched.
 
         In that case it goes on, so that its outcome is known when the caller retries
-        with the same key. A streamed request is cancelled in any case.
+        with the same key, but not without end: a faulty back end may send one response
+        for ever. A streamed request is cancelled in any case.
         """
         if self.is_done:
             return
         self._relay.is_caller_gone = True
         dispatched = self._attempt is not None and self._attempt.bytes_sent
         if dispatched and not self._is_idempotent and not self._upload.is_streamed:
+            left_s = self._deadline - self._deps.reactor.clock.monotonic()
+            self._deps.reactor.call_later(
+                max(left_s, self._deps.stall_timeout_s), self._end_without_caller
+            )
             return
         self._cancel_pending(Unknown() if dispatched else NotRun())
         self._close(
             "caller-gone", CALLER_GONE_STATUS, Outcome.UNKNOWN, is_complete=False
         )
 
+    def _end_without_caller(self) -> None:
+        if self.is_done:
+            return
+        self._cancel_pending(Unknown())
+        self._close(
+            "caller-gone", CALLER_GONE_STATUS, Outcome.UNKNOWN, is_complete=False
+        )
+
     # Settling the key.
 
     def _settle_key(self) -> None:
--- a/dogwoodtack_standins/site.py
+++ b/dogwoodtack_standins/site.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "ENDLESS_HEADS",
+    "ENDLESS_PIECES",
     "LEAVING_HEADER",
     "RATE_LIMIT_HEADER",
     "ExecutedRequest",
@@ -44,10 +45,17 @@
     "endless-chunks": SIGNED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
     "endless-error": SIGNED_HEAD.replace(b"200 OK", b"500 Broken") + b"\r\n",
     "endless-other": SIGNED_HEAD.replace(b"REQUEST-ID", b"f" * 16) + b"\r\n",
+    "endless-extension": SIGNED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n5;",
+    "endless-trailers": SIGNED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+    "endless-small-chunks": SIGNED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+    "endless-extensions": SIGNED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
 }
 ENDLESS_PIECES = {
     "endless-head": b"X-Field: " + b"x" * 1000 + b"\r\n",
     "endless-informational": b"HTTP/1.1 103 Early Hints\r\n\r\n",
+    "endless-trailers": b"X-Field: " + b"x" * 1000 + b"\r\n",
+    "endless-small-chunks": b"1\r\nx\r\n" * 8192,
+    "endless-extensions": b"1;" + b"x" * 1000 + b"\r\nx\r\n",
     "endless-chunks": b"10000\r\n" + PIECE + b"\r\n",
 }
 FIRST_REVISION = 10
