--- a/dogwoodtack/confirmation.py
+++ b/dogwoodtack/confirmation.py
@@ -33,10 +33,6 @@
         read: reads the newest configuration, puts it in force, and calls its argument
             with whether it has.
         max_backoff_s: longest time in seconds without a read after some that failed.
-
-    Attributes:
-        confirmed_at: when the latest read began that has confirmed, in seconds of the
-            monotonic clock; what arrived before needs no read of its own.
     """
 
     def __init__(
@@ -50,7 +46,6 @@
         self._max_backoff_s = max_backoff_s
         self._waiting: list[OnConfirmed] = []
         self._began_at = -math.inf
-        self.confirmed_at = -math.inf
         self._interval_s = MIN_INTERVAL_S
         self._limited_log = LimitedLog(reactor.clock.monotonic)
 
@@ -80,18 +75,7 @@
         self._began_at = self._reactor.clock.monotonic()
         waiting, self._waiting = self._waiting, []
         timer = self._reactor.call_later(TIMEOUT_S, self._finish, waiting, None, False)
-        self._read(functools.partial(self._on_read, self._began_at, waiting, timer))
-
-    def _on_read(
-        self,
-        began_at: float,
-        waiting: list[OnConfirmed],
-        timer: Timer,
-        is_confirmed: bool,
-    ) -> None:
-        if is_confirmed:
-            self.confirmed_at = max(self.confirmed_at, began_at)
-        self._finish(waiting, timer, is_confirmed)
+        self._read(functools.partial(self._finish, waiting, timer))
 
     def _finish(
         self, waiting: list[OnConfirmed], timer: Timer | None, is_confirmed: bool
--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -136,8 +136,6 @@
             the configuration; version 0 means that none is known yet.
         confirm_configuration: calls its argument with whether the newest configuration
             is in force here.
-        configuration_confirmed_at: returns when the latest read began that has shown
-            that, in seconds of the monotonic clock.
         can_confirm: returns whether that is to be had, as far as is known.
         splitter: chooses a service by the route's traffic split.
         grace: which requests end before this host does.
@@ -165,7 +163,6 @@
     evidence: Evidence
     find_route: RouteFinder
     confirm_configuration: Callable[[Callable[[bool], None]], None]
-    configuration_confirmed_at: Callable[[], float]
     can_confirm: Callable[[], bool]
     splitter: TrafficSplitter
     grace: GracePeriod
@@ -375,8 +372,6 @@
             ),
             find_route,
             self._deps.confirm_configuration,
-            self._now(),
-            self._deps.configuration_confirmed_at,
         )
         self._service = self._deps.splitter.next_service(route)
         header_names = self._deps.header_names
@@ -760,11 +755,21 @@
     def _on_hedge_timer(self) -> None:
         """Hedge an idempotent request: send it to a second instance as well.
 
-        Spends from the retry budget only if an instance has a free slot at once.  Most
-        hedged requests would have been answered anyway, so that a hedge is worth no
-        read of the store: it takes one that has been made for another request.
+        Spends from the retry budget only if an instance has a free slot at once.
         """
-        if self._may_hedge():
+        if not self._may_hedge():
+            return
+        if self._repeats.is_certain:
+            self._hedge()
+        else:
+            [attempt] = self._in_flight
+            self._repeats.confirm(functools.partial(self._on_hedge_confirmed, attempt))
+
+    @_isolated
+    def _on_hedge_confirmed(self, attempt: Attempt, is_confirmed: bool) -> None:
+        # Without a confirmation it stays idempotent as far as is known, so that it is
+        # cancelled when its caller leaves.
+        if is_confirmed and attempt in self._in_flight and self._may_hedge():
             self._hedge()
 
     def _may_hedge(self) -> bool:
@@ -778,7 +783,7 @@
         self._repeats.update()
         now = self._now()
         if (
-            not self._repeats.is_granted
+            not self._repeats.is_idempotent
             or self._deps.quarantine.is_suspect(self._digest, now)
             or self._sent_or_in_flight() >= self._repeats.max_runs
             or now >= self._deadline - MIN_ATTEMPT_S
--- a/dogwoodtack/entry/repeats.py
+++ b/dogwoodtack/entry/repeats.py
@@ -21,9 +21,6 @@
         find_route: returns the route that the request matches now, and the version.
         confirm_configuration: calls its argument with whether the newest configuration
             is in force here.
-        arrived_at: when it arrived, in seconds of the monotonic clock.
-        confirmed_at: returns when the latest read began that has confirmed the
-            configuration, for any request of this host, by the same clock.
 
     Attributes:
         kind: kind of its route, as far as is known.
@@ -40,13 +37,9 @@
         max_runs: int,
         find_route: Callable[[], tuple[Route | None, int]],
         confirm_configuration: Callable[[Callable[[bool], None]], None],
-        arrived_at: float,
-        confirmed_at: Callable[[], float],
     ) -> None:
         self._find_route = find_route
         self._confirm_configuration = confirm_configuration
-        self._arrived_at = arrived_at
-        self._confirmed_at = confirmed_at
         self.kind = route.kind
         self.is_idempotent = route.kind.is_idempotent
         self.is_certain = False
@@ -59,10 +52,7 @@
         return self.is_idempotent and self.is_certain
 
     def update(self) -> None:
-        """Take notice of what has come to be known since the request arrived."""
-        # A read that began at the same reading of the clock may have begun before.
-        if self._confirmed_at() > self._arrived_at:
-            self.is_certain = True
+        """Take notice of a configuration that came after the request."""
         route, version = self._find_route()
         if version == self.version:
             return
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -2,7 +2,6 @@
 
 import functools
 import itertools
-import math
 import random
 import unittest
 from collections import Counter
@@ -213,13 +212,10 @@
         self.instance_addresses = {one.address for one in self.instances}
         self.crash_rate = self.rng.choice((0.0, 0.0, 0.3, 1.0))
         self.store_rate = 0.6
-        # When the store's configuration changed, in seconds of the clock.
-        self.changed_at = 0.0
         self.quarantine = Quarantine()
         self.hosts = [Host(self, number) for number in range(HOSTS)]
         self.runs = Counter()
         self.responses = {}
-        self.sent_at = {}
 
     def call_sometimes_later(self, max_delay_s, fn, *args):
         if self.rng.random() < 0.5:
@@ -256,7 +252,6 @@
 
     def send(self, number, hosts=None):
         request_id = f"{number:016x}".encode()
-        self.sent_at[request_id] = self.reactor.clock.now
         method = self.rng.choice(("GET", "POST"))
         target = self.rng.choice(("/look/", "/book/"))
         deadline_ms = self.rng.choice((500, 630, 1000, 4000))
@@ -297,7 +292,6 @@
         self.record = FakeHost(f"h-{number}", Address("127.0.0.1", 8000 + number))
         self.is_configuration_old = False
         self.confirmations = 0
-        self.confirmed_at = -math.inf
         self.paths = FakePaths(world)
         self._world = world
         clock, rng = world.reactor.clock, world.rng
@@ -329,7 +323,6 @@
             evidence=Evidence(clock, self.placer, self.paths, idle_limit),
             find_route=self.find_route,
             confirm_configuration=self.confirm_configuration,
-            configuration_confirmed_at=lambda: self.confirmed_at,
             can_confirm=lambda: True,
             splitter=TrafficSplitter(rng.random()),
             grace=self.grace,
@@ -361,9 +354,7 @@
         self.confirmations += 1
         is_reached = self._world.rng.random() < self._world.store_rate
         if is_reached:
-            now = self._world.reactor.clock.now
-            self.confirmed_at = now
-            self.is_configuration_old &= now < self._world.changed_at
+            self.is_configuration_old = False
         self._world.call_sometimes_later(0.4, on_done, is_reached)
 
     def receive(self, out, on_response, is_handed_over):
@@ -440,34 +431,6 @@
                     if target == "/book/":
                         self.assertLessEqual(world.runs[request_id], 1)
 
-    def test_confirmation_from_before_a_request_says_nothing(self):
-        """It may be older than the change of the kind."""
-        for seed in range(SEEDS):
-            world = World(seed)
-            world.changed_at = world.reactor.clock.now + SPAN_S / 2.0
-            for host in world.hosts:
-                host.is_configuration_old = True
-            world.run()
-            with self.subTest(seed=seed):
-                for (request_id, target), statuses in world.responses.items():
-                    is_sent_later = world.sent_at[request_id] > world.changed_at
-                    if target == "/book/" and is_sent_later:
-                        self.assertLessEqual(world.runs[request_id], 1)
-
-    def test_confirmation_for_another_request_is_enough(self):
-        """Each request that had failed read the store."""
-        world = World(1)
-        world.behaviours = ["error"]
-        host = world.hosts[0]
-        statuses = []
-        host.start(
-            request_head("GET", "/look/"),
-            lambda status, headers, body: statuses.append(status),
-        )
-        host.confirmed_at = world.reactor.clock.now + 0.001
-        world.reactor.run_for(2.0)
-        self.assertEqual((world.runs[b"id"], host.confirmations), (2, 0))
-
     @params("ok", "error", "cut", "silent", "shed")
     def test_body_counts_at_its_instance_while_it_is_there(self, behaviour):
         """Bodies at instances were not known, and those that held many ended."""
@@ -508,16 +471,15 @@
         self.assertEqual((world.runs[b"id"], host.confirmations), (runs, asked))
 
     @params(
-        # when a read for another request began, after the hedged one's arrival in
-        # seconds, and whether it has shown another kind; runs
-        (None, False, 1),
-        (-0.1, False, 1),
-        (0.1, False, 2),
-        (0.1, True, 1),
+        # whether the store is reached, whether the kind has changed there; runs
+        (True, False, 2),
+        (True, True, 1),
+        (False, False, 1),
     )
-    def test_hedge_of_an_idempotent_request(self, began_s, is_changed, runs):
+    def test_hedge_of_an_idempotent_request(self, is_reached, is_changed, runs):
         """A GET request was hedged by a kind that no longer held."""
         world = World(1)
+        world.store_rate = 1.0 if is_reached else 0.0
         host = world.hosts[0]
         host.is_configuration_old = is_changed
         conns = []
@@ -530,17 +492,14 @@
             on_connection(FakeConn(world, address, serve), None)
 
         host._deps.pool.acquire = acquire
+        # Confirmations come at once.
+        world.call_sometimes_later = lambda max_delay_s, fn, *args: fn(*args)
         target = "/book/" if is_changed else "/look/"
-        world.reactor.run_for(1.0)
         exchange = host.start(
             request_head("GET", target), lambda status, headers, body: None
         )
-        if began_s is not None:
-            host.confirmed_at = world.reactor.clock.now + began_s
-            host.is_configuration_old = False
         world.reactor.run_for(0.95)
-        # It asks for no read of its own.
-        self.assertEqual((world.runs[b"id"], host.confirmations), (runs, 0))
+        self.assertEqual((world.runs[b"id"], host.confirmations), (runs, 1))
         exchange.on_caller_gone()
         # Work for a caller that has left ends, unless it is known to run once at most.
         self.assertEqual(exchange.is_done, not is_changed)
@@ -668,8 +627,6 @@
 
         host._deps.pool.acquire = acquire
         host.start(request_head(method, target), lambda status, headers, body: None)
-        # Another request's read allows a hedge.
-        host.confirmed_at = world.reactor.clock.now + 0.001
         world.reactor.run_for(2.0)
         self.assertEqual(events[1::2], ["sent"] * (len(events) // 2))
         logged = events[::2]
--- a/dogwoodtack/entry/tests/test_repeats.py
+++ b/dogwoodtack/entry/tests/test_repeats.py
@@ -1,6 +1,5 @@
 """Tests of whether a request may be sent once more."""
 
-import math
 import unittest
 
 from nose2.tools import params
@@ -10,7 +9,6 @@
 
 SAFE, UNSAFE = RouteKind.SAFE, RouteKind.UNSAFE
 DOWNLOAD, UPLOAD = RouteKind.DOWNLOAD, RouteKind.UPLOAD
-ARRIVED_AT = 20.0
 
 
 def make_route(kind):
@@ -18,16 +16,6 @@
     return Route("r", "shop.example", "/", kind, services, 2.0, 0.8, 3, 0)
 
 
-def make_permission(current, confirm, confirmed_at=lambda: -math.inf):
-    """Return that of a request on the first of some routes and versions.
-
-    The last one is in force.
-    """
-    return RepeatPermission(
-        *current[0], 3, lambda: current[-1], confirm, ARRIVED_AT, confirmed_at
-    )
-
-
 class RepeatPermissionTest(unittest.TestCase):
     @params(
         # kind on arrival, kind in the store or None, whether that is reached; whether
@@ -54,7 +42,7 @@
                 current.append((new_kind and make_route(new_kind), 8))
             on_done(is_reached)
 
-        repeats = make_permission(current, confirm)
+        repeats = RepeatPermission(*current[0], 3, lambda: current[-1], confirm)
         self.assertEqual(repeats.is_idempotent, kind.is_idempotent)
         self.assertFalse(repeats.is_granted)
         done = []
@@ -68,7 +56,9 @@
 
     def test_kind_that_changes_after_its_confirmation(self):
         current = [(make_route(SAFE), 7)]
-        repeats = make_permission(current, lambda on_done: on_done(True))
+        repeats = RepeatPermission(
+            *current[0], 3, lambda: current[-1], lambda on_done: on_done(True)
+        )
         repeats.confirm(self.assertTrue)
         self.assertTrue(repeats.is_granted)
         current.append((make_route(UNSAFE), 8))
@@ -77,31 +67,8 @@
 
     @params(True, False)
     def test_newer_kind_that_is_known_counts(self, is_newer):
-        current = [(make_route(SAFE), 7)]
-        repeats = make_permission(current, self.fail)
-        current.append((make_route(UNSAFE), 8 if is_newer else 7))
+        current = (make_route(UNSAFE), 8 if is_newer else 7)
+        repeats = RepeatPermission(make_route(SAFE), 7, 3, lambda: current, self.fail)
         repeats.update()
         self.assertEqual(repeats.is_idempotent, not is_newer)
         self.assertEqual(repeats.max_runs, 1 if is_newer else 3)
-
-    @params(
-        # when a read for another request began, kind that it has shown
-        (ARRIVED_AT - 0.1, SAFE, False),
-        # It may have begun before the request arrived: one reading of the clock.
-        (ARRIVED_AT, SAFE, False),
-        (ARRIVED_AT + 0.1, SAFE, True),
-        (ARRIVED_AT + 0.1, UNSAFE, False),
-        (ARRIVED_AT + 0.1, None, False),
-    )
-    def test_confirmation_for_another_request(self, began_at, new_kind, is_granted):
-        """It is enough if its read began after this request had arrived."""
-        current = [(make_route(SAFE), 7)]
-        confirmed_at = [-math.inf]
-        repeats = make_permission(current, self.fail, lambda: confirmed_at[0])
-        repeats.update()
-        self.assertFalse(repeats.is_granted)
-        confirmed_at[0] = began_at
-        if new_kind is not SAFE:
-            current.append((new_kind and make_route(new_kind), 8))
-        repeats.update()
-        self.assertEqual(repeats.is_granted, is_granted)
--- a/dogwoodtack/feed/feed.py
+++ b/dogwoodtack/feed/feed.py
@@ -449,14 +449,6 @@
         """
         self._confirmer.confirm(on_done)
 
-    @property
-    def configuration_confirmed_at(self) -> float:
-        """Return when the latest read began that has confirmed the configuration.
-
-        In seconds of the monotonic clock; a read for another host counts, too.
-        """
-        return max(self._confirmer.confirmed_at, self._store_confirmer.confirmed_at)
-
     @property
     def can_confirm(self) -> bool:
         """Return whether confirmations are to be had, as far as is known."""
--- a/dogwoodtack/feed/tests/test_feed.py
+++ b/dogwoodtack/feed/tests/test_feed.py
@@ -861,15 +861,9 @@
     def confirm_often(self, world, calls, span_s):
         """Let hosts ask now and then; return versions acknowledged and then known."""
         results = []
-        versions = []
 
         def ask(host):
             acknowledged, asked_at = world.store.state.version, world.reactor.clock.now
-            versions.append((asked_at, acknowledged))
-            confirmed_at = host.feed.configuration_confirmed_at
-            for at, version in versions:
-                if at < confirmed_at:
-                    self.assertGreaterEqual(host.feed.version, version)
 
             def on_done(is_confirmed):
                 waited_s = world.reactor.clock.now - asked_at
--- a/dogwoodtack/tests/test_confirmation.py
+++ b/dogwoodtack/tests/test_confirmation.py
@@ -1,6 +1,5 @@
 """Tests of the confirmation that the newest configuration is known."""
 
-import math
 import unittest
 
 from nose2.tools import params
@@ -107,29 +106,6 @@
         self.loop.run_for(0.0)
         self.assertEqual(self.results[1:], [("b", True)])
 
-    def test_time_of_a_confirmation_is_the_begin_of_its_read(self):
-        """A request that arrived meanwhile may have been sent after a change."""
-        self.confirm("a")
-        self.loop.run_for(0.0)
-        began_at = self.loop.clock.now
-        self.loop.run_for(0.2)
-        self.confirm("b")
-        self.loop.run_for(0.0)
-        self.assertEqual(len(self.reads), 2)
-        self.reads[0](True)
-        self.assertEqual(self.confirmer.confirmed_at, began_at)
-        # The replies come in any order, and after their time.
-        self.reads[1](True)
-        self.reads[0](True)
-        self.assertEqual(self.confirmer.confirmed_at, began_at + 0.2)
-
-    @params(0.01, TIMEOUT_S + 0.01)
-    def test_read_that_fails_confirms_nothing(self, delay_s):
-        self.confirm("a")
-        self.loop.run_for(delay_s)
-        self.reads[0](False)
-        self.assertEqual(self.confirmer.confirmed_at, -math.inf)
-
     def test_back_off_ends_when_the_store_is_heard_of(self):
         """Look-ups were not repeated for 8 s after the store was back."""
         for _ in range(3):
