Send look-ups to doubtful instances also while none can be repeated

Cause: since a look-up was sent only to instances of good health while nothing confirmed its repeat. Where all instances were doubtful it waited for one: up to 2.0 s while the store was away, where callers are to be answered at once.

Change: the rule is gone, with Feed.can_confirm and its unit test.

--- a/dogwoodtack/entry/exchange.py
+++ b/dogwoodtack/entry/exchange.py
@@ -136,7 +136,6 @@
             the configuration; version 0 means that none is known yet.
         confirm_configuration: calls its argument with whether the newest configuration
             is in force here.
-        can_confirm: returns whether that is to be had, as far as is known.
         splitter: chooses a service by the route's traffic split.
         grace: which requests end before this host does.
         idle_limit: how long an idle connection is reused for non-idempotent requests.
@@ -163,7 +162,6 @@
     evidence: Evidence
     find_route: RouteFinder
     confirm_configuration: Callable[[Callable[[bool], None]], None]
-    can_confirm: Callable[[], bool]
     splitter: TrafficSplitter
     grace: GracePeriod
     idle_limit: IdleLimit
@@ -460,8 +458,6 @@
             self._repeats.is_idempotent
             and not self._sent_attempts
             and self._repeats.max_runs > 1
-            # Without a confirmation a failure is final.
-            and (self._repeats.is_certain or self._deps.can_confirm())
         )
         if is_exploratory:
             budget = self._deps.placer.budget(self._service)
--- a/dogwoodtack/entry/host.py
+++ b/dogwoodtack/entry/host.py
@@ -236,7 +236,6 @@
             evidence=Evidence(self.reactor.clock, self.placer, self.paths, idle_limit),
             find_route=self._find_route,
             confirm_configuration=self.feed.confirm_configuration,
-            can_confirm=lambda: self.feed.can_confirm,
             splitter=self.splitter,
             grace=self.grace,
             idle_limit=idle_limit,
--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -23,13 +23,7 @@
 from dogwoodtack.errors import ErrorKind, WireError
 from dogwoodtack.frontend.conn import RequestHead
 from dogwoodtack.misc import Address
-from dogwoodtack.placement import (
-    InstanceRegistry,
-    Placer,
-    Rejection,
-    RetryRules,
-    SelectionMode,
-)
+from dogwoodtack.placement import InstanceRegistry, Placer, Rejection, RetryRules
 from dogwoodtack.placement.tests.test_parts import (
     apply_each,
     make_change,
@@ -323,7 +317,6 @@
             evidence=Evidence(clock, self.placer, self.paths, idle_limit),
             find_route=self.find_route,
             confirm_configuration=self.confirm_configuration,
-            can_confirm=lambda: True,
             splitter=TrafficSplitter(rng.random()),
             grace=self.grace,
             idle_limit=idle_limit,
@@ -504,23 +497,6 @@
         # Work for a caller that has left ends, unless it is known to run once at most.
         self.assertEqual(exchange.is_done, not is_changed)
 
-    @params(
-        # target, whether confirmations are to be had, mode of the first choice
-        ("/look/", True, SelectionMode.EXPLORATORY),
-        ("/look/", False, SelectionMode.CAUTIOUS),
-        ("/book/", True, SelectionMode.CAUTIOUS),
-    )
-    def test_look_up_that_cannot_be_repeated_explores_nothing(
-        self, target, can_confirm, mode
-    ):
-        """It was sent to instances of unknown health, and its failure was final."""
-        world = World(1)
-        host = world.hosts[0]
-        host._deps = host._deps._replace(can_confirm=lambda: can_confirm)
-        with mock.patch.object(host.placer, "place", return_value=None) as place:
-            host.start(request_head("GET", target), lambda status, headers, body: None)
-        self.assertEqual(place.call_args.args[0].requirements.mode, mode)
-
     @params("GET", "POST")
     def test_kind_that_changes_while_a_request_is_under_way(self, method):
         """A request was repeated by its kind on arrival, not by the newest known."""
--- a/dogwoodtack/feed/feed.py
+++ b/dogwoodtack/feed/feed.py
@@ -449,11 +449,6 @@
         """
         self._confirmer.confirm(on_done)
 
-    @property
-    def can_confirm(self) -> bool:
-        """Return whether confirmations are to be had, as far as is known."""
-        return not self._confirmer.is_failing
-
     def confirm_at_store(self, on_done: OnConfirmed) -> None:
         """Do the same by a read of the store from here, for a request of any host.
 
