End a request without its caller in one place, and keep a test of modes

Read as a newcomer: the end of a request whose caller has left stood twice in the exchange of dogwoodtackd. One method does it now, with the result of the key as its argument; nothing else changes.

--- a/dogwoodtack/entry/tests/test_exchange.py
+++ b/dogwoodtack/entry/tests/test_exchange.py
@@ -23,7 +23,13 @@
 from dogwoodtack.errors import ErrorKind, WireError
 from dogwoodtack.frontend.conn import RequestHead
 from dogwoodtack.misc import Address
-from dogwoodtack.placement import InstanceRegistry, Placer, Rejection, RetryRules
+from dogwoodtack.placement import (
+    InstanceRegistry,
+    Placer,
+    Rejection,
+    RetryRules,
+    SelectionMode,
+)
 from dogwoodtack.placement.tests.test_parts import (
     apply_each,
     make_change,
@@ -497,6 +503,15 @@
         # Work for a caller that has left ends, unless it is known to run once at most.
         self.assertEqual(exchange.is_done, not is_changed)
 
+    @params(("/look/", SelectionMode.EXPLORATORY), ("/book/", SelectionMode.CAUTIOUS))
+    def test_mode_of_the_first_choice(self, target, mode):
+        """Only an idempotent request may go to instances of unknown health."""
+        world = World(1)
+        host = world.hosts[0]
+        with mock.patch.object(host.placer, "place", return_value=None) as place:
+            host.start(request_head("GET", target), lambda status, headers, body: None)
+        self.assertEqual(place.call_args.args[0].requirements.mode, mode)
+
     @params("GET", "POST")
     def test_kind_that_changes_while_a_request_is_under_way(self, method):
         """A request was repeated by its kind on arrival, not by the newest known."""
--- a/dogwoodtack/frontend/exchange.py
+++ b/dogwoodtack/frontend/exchange.py
@@ -254,19 +254,15 @@
         dispatched = self._attempt is not None and self._attempt.bytes_sent
         if dispatched and not self._is_idempotent and not self._upload.is_streamed:
             left_s = self._deadline - self._deps.reactor.clock.monotonic()
-            self._deps.reactor.call_later(
-                max(left_s, self._deps.stall_timeout_s), self._end_without_caller
-            )
+            delay_s = max(left_s, self._deps.stall_timeout_s)
+            self._deps.reactor.call_later(delay_s, self._end_without_caller, Unknown())
             return
-        self._cancel_pending(Unknown() if dispatched else NotRun())
-        self._close(
-            "caller-gone", CALLER_GONE_STATUS, Outcome.UNKNOWN, is_complete=False
-        )
+        self._end_without_caller(Unknown() if dispatched else NotRun())
 
-    def _end_without_caller(self) -> None:
+    def _end_without_caller(self, result: KeyResult) -> None:
         if self.is_done:
             return
-        self._cancel_pending(Unknown())
+        self._cancel_pending(result)
         self._close(
             "caller-gone", CALLER_GONE_STATUS, Outcome.UNKNOWN, is_complete=False
         )
